--- /dev/null
+++ b/chivefall/config.py
@@ -0,0 +1,181 @@
+"""Typed settings of an instance, read from JSON with comments."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import json5
+import msgspec
+
+from chivefall.errors import ConfigError
+from chivefall.model import DomainId, InstanceId
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+__all__ = ["Address", "Settings", "Timing", "load_settings", "parse_settings"]
+
+MAX_PORT = 65535
+
+
+@dataclass(frozen=True, order=True)
+class Address:
+    """An IP address and a TCP port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+    @classmethod
+    def parse(cls, text: str) -> Address:
+        """Return the address written as ``host:port``.
+
+        Raises
+        ------
+        ConfigError
+            If the text is not an address.
+        """
+        host, _, port = text.rpartition(":")
+        if not host or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+            raise ConfigError(
+                f"{text!r} is not an address", "write it as host:port, such as 127.0.0.1:8080"
+            )
+        return cls(host, int(port))
+
+
+@dataclass(frozen=True)
+class Timing:
+    """Intervals and limits in seconds."""
+
+    heartbeat: float = 1.0
+    freshness: float = 3.0
+    leader_lease: float = 6.0
+    leader_renewal: float = 2.0
+    worker_lease: float = 60.0
+    worker_poll: float = 20.0
+    gang_lease: float = 5.0
+    document_watch: float = 20.0
+    instance_list: float = 5.0
+    store_timeout: float = 2.0
+    worker_timeout: float = 2.0
+    peer_timeout: float = 3.0
+    shutdown_grace: float = 30.0
+
+
+@dataclass(frozen=True)
+class Settings:
+    """Settings of one entry instance.
+
+    Attributes
+    ----------
+    instance : InstanceId
+        Unique name of the instance.
+    region : str
+        Region that the instance serves.
+    failure_domain : DomainId
+        Failure domain that the instance belongs to.
+    listen : str
+        ``host:port`` for callers, operators and metrics.
+    peer_listen : str
+        ``host:port`` for messages of other instances.
+    store : str
+        ``host:port`` of the platform's key-value service.
+    peers : dict
+        Peer address of every configured instance by its name.
+    """
+
+    instance: InstanceId
+    region: str
+    failure_domain: DomainId
+    listen: str
+    peer_listen: str
+    store: str
+    peers: dict[InstanceId, str] = field(default_factory=dict)
+    timing: Timing = field(default_factory=Timing)
+    log_file: str = "-"
+
+
+def parse_settings(text: str, source: str = "settings") -> Settings:
+    """Return the settings written in JSON with comments.
+
+    Parameters
+    ----------
+    text : str
+        Content of the settings file.
+    source : str
+        Name of the file for messages.
+
+    Raises
+    ------
+    ConfigError
+        If the text is not valid; the message names the key and the remedy.
+    """
+    try:
+        raw = json5.loads(text)
+    except ValueError as exc:
+        raise ConfigError(
+            f"{source} is not JSON with comments: {exc}", "correct the syntax at that place"
+        ) from exc
+    if not isinstance(raw, dict):
+        raise ConfigError(f"{source} is not an object", "put all keys between { and }")
+    _reject_unknown_keys(raw, Settings, source, "")
+    _reject_unknown_keys(raw.get("timing", {}), Timing, source, "timing.")
+    try:
+        cfg = msgspec.convert(raw, Settings)
+    except msgspec.ValidationError as exc:
+        raise ConfigError(f"{source}: {exc}", "correct the key that the message names") from exc
+    _check_values(cfg, source)
+    return cfg
+
+
+def load_settings(path: Path) -> Settings:
+    """Return the settings in a file.
+
+    Raises
+    ------
+    ConfigError
+        If the file cannot be read or is not valid.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        raise ConfigError(f"{path} cannot be read: {exc}", "check the --settings option") from exc
+    return parse_settings(text, str(path))
+
+
+def _reject_unknown_keys(raw: object, kind: type, source: str, prefix: str) -> None:
+    if not isinstance(raw, dict):
+        return
+    known = set(kind.__dataclass_fields__)
+    for key in raw:
+        if key not in known:
+            raise ConfigError(
+                f"{source}: unknown key {prefix}{key}",
+                f"remove it or use one of {', '.join(sorted(known))}",
+            )
+
+
+def _check_values(cfg: Settings, source: str) -> None:
+    for key in ("listen", "peer_listen", "store"):
+        try:
+            Address.parse(getattr(cfg, key))
+        except ConfigError as exc:
+            raise ConfigError(f"{source}: {key}: {exc.problem}", exc.remedy) from exc
+    for name, peer in cfg.peers.items():
+        try:
+            Address.parse(peer)
+        except ConfigError as exc:
+            raise ConfigError(f"{source}: peers.{name}: {exc.problem}", exc.remedy) from exc
+    for key in Timing.__dataclass_fields__:
+        if not getattr(cfg.timing, key) > 0:
+            raise ConfigError(
+                f"{source}: timing.{key} is not positive", "give a number of seconds above 0"
+            )
+    if cfg.timing.leader_renewal * 2 > cfg.timing.leader_lease:
+        raise ConfigError(
+            f"{source}: timing.leader_renewal is more than half of timing.leader_lease",
+            "renew at least twice in each lease period",
+        )
--- /dev/null
+++ b/chivefall/errors.py
@@ -0,0 +1,44 @@
+"""Typed errors whose messages name the remedy."""
+
+from __future__ import annotations
+
+__all__ = [
+    "ChivefallError",
+    "ConfigError",
+    "DocumentError",
+    "MessageError",
+    "RegistryError",
+]
+
+
+class ChivefallError(Exception):
+    """Base class of all errors that chivefall raises on purpose.
+
+    Parameters
+    ----------
+    problem : str
+        What is wrong, with the offending value.
+    remedy : str
+        What the reader can do about it.
+    """
+
+    def __init__(self, problem: str, remedy: str) -> None:
+        super().__init__(f"{problem}; {remedy}")
+        self.problem = problem
+        self.remedy = remedy
+
+
+class ConfigError(ChivefallError):
+    """The settings file cannot be used."""
+
+
+class DocumentError(ChivefallError):
+    """The operators' document or a change to it is invalid."""
+
+
+class MessageError(ChivefallError):
+    """A message of a caller or a peer cannot be decoded."""
+
+
+class RegistryError(ChivefallError):
+    """A component is registered twice or not at all."""
--- /dev/null
+++ b/chivefall/model/_outcomes.py
@@ -0,0 +1,64 @@
+"""Tagged outcomes of requests."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any, Union
+
+from chivefall.model._ids import JobId
+from chivefall.model._states import NotRunReason
+
+__all__ = ["Accepted", "Completed", "NotRun", "Outcome", "Unknown"]
+
+
+@dataclass(frozen=True)
+class Completed:
+    """The request ran and this is its whole answer.
+
+    Attributes
+    ----------
+    answer : Any
+        JSON value that the endpoint or the gang returned.
+    status : int
+        HTTP status of an endpoint's answer; 200 for jobs.
+    """
+
+    answer: Any
+    status: int = 200
+
+
+@dataclass(frozen=True)
+class Accepted:
+    """The job is recorded and runs on; its state can be queried."""
+
+    job_id: JobId
+
+
+@dataclass(frozen=True)
+class NotRun:
+    """The request did not run, and will not run.
+
+    Attributes
+    ----------
+    reason : NotRunReason
+        Why it was refused.
+    detail : str
+        What the caller can do about it.
+    retry_after : float or None
+        Seconds after which a repeat may succeed; None if a repeat is futile.
+    """
+
+    reason: NotRunReason
+    detail: str = ""
+    retry_after: float | None = None
+
+
+@dataclass(frozen=True)
+class Unknown:
+    """The request may or may not have run."""
+
+    detail: str = ""
+    evidence: tuple[str, ...] = field(default=())
+
+
+Outcome = Union[Completed, Accepted, NotRun, Unknown]
--- /dev/null
+++ b/chivefall/runtime/_clock.py
@@ -0,0 +1,114 @@
+"""Clocks and timers on the event loop."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import time
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING
+
+from circuits import BaseComponent, handler
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ["Clock", "LoopClock", "ManualClock", "TimerHandle"]
+
+
+class TimerHandle:
+    """A call that is due at a certain time."""
+
+    __slots__ = ("callback", "cancelled", "due")
+
+    def __init__(self, due: float, callback: Callable[[], None]) -> None:
+        self.due = due
+        self.callback = callback
+        self.cancelled = False
+
+    def cancel(self) -> None:
+        """Prevent the call; has no effect once it was made."""
+        self.cancelled = True
+
+
+class Clock(ABC):
+    """The present time and delayed calls."""
+
+    def __init__(self) -> None:
+        self._queue: list[tuple[float, int, TimerHandle]] = []
+        self._sequence = itertools.count()
+
+    @abstractmethod
+    def now(self) -> float:
+        """Return seconds since the epoch; never steps back."""
+
+    def call_later(self, delay: float, callback: Callable[[], None]) -> TimerHandle:
+        """Call ``callback`` once after ``delay`` seconds."""
+        timer = TimerHandle(self.now() + delay, callback)
+        heapq.heappush(self._queue, (timer.due, next(self._sequence), timer))
+        return timer
+
+    def next_due(self) -> float | None:
+        """Return the time of the earliest pending call, or None."""
+        while self._queue and self._queue[0][2].cancelled:
+            heapq.heappop(self._queue)
+        return self._queue[0][0] if self._queue else None
+
+    def run_due(self, now: float) -> int:
+        """Make all calls that are due at ``now`` and return their number."""
+        count = 0
+        while (due := self.next_due()) is not None and due <= now:
+            heapq.heappop(self._queue)[2].callback()
+            count += 1
+        return count
+
+
+class _TimerSource(BaseComponent):
+    """Wakes the circuits loop when a timer is due."""
+
+    channel = "timers"
+
+    def __init__(self, clock: LoopClock) -> None:
+        super().__init__()
+        self._clock = clock
+
+    @handler("generate_events", channel="*")
+    def _on_generate_events(self, event):
+        now = self._clock.now()
+        if self._clock.run_due(now):
+            event.reduce_time_left(0)
+        elif (due := self._clock.next_due()) is not None:
+            event.reduce_time_left(max(0.0, due - now))
+
+
+class LoopClock(Clock):
+    """A monotonic clock whose timers run on the circuits loop."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._offset = time.time() - time.monotonic()
+        self.source = _TimerSource(self)
+
+    def now(self) -> float:
+        """Return seconds since the epoch; never steps back."""
+        return self._offset + time.monotonic()
+
+
+class ManualClock(Clock):
+    """A clock that moves only when told to."""
+
+    def __init__(self, start: float = 1_000_000.0) -> None:
+        super().__init__()
+        self._now = start
+
+    def now(self) -> float:
+        """Return the time that was last set."""
+        return self._now
+
+    def advance(self, seconds: float) -> None:
+        """Move forward, making each due call at its own time."""
+        target = self._now + seconds
+        while (due := self.next_due()) is not None and due <= target:
+            self._now = max(self._now, due)
+            self.run_due(self._now)
+        self._now = target
--- /dev/null
+++ b/chivefall/runtime/_components.py
@@ -0,0 +1,17 @@
+"""Base class that joins circuits components with abstract base classes."""
+
+from __future__ import annotations
+
+from abc import ABC, ABCMeta
+
+from circuits import BaseComponent
+
+__all__ = ["AbstractComponent"]
+
+
+class _AbstractComponentMeta(ABCMeta, type(BaseComponent)):
+    """Metaclass of components that declare abstract methods."""
+
+
+class AbstractComponent(BaseComponent, ABC, metaclass=_AbstractComponentMeta):
+    """A circuits component that may declare abstract methods."""
