--- a/chivefall/store/_http_store.py
+++ b/chivefall/store/_http_store.py
@@ -26,6 +26,7 @@
     Stored,
     Unavailable,
     Unchanged,
+    Unmodified,
     Version,
     WatchOutcome,
     WriteOutcome,
@@ -52,13 +53,16 @@
         self._timeout = timeout
         self.calls = 0
 
-    async def get(self, key: str) -> ReadOutcome:
-        """Read one key."""
-        reply = await self._call("GET", _key_path(key))
+    async def get(self, key: str, known: Version | None = None) -> ReadOutcome:
+        """Read one key; the answer has no value if it is at the known version."""
+        headers = {} if known is None else {"If-None-Match": str(known)}
+        reply = await self._call("GET", _key_path(key), b"", headers)
         if isinstance(reply, Unavailable):
             return reply
         if reply.status == HTTPStatus.NOT_FOUND:
             return Missing()
+        if reply.status == HTTPStatus.NOT_MODIFIED:
+            return Unmodified()
         return Found(Entry(key, reply.body, _version(reply)))
 
     async def list(self, prefix: str) -> Listed | Unavailable:
--- a/chivefall/store/_store.py
+++ b/chivefall/store/_store.py
@@ -23,6 +23,7 @@
     "Stored",
     "Unavailable",
     "Unchanged",
+    "Unmodified",
     "Version",
     "WatchOutcome",
     "WriteOutcome",
@@ -56,6 +57,11 @@
     """The key does not exist."""
 
 
+@dataclass(frozen=True)
+class Unmodified:
+    """The key is still at the version that the reader knows."""
+
+
 @dataclass(frozen=True)
 class Listed:
     """All entries below a prefix, as of one version of the store."""
@@ -121,7 +127,7 @@
     version: Version
 
 
-ReadOutcome = Union[Found, Missing, Unavailable]
+ReadOutcome = Union[Found, Unmodified, Missing, Unavailable]
 WriteOutcome = Union[Stored, Conflict, Unavailable]
 LeaseOutcome = Union[Granted, LeaseExpired, Unavailable]
 WatchOutcome = Union[Changed, Unchanged, Unavailable]
@@ -131,8 +137,8 @@
     """A key-value service with compare-and-swap, leases and watches."""
 
     @abstractmethod
-    async def get(self, key: str) -> ReadOutcome:
-        """Read one key."""
+    async def get(self, key: str, known: Version | None = None) -> ReadOutcome:
+        """Read one key; the answer has no value if it is at the known version."""
 
     @abstractmethod
     async def list(self, prefix: str) -> Listed | Unavailable:
--- a/standins/store.py
+++ b/standins/store.py
@@ -162,6 +162,9 @@
     ) -> HttpReply:
         if method == "GET" and "list" in query:
             return self._entries_reply(self._state.list(key), [])
+        known = req.headers.get("if-none-match")
+        if method == "GET" and (item := self._state.get(key)) and str(item.version) == known:
+            return HttpReply(304, b"", {"X-Version": known})
         if method == "GET":
             return self._item_reply(200, key) if self._state.get(key) else _missing()
         expected = int(req.headers.get("if-match", "0"))
