--- a/chivefall/application.py
+++ b/chivefall/application.py
@@ -1,15 +1,13 @@
-"""The application object: wires settings, controllers and the filter chain."""
+"""The application object: controllers, filter chain and HTTP interface."""
 
 from __future__ import annotations
 
-import signal as signals
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from circuits import BaseComponent, handler
-from circuits.core.pollers import EPoll
 
 from chivefall.api import HttpApi
-from chivefall.config import Address, Settings
 from chivefall.controllers import (
     DocumentController,
     JobController,
@@ -19,76 +17,78 @@
     WorkerController,
 )
 from chivefall.filters import AccountFilter, DispatchFilter, FilterChain
-from chivefall.net import Envelope, Heartbeat, HttpClient, HttpServer, NngPeers
+from chivefall.net import Heartbeat, Peers
 from chivefall.registry import Registry
-from chivefall.runtime import LoopClock
+from chivefall.runtime import Clock
 from chivefall.scheduling import FifoPolicy
-from chivefall.store import HttpStore
+from chivefall.store import Store
 from chivefall.telemetry import LogEvent, Metrics, log_event
-from chivefall.workers import HttpWorkerClient
+from chivefall.workers import WorkerClient
 
 if TYPE_CHECKING:
-    from types import FrameType
+    from chivefall.config import Settings
 
-__all__ = ["Application"]
+__all__ = ["Application", "Connections"]
 
-DRAIN_CHECK_INTERVAL = 0.1  # seconds between checks for requests in progress
+NEVER = 1e9  # seconds reported as the age of a confirmation that never happened
+
+
+@dataclass(frozen=True)
+class Connections:
+    """The connections of an instance to everything outside its process."""
+
+    clock: Clock
+    store: Store
+    workers: WorkerClient
+    peers: Peers
 
 
 class Application(BaseComponent):
-    """One entry instance."""
+    """One entry instance without its transports."""
 
     channel = "application"
 
-    def __init__(self, cfg: Settings) -> None:
+    def __init__(self, cfg: Settings, connections: Connections) -> None:
         super().__init__()
         self.cfg = cfg
-        self.clock = LoopClock()
+        self.clock = connections.clock
         self.metrics = Metrics()
         self.registry = Registry()
-        self._stopping = False
-        EPoll().register(self)
-        self.clock.source.register(self)
-        self.http = HttpClient(self.clock).register(self)
-        store = HttpStore(self.http, Address.parse(cfg.store), cfg.timing.store_timeout)
-        workers = HttpWorkerClient(self.http, Address.parse(cfg.store), cfg.timing.worker_timeout)
-        self.peers = NngPeers(
-            cfg.instance,
-            Address.parse(cfg.peer_listen),
-            self.clock,
-            self._record_heartbeat,
-            lambda reason: log_event(LogEvent.PEER_MESSAGE_DROPPED, reason=reason),
-        ).register(self)
-        self._add_controllers(store, workers)
-        chain = FilterChain(
+        self._add_controllers(connections)
+        self.chain = FilterChain(
             [
                 AccountFilter(lambda: self.document.document),
                 DispatchFilter(self.job_router),
             ],
             self.clock.now,
         )
-        api = HttpApi(self.clock, chain, self.document, self.job_router, self.metrics)
-        self.server = HttpServer(Address.parse(cfg.listen), api.serve).register(self)
+        self.api = HttpApi(self.clock, self.chain, self.document, self.job_router, self.metrics)
 
-    def _add_controllers(self, store: HttpStore, workers: HttpWorkerClient) -> None:
+    def _add_controllers(self, connections: Connections) -> None:
         cfg, clock, add = self.cfg, self.clock, self.registry.add
+        store, peers = connections.store, connections.peers
         self.document = add(DocumentController(clock, store, cfg.timing))
-        self.membership = add(MembershipController(clock, cfg, self.peers, self._describe))
+        self.membership = add(MembershipController(clock, cfg, peers, self._describe))
         self.leader = add(LeaderController(clock, cfg, store, self._other_leader_heard))
-        self.workers = add(WorkerController(clock, cfg, workers, self.leader))
+        self.workers = add(WorkerController(clock, cfg, connections.workers, self.leader))
         self.jobs = add(
             JobController(clock, cfg, store, FifoPolicy(), self.document, self.leader, self.workers)
         )
         self.job_router = add(
-            JobRouter(
-                clock, cfg, self.peers, self.membership, self.document, self.leader, self.jobs
-            )
+            JobRouter(clock, cfg, peers, self.membership, self.document, self.leader, self.jobs)
         )
         for controller in self.registry:
             controller.register(self)
 
-    def _record_heartbeat(self, envelope: Envelope, message: Heartbeat) -> None:
-        self.membership.record_heartbeat(envelope, message)
+    def start_controllers(self) -> None:
+        """Start all controllers in the order of their registration."""
+        for controller in self.registry:
+            controller.start()
+
+    def stop_controllers(self) -> None:
+        """Stop all controllers in reverse order."""
+        for controller in reversed(self.registry):
+            controller.stop()
 
     def _other_leader_heard(self, now: float) -> bool:
         return self.membership.leader_of(self.cfg.failure_domain, now) is not None
@@ -99,26 +99,12 @@
         return Heartbeat(
             self.cfg.failure_domain,
             self.document.revision,
-            min(self.document.confirmed_age(now), 1e9),
+            min(self.document.confirmed_age(now), NEVER),
             self.document.store_reachable,
             self.leader.epoch,
             self.jobs.capacity_digest() if leads else (),
         )
 
-    @handler("started", channel="*")
-    def _on_started(self, *_: object) -> None:
-        for controller in self.registry:
-            controller.start()
-        log_event(LogEvent.PROCESS_STARTED, instance=self.cfg.instance, listen=self.cfg.listen)
-
-    @handler("signal", channel="*")
-    def _on_signal(self, signo: int, _frame: FrameType | None) -> None:
-        if signo in (signals.SIGTERM, signals.SIGINT) and not self._stopping:
-            self._stopping = True
-            log_event(LogEvent.PROCESS_STOPPING, signal=signals.Signals(signo).name)
-            self.server.stop_listening()
-            self._drain(self.clock.now() + self.cfg.timing.shutdown_grace)
-
     @handler("exception", channel="*")
     def _on_exception(self, kind, value, _traceback, handler=None, fevent=None) -> None:
         log_event(
@@ -127,18 +113,3 @@
             handler=repr(handler),
             event=repr(fevent),
         )
-
-    def _drain(self, limit: float) -> None:
-        """Stop once all requests in progress are answered or the limit passes."""
-        if self.server.requests_in_progress and self.clock.now() < limit:
-            self.clock.call_later(DRAIN_CHECK_INTERVAL, lambda: self._drain(limit))
-            return
-        for controller in reversed(self.registry):
-            controller.stop()
-        self.clock.call_later(DRAIN_CHECK_INTERVAL, self._end)
-
-    def _end(self) -> None:
-        self.http.close_all()
-        self.peers.close()
-        log_event(LogEvent.PROCESS_STOPPED, instance=self.cfg.instance)
-        self.root.stop()
--- a/chivefall/cli/_main.py
+++ b/chivefall/cli/_main.py
@@ -26,13 +26,14 @@
     settings: Annotated[Path, typer.Option(help="Settings file, JSON with comments.")],
 ) -> None:
     """Run one instance until SIGTERM or SIGINT."""
-    from chivefall.application import Application  # noqa: PLC0415 - the daemon's libraries
+    # Imported here so that the other commands start without the daemon's libraries.
     from chivefall.config import load_settings  # noqa: PLC0415
+    from chivefall.daemon import Daemon  # noqa: PLC0415
     from chivefall.telemetry import open_log  # noqa: PLC0415
 
     cfg = load_settings(settings)
     open_log(cfg.log_file)
-    Application(cfg).run()
+    Daemon(cfg).run()
 
 
 def main() -> None:
--- a/chivefall/controllers/_membership.py
+++ b/chivefall/controllers/_membership.py
@@ -41,6 +41,7 @@
         self._configured = {name: Address.parse(address) for name, address in cfg.peers.items()}
         self.table = PeerTable()
         peers.set_peers(self._configured)
+        peers.on_heartbeat(self._record_heartbeat)
 
     def start(self) -> None:
         """Begin to send heartbeats."""
@@ -48,7 +49,7 @@
             self._cfg.timing.heartbeat, lambda now: self._peers.broadcast(self._describe(now))
         )
 
-    def record_heartbeat(self, envelope: Envelope, message: Heartbeat) -> None:
+    def _record_heartbeat(self, envelope: Envelope, message: Heartbeat) -> None:
         """Store a received heartbeat."""
         now = self.clock.now()
         self.table.record(
--- a/chivefall/net/_peers.py
+++ b/chivefall/net/_peers.py
@@ -74,6 +74,10 @@
     def set_peers(self, addresses: dict[InstanceId, Address]) -> None:
         """Replace the set of peers."""
 
+    @abstractmethod
+    def on_heartbeat(self, handle: Callable[[Envelope, Heartbeat], None]) -> None:
+        """Hand received heartbeats to ``handle``."""
+
     @abstractmethod
     def serve(self, operation: str, handle: Callable[[Any], Future[Any]]) -> None:
         """Answer an operation of peers with ``handle``."""
@@ -106,7 +110,6 @@
         instance: InstanceId,
         address: Address,
         clock: Clock,
-        on_heartbeat: Callable[[Envelope, Heartbeat], None],
         on_dropped: Callable[[str], None],
     ) -> None:
         super().__init__(channel="peers")
@@ -114,7 +117,7 @@
         self._instance = instance
         self._address = address
         self._clock = clock
-        self._on_heartbeat = on_heartbeat
+        self._handle_heartbeat: Callable[[Envelope, Heartbeat], None] | None = None
         self._on_dropped = on_dropped
         self.incarnation = secrets.token_hex(8)
         self._correlations = itertools.count(1)
@@ -181,6 +184,10 @@
         """Answer an operation of peers with ``handle``."""
         self._operations[operation] = handle
 
+    def on_heartbeat(self, handle: Callable[[Envelope, Heartbeat], None]) -> None:
+        """Hand received heartbeats to ``handle``."""
+        self._handle_heartbeat = handle
+
     def close(self) -> None:
         """Close all sockets."""
         poller = findcmp(self.root, BasePoller)
@@ -224,7 +231,8 @@
             return
         message = envelope.message
         if isinstance(message, Heartbeat):
-            self._on_heartbeat(envelope, message)
+            if self._handle_heartbeat is not None:
+                self._handle_heartbeat(envelope, message)
         elif isinstance(message, CallerRequest):
             self._answer(envelope, message)
         else:
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -271,19 +271,22 @@
         instance: InstanceId,
         network: MemoryNetwork,
         clock: Clock,
-        on_heartbeat: Callable[[Envelope, Heartbeat], None],
     ) -> None:
         self.instance = instance
         self.incarnation = f"{instance}-incarnation"
         self._network = network
         self._clock = clock
-        self._on_heartbeat = on_heartbeat
+        self._handle_heartbeat: Callable[[Envelope, Heartbeat], None] | None = None
         self._operations: dict[str, Callable[[Any], Future[Any]]] = {}
         network.peers[instance] = self
 
     def set_peers(self, addresses: dict[InstanceId, Address]) -> None:
         """Do nothing; the network knows all peers."""
 
+    def on_heartbeat(self, handle: Callable[[Envelope, Heartbeat], None]) -> None:
+        """Hand received heartbeats to ``handle``."""
+        self._handle_heartbeat = handle
+
     def serve(self, operation: str, handle: Callable[[Any], Future[Any]]) -> None:
         """Answer an operation of peers with ``handle``."""
         self._operations[operation] = handle
@@ -293,7 +296,7 @@
         envelope = Envelope(self.instance, self.incarnation, "", message)
         for name, peer in list(self._network.peers.items()):
             if name != self.instance and self._network.connected(self.instance, name):
-                peer._on_heartbeat(envelope, message)
+                peer._receive_heartbeat(envelope, message)
 
     def call(
         self, peer: InstanceId, operation: str, body: Any, timeout: float
@@ -307,6 +310,10 @@
         answer = spawn(self._deliver(peer, request))
         return wait_for(self._clock, answer, timeout, PeerFailure("no answer", sent=True))
 
+    def _receive_heartbeat(self, envelope: Envelope, message: Heartbeat) -> None:
+        if self._handle_heartbeat is not None:
+            self._handle_heartbeat(envelope, message)
+
     async def _deliver(self, peer: InstanceId, request: CallerRequest) -> Any | PeerFailure:
         answer = await self._network.peers[peer]._operations[request.operation](request.body)
         if not self._network.connected(self.instance, peer):
