--- a/chivefall/config.py
+++ b/chivefall/config.py
@@ -57,7 +57,6 @@
     worker_lease: float = 60.0
     worker_poll: float = 20.0
     gang_lease: float = 5.0
-    document_watch: float = 20.0
     instance_list: float = 5.0
     store_timeout: float = 2.0
     worker_timeout: float = 2.0
