Add the command line for documents, domains and jobs

Cause: operators and callers had only raw HTTP. Change: document show, diff, apply and history; domain out and in; job submit, status and cancel; settings check. Errors end with a message and status 2.

--- a/chivefall/cli/_main.py
+++ b/chivefall/cli/_main.py
@@ -1,4 +1,4 @@
-"""Command line of chivefall."""
+"""Root of the command line."""
 
 from __future__ import annotations
 
@@ -7,13 +7,21 @@
 
 import typer
 
+from chivefall import __version__
+from chivefall.cli import _document, _domains, _jobs
+from chivefall.config import load_settings
 from chivefall.errors import ChivefallError
 
-__all__ = ["main"]
+__all__ = ["app", "main"]
 
-EXIT_BAD_SETTINGS = 2
+EXIT_FAILURE = 2
+
+SettingsOption = Annotated[Path, typer.Option(help="Settings file, JSON with comments.")]
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False)
+app.add_typer(_document.app, name="document")
+app.add_typer(_domains.app, name="domain")
+app.add_typer(_jobs.app, name="job")
 
 
 @app.callback()
@@ -22,12 +30,9 @@
 
 
 @app.command()
-def run(
-    settings: Annotated[Path, typer.Option(help="Settings file, JSON with comments.")],
-) -> None:
+def run(settings: SettingsOption) -> None:
     """Run one instance until SIGTERM or SIGINT."""
     # Imported here so that the other commands start without the daemon's libraries.
-    from chivefall.config import load_settings  # noqa: PLC0415
     from chivefall.daemon import Daemon  # noqa: PLC0415
     from chivefall.telemetry import open_log  # noqa: PLC0415
 
@@ -36,10 +41,22 @@
     Daemon(cfg).run()
 
 
+@app.command()
+def check(settings: SettingsOption) -> None:
+    """Check a settings file and print the effective values."""
+    typer.echo(load_settings(settings))
+
+
+@app.command()
+def version() -> None:
+    """Print the version."""
+    typer.echo(__version__)
+
+
 def main() -> None:
     """Run the command line; known errors end with a message instead of a traceback."""
     try:
         app()
     except ChivefallError as exc:
         typer.echo(f"chivefall: {exc}", err=True)
-        raise SystemExit(EXIT_BAD_SETTINGS) from exc
+        raise SystemExit(EXIT_FAILURE) from exc
--- /dev/null
+++ b/chivefall/cli/_options.py
@@ -0,0 +1,29 @@
+"""Options that several commands share."""
+
+from __future__ import annotations
+
+import json
+from typing import Annotated, Any
+
+import typer
+
+__all__ = ["AccountOption", "InstanceOption", "ReasonOption", "TeamOption", "print_json"]
+
+InstanceOption = Annotated[
+    str,
+    typer.Option(
+        "--instance", envvar="CHIVEFALL_INSTANCE", help="host:port of any instance of the region."
+    ),
+]
+TeamOption = Annotated[
+    str, typer.Option("--team", envvar="CHIVEFALL_TEAM", help="Team that makes the change.")
+]
+AccountOption = Annotated[
+    str, typer.Option("--account", envvar="CHIVEFALL_ACCOUNT", help="Client account to charge.")
+]
+ReasonOption = Annotated[str, typer.Option("--reason", help="Text for the audit record.")]
+
+
+def print_json(value: Any) -> None:
+    """Print a value as indented JSON."""
+    typer.echo(json.dumps(value, indent=2, sort_keys=True))
--- /dev/null
+++ b/tests/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the command line."""
--- /dev/null
+++ b/tests/cli/test_main.py
@@ -0,0 +1,118 @@
+"""Command line: bad input must end with a clear message and a non-zero status."""
+
+from __future__ import annotations
+
+import contextlib
+import io
+import json
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from chivefall.cli._client import Answer, InstanceClient, RequestError, read_json_file
+from chivefall.cli._main import app, main
+
+INSTANCE = ["--instance", "127.0.0.1:1"]
+
+
+def run(*args: str) -> tuple[int, str, str]:
+    """Return status, output and error output of a command."""
+    out, err = io.StringIO(), io.StringIO()
+    with (
+        mock.patch("sys.argv", ["chivefall", *args]),
+        contextlib.redirect_stdout(out),
+        contextlib.redirect_stderr(err),
+    ):
+        try:
+            main()
+            status = 0
+        except SystemExit as exc:
+            status = exc.code or 0
+    return status, out.getvalue(), err.getvalue()
+
+
+class MainTest(unittest.TestCase):
+    def test_bad_settings_name_the_key(self) -> None:
+        """Guards against a traceback, or a start, with settings that are not valid."""
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory) / "bad.json"
+            path.write_text('{"instance": "a", "listne": 1}', encoding="utf-8")
+            for command in ("check", "run"):
+                status, _, err = run(command, "--settings", str(path))
+                self.assertEqual(status, 2)
+                self.assertIn("listne", err)
+                self.assertNotIn("Traceback", err)
+
+    def test_unreachable_instance(self) -> None:
+        """Guards against a traceback when the instance does not answer."""
+        status, _, err = run("job", "status", "zarcero.1", *INSTANCE)
+        self.assertEqual(status, 2)
+        self.assertIn("name another instance", err)
+
+    def test_refusal_is_shown_whole(self) -> None:
+        """Guards against hiding the reason and the retry hint of a refusal."""
+        answer = Answer(503, {"outcome": "not_run", "reason": "no_leader", "retry_after": 2.0})
+        with mock.patch.object(InstanceClient, "call", return_value=answer):
+            status, _, err = run("job", "submit", "sort", "--account", "farmers", *INSTANCE)
+        self.assertEqual(status, 2)
+        self.assertIn("no_leader", err)
+        self.assertIn("retry_after", err)
+
+    def test_submit_sends_every_option(self) -> None:
+        """Guards against options that the command line accepts and then drops."""
+        accepted = Answer(202, {"outcome": "accepted", "job_id": "zarcero.1"})
+        options = ["--gang-size", "8", "--urgent", "--once", "--key", "k1", "--wait", "5"]
+        with mock.patch.object(InstanceClient, "call", return_value=accepted) as call:
+            status, _, _ = run("job", "submit", "sort", "--account", "farmers", *options, *INSTANCE)
+        self.assertEqual(status, 0)
+        method, path, job = call.call_args.args
+        headers = call.call_args.kwargs["headers"]
+        self.assertEqual((method, path), ("POST", "/v1/jobs?wait=1"))
+        self.assertEqual((job["gang_size"], job["urgency"]), (8, "urgent"))
+        self.assertFalse(job["idempotent"])
+        self.assertEqual(headers["Idempotency-Key"], "k1")
+        self.assertEqual(headers["X-Chivefall-Timeout"], "5.0")
+
+    def test_every_command_has_help(self) -> None:
+        """Guards against commands that operators cannot find."""
+        for group in app.registered_groups:
+            for command in group.typer_instance.registered_commands:
+                self.assertTrue(command.callback.__doc__, command)
+
+
+class DocumentCommandTest(unittest.TestCase):
+    def _run(self, command: str, text: str, *options: str) -> tuple[int, str, mock.Mock]:
+        current = Answer(200, {"revision": 7, "accounts": {"farmers": {}}})
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory) / "document.json"
+            path.write_text(text, encoding="utf-8")
+            with mock.patch.object(InstanceClient, "call", return_value=current) as call:
+                status, out, _ = run("document", command, str(path), *options, *INSTANCE)
+        return status, out, call
+
+    def test_diff_ignores_comments_and_revision(self) -> None:
+        """Guards against differences that are none."""
+        status, out, _ = self._run("diff", '{/* ours */ "accounts": {"farmers": {}}}')
+        self.assertEqual((status, out), (0, ""))
+        status, out, _ = self._run("diff", '{"accounts": {"captains": {}}}')
+        self.assertEqual(status, 1)
+        self.assertIn('+    "captains": {}', out)
+
+    def test_apply_names_its_base_revision(self) -> None:
+        """Guards against a change that overwrites an edit its author has not seen."""
+        _, _, call = self._run("apply", '{"accounts": {}}', "--team", "planners")
+        self.assertEqual(call.call_args.kwargs["headers"]["If-Match"], "7")
+        _, _, call = self._run("apply", '{"accounts": {}}', "--team", "planners", "--base", "5")
+        self.assertEqual(call.call_args.kwargs["headers"]["If-Match"], "5")
+
+
+class ReadJsonFileTest(unittest.TestCase):
+    def test_errors_name_the_file(self) -> None:
+        """Guards against errors that leave open which file is wrong."""
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory) / "broken.json"
+            path.write_text(json.dumps({})[:-1], encoding="utf-8")
+            for name in (path, Path(directory) / "missing.json"):
+                with self.assertRaisesRegex(RequestError, name.name):
+                    read_json_file(name)
