--- /dev/null
+++ b/tests/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the log events and metrics."""
