--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -17,7 +17,7 @@
 
 from standins.sizes import DEPLOYMENTS, DeploymentSize
 
-__all__ = ["Deployment", "call"]
+__all__ = ["Deployment", "call", "free_ports", "wait_until"]
 
 HOST = "127.0.0.1"
 STOP_TIMEOUT = 10.0
@@ -45,7 +45,7 @@
         return exc.code, json.loads(exc.read() or b"null")
 
 
-def _free_ports(count: int) -> list[int]:
+def free_ports(count: int) -> list[int]:
     """Return ports that are free now; all are held until all are chosen."""
     socks = []
     for _ in range(count):
@@ -67,7 +67,7 @@
         self._chivefall = chivefall
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         entries = size.entry_instances_per_domain * len(size.failure_domains)
-        ports = _free_ports(1 + size.workers + 2 * entries)
+        ports = free_ports(1 + size.workers + 2 * entries)
         self.store = f"{HOST}:{ports[0]}"
         self.workers = self._worker_instances(ports[1 : 1 + size.workers])
         self.entries = self._entry_settings(ports[1 + size.workers :])
