--- a/chivefall/scheduling/_cluster.py
+++ b/chivefall/scheduling/_cluster.py
@@ -65,9 +65,13 @@
     Attributes
     ----------
     started_at : float
-        Seconds since the epoch.
+        Seconds since the epoch; 0 while it starts.
     checkpointable : bool
         Whether it may be checkpointed now; False while it starts.
+    done : float
+        Seconds of work that the checkpoint held from which it started.
+    checkpointing : bool
+        Whether its checkpoint is under way, after which its accelerators are free.
     """
 
     job_id: JobId
@@ -75,6 +79,8 @@
     placement: Placement
     started_at: float
     checkpointable: bool = True
+    done: float = 0.0
+    checkpointing: bool = False
 
 
 @dataclass(frozen=True)
@@ -125,3 +131,6 @@
     @abstractmethod
     def plan(self, view: ClusterView, now: float) -> Plan:
         """Return the decisions for one round."""
+
+    def observe_finished(self, spec: JobSpec, seconds: float) -> None:  # noqa: B027
+        """Learn from the whole run time of a finished job."""
