Add GuaranteePolicy

Cause: FIFO neither reclaims guaranteed shapes nor starts urgent work in time. Change: the policy reclaims shapes by checkpointing borrowers, holds their room, reserves for the first job that does not fit, backfills by corrected run times, shares borrowed room, moves small jobs and rejects impossible ones; drain_order orders a domain's jobs for transfer. The application uses it.

--- a/chivefall/application.py
+++ b/chivefall/application.py
@@ -20,7 +20,7 @@
 from chivefall.net import Heartbeat, Peers
 from chivefall.registry import Registry
 from chivefall.runtime import Clock
-from chivefall.scheduling import FifoPolicy
+from chivefall.scheduling import GuaranteePolicy
 from chivefall.store import Store
 from chivefall.telemetry import LogEvent, Metrics, log_event
 from chivefall.workers import WorkerClient
@@ -72,7 +72,9 @@
         self.leader = add(LeaderController(clock, cfg, store, self._other_leader_heard))
         self.workers = add(WorkerController(clock, cfg, connections.workers, self.leader))
         self.jobs = add(
-            JobController(clock, cfg, store, FifoPolicy(), self.document, self.leader, self.workers)
+            JobController(
+                clock, cfg, store, GuaranteePolicy(), self.document, self.leader, self.workers
+            )
         )
         self.job_router = add(
             JobRouter(clock, cfg, peers, self.membership, self.document, self.leader, self.jobs)
--- a/chivefall/scheduling/__init__.py
+++ b/chivefall/scheduling/__init__.py
@@ -10,16 +10,26 @@
     SchedulingPolicy,
     WorkerView,
 )
+from chivefall.scheduling._drain import drain_order
+from chivefall.scheduling._estimator import RunTimeEstimator
+from chivefall.scheduling._feasibility import feasibility
 from chivefall.scheduling._fifo import FifoPolicy
+from chivefall.scheduling._guarantee_policy import GuaranteePolicy
 from chivefall.scheduling._placement import find_placement
+from chivefall.scheduling._room import Room
 
 __all__ = [
     "ClusterView",
     "FifoPolicy",
+    "GuaranteePolicy",
     "Plan",
     "QueuedJob",
+    "Room",
+    "RunTimeEstimator",
     "RunningJob",
     "SchedulingPolicy",
     "WorkerView",
+    "drain_order",
+    "feasibility",
     "find_placement",
 ]
--- /dev/null
+++ b/chivefall/scheduling/_defragment.py
@@ -0,0 +1,58 @@
+"""Moves of small jobs that free adjacent room for a waiting gang."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from chivefall.scheduling._reclaim import RESTART_SECONDS, Reclaim, choose_victims
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from chivefall.model import JobSpec
+    from chivefall.scheduling._cluster import RunningJob
+    from chivefall.scheduling._room import Room
+
+__all__ = ["choose_moves"]
+
+MIN_WAIT = 2 * RESTART_SECONDS  # seconds; shorter waits are over before a move helps
+
+
+def choose_moves(
+    spec: JobSpec, room: Room, candidates: Sequence[RunningJob], wait: float, now: float
+) -> Reclaim | None:
+    """Return the jobs to move, or None if no move pays.
+
+    A move pays if every moved job gets another place at once and the moved work
+    costs fewer accelerator-seconds than the gang would spend waiting.
+
+    Parameters
+    ----------
+    candidates : sequence of RunningJob
+        Jobs that may be moved.
+    wait : float
+        Estimated seconds until the gang fits without a move.
+    """
+    if wait < MIN_WAIT or room.total() < spec.total_accelerators:
+        return None
+    small = [job for job in candidates if job.spec.total_accelerators < spec.total_accelerators]
+    choice = choose_victims(spec, room, small, now)
+    if choice is None:
+        return None
+    saved = spec.total_accelerators * (wait - RESTART_SECONDS)
+    if choice.lost >= saved or not _all_fit_elsewhere(choice, room):
+        return None
+    return choice
+
+
+def _all_fit_elsewhere(choice: Reclaim, room: Room) -> bool:
+    after = room.copy()
+    for job in choice.victims:
+        after.give(job.placement)
+    after.take(choice.placement)
+    for job in sorted(choice.victims, key=lambda item: -item.spec.total_accelerators):
+        placement = after.place(job.spec)
+        if placement is None:
+            return False
+        after.take(placement)
+    return True
--- /dev/null
+++ b/chivefall/scheduling/_guarantee_policy.py
@@ -0,0 +1,218 @@
+"""The production policy: guarantees, reservations, backfill and defragmentation."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from chivefall.model import Urgency
+from chivefall.scheduling._cluster import Plan, SchedulingPolicy
+from chivefall.scheduling._defragment import choose_moves
+from chivefall.scheduling._estimator import RunTimeEstimator
+from chivefall.scheduling._fair_queue import FairQueue
+from chivefall.scheduling._feasibility import feasibility
+from chivefall.scheduling._reclaim import choose_victims
+from chivefall.scheduling._reservation import hold_reservation, renew, reserve
+from chivefall.scheduling._round import Round
+from chivefall.scheduling._start_history import StartHistory
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from chivefall.model import JobId, JobSpec, WorkerId
+    from chivefall.scheduling._cluster import ClusterView, QueuedJob, RunningJob, WorkerView
+    from chivefall.scheduling._reservation import Reservation
+    from chivefall.scheduling._room import Room
+
+__all__ = ["GuaranteePolicy"]
+
+ORDER_MEMORY = 10.0  # seconds after which a checkpoint that did not happen is ordered again
+MOVE_PAUSE = 600.0  # seconds during which a moved job is not moved again
+
+
+class GuaranteePolicy(SchedulingPolicy):
+    """Enforces guaranteed shapes and fills the remaining room.
+
+    The decisions are a function of the view, but for four memories: learned run
+    times, the reservation, the checkpoints ordered lately and the workers seen. A
+    new leader starts without them; it then reserves for the first job that does
+    not fit, and a checkpoint that is ordered twice does no harm.
+    """
+
+    def __init__(self) -> None:
+        self.estimator = RunTimeEstimator()
+        self.reservation: Reservation | None = None
+        self.examined = 0
+        self._ordered: dict[JobId, tuple[float, float]] = {}
+        self._starts = StartHistory()
+        self._moved: dict[JobId, float] = {}
+        self._seen: dict[WorkerId, WorkerView] = {}
+
+    def observe_finished(self, spec: JobSpec, seconds: float) -> None:
+        """Learn from the whole run time of a finished job."""
+        self.estimator.observe_finished(spec, seconds)
+
+    def plan(self, view: ClusterView, now: float) -> Plan:
+        """Return the decisions of one round."""
+        self.examined = 0
+        if view.draining or not view.queued:
+            self.reservation = None
+            return Plan()
+        rejections = self._rejections(view)
+        self._starts.observe(view.running, now)
+        queued = [job for job in view.queued if job.job_id not in rejections]
+        current = Round(view, self._leaving(view.running, now), self._starts.is_slow, now)
+        waiting = self._start_entitled(current, queued)
+        self._start_normal(current, waiting)
+        for job_id in (*current.preemptions, *current.moves):
+            self._ordered[job_id] = (now, current.started_at(job_id))
+        self.examined = current.examined
+        return current.plan(rejections)
+
+    def _rejections(self, view: ClusterView) -> dict[JobId, str]:
+        """Return the jobs that can never run; a worker that is gone may return."""
+        self._seen.update((worker.worker, worker) for worker in view.workers)
+        reasons: dict[tuple, str | None] = {}
+        rejections = {}
+        for job in view.queued:
+            spec = job.spec
+            shape = (spec.account, spec.gang_size, spec.accelerators, spec.adjacency)
+            if shape not in reasons:
+                reasons[shape] = feasibility(spec, self._seen.values(), view.accounts)
+            if reasons[shape] is not None:
+                rejections[job.job_id] = reasons[shape]
+        return rejections
+
+    def _leaving(self, running: Iterable[RunningJob], now: float) -> set[JobId]:
+        """Return the jobs whose checkpoint is under way or was ordered lately."""
+        leaving, ordered = set(), {}
+        for job in running:
+            at, started_at = self._ordered.get(job.job_id, (-ORDER_MEMORY, None))
+            recent = started_at == job.started_at and now - at < ORDER_MEMORY
+            if recent:
+                ordered[job.job_id] = (at, started_at)
+            if recent or job.checkpointing:
+                leaving.add(job.job_id)
+        self._ordered = ordered
+        return leaving
+
+    def _start_entitled(self, current: Round, queued: list[QueuedJob]) -> list[QueuedJob]:
+        """Start or make room for urgent and guaranteed jobs; return the others."""
+        urgent = [job for job in queued if job.spec.urgency is Urgency.URGENT]
+        normal = [job for job in queued if job.spec.urgency is not Urgency.URGENT]
+        borrowing, waiting = [], []
+        for jobs, rest in ((urgent, borrowing), (normal, waiting)):
+            for job in sorted(jobs, key=lambda item: item.submitted_at):
+                covered = current.within_quota(job.spec) and current.ledger.admit(job)
+                if not covered or not self._serve(current, job, covered=True):
+                    rest.append(job)
+        for job in borrowing:
+            if not current.within_quota(job.spec) or not self._serve(current, job, covered=False):
+                waiting.append(job)
+        return waiting
+
+    def _serve(self, current: Round, job: QueuedJob, *, covered: bool) -> bool:
+        """Start an entitled job, or hold a place that is about to be free."""
+        if covered:
+            placement = current.place_guaranteed(job)
+        else:
+            placement = current.room.place(job.spec, job.avoid)
+        if placement is not None:
+            current.start(job, placement)
+            return True
+        placement = current.future.place(job.spec, job.avoid)
+        if placement is not None:
+            current.hold(job, placement)
+            return True
+        if job.spec.accelerators == 0:
+            return False
+        return self._reclaim(current, job, covered=covered)
+
+    def _reclaim(self, current: Round, job: QueuedJob, *, covered: bool) -> bool:
+        victims = current.borrowers()
+        if not covered:
+            victims = [item for item in victims if item.spec.urgency is not Urgency.URGENT]
+        ready = [item for item in victims if item.checkpointable]
+        choice = choose_victims(job.spec, current.future, ready, current.now)
+        if choice is None and len(ready) < len(victims):
+            # Jobs that still start can be checkpointed soon; their place is held until then.
+            choice = choose_victims(job.spec, current.future, victims, current.now)
+        if choice is None:
+            return False
+        current.preempt(choice.victims)
+        current.hold(job, choice.placement)
+        return True
+
+    def _start_normal(self, current: Round, waiting: list[QueuedJob]) -> None:
+        """Start other jobs by fair share around the reservation of the first that waits."""
+        outside = self._renew_reservation(current, waiting)
+        for job in FairQueue(current, waiting):
+            reservation = self.reservation
+            if (reservation is not None and reservation.job_id == job.job_id) or (
+                not current.within_quota(job.spec)
+            ):
+                continue
+            placement = (outside or current.room).place(job.spec, job.avoid)
+            if placement is None and self._ends_in_time(job, current.now):
+                placement = current.room.place(job.spec, job.avoid)
+            if placement is not None and not current.may_borrow(job.spec, placement):
+                continue
+            if placement is not None:
+                current.start(job, placement)
+                if outside is not None:
+                    outside.take(placement)
+            elif reservation is None and job.spec.accelerators > 0:
+                self.reservation = reserve(
+                    job, current.future, current.staying, self.estimator, current.now
+                )
+                outside = self._keep(current, job)
+
+    def _renew_reservation(self, current: Round, waiting: list[QueuedJob]) -> Room | None:
+        """Start the job that has a reservation, or estimate its start again."""
+        old, self.reservation = self.reservation, None
+        if old is None:
+            return None
+        job = next((job for job in waiting if job.job_id == old.job_id), None)
+        if job is None or not current.within_quota(job.spec):
+            return None
+        placement = current.room.place(job.spec, job.avoid)
+        if placement is not None and current.may_borrow(job.spec, placement):
+            current.start(job, placement)
+            return None
+        self.reservation = renew(
+            old, job, current.future, current.staying, self.estimator, current.now
+        )
+        return self._keep(current, job)
+
+    def _keep(self, current: Round, job: QueuedJob) -> Room | None:
+        """Move small jobs if that pays, and return the room outside of the reservation."""
+        if self.reservation is None:
+            return None
+        self._move(current, job)
+        return hold_reservation(self.reservation, job.spec, current.room, current.now)
+
+    def _move(self, current: Round, job: QueuedJob) -> None:
+        now = current.now
+        self._moved = {name: at for name, at in self._moved.items() if now - at < MOVE_PAUSE}
+        wait = self.reservation.starts_at - now
+        movable = [
+            item
+            for item in current.staying
+            if item.checkpointable
+            and item.spec.accelerators > 0
+            and item.job_id not in self._moved
+            and (item.spec.account == job.spec.account or not current.ledger.is_protected(item))
+        ]
+        choice = choose_moves(job.spec, current.future, movable, wait, now)
+        if choice is None:
+            return
+        current.move(choice.victims)
+        self._moved.update((item.job_id, now) for item in choice.victims)
+        self.reservation = self.reservation.moved_to(choice.placement, now)
+
+    def _ends_in_time(self, job: QueuedJob, now: float) -> bool:
+        """Return whether a job may use the reserved place before its owner needs it."""
+        reservation = self.reservation
+        if reservation is None or now > reservation.promised_at:
+            return False
+        left = self.estimator.run_time(job.spec) - job.done
+        return now + left <= reservation.starts_at
--- /dev/null
+++ b/chivefall/scheduling/_guarantees.py
@@ -0,0 +1,175 @@
+"""Which jobs run inside the guaranteed shapes of their accounts."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from chivefall.model import Adjacency, JobSpec, RackId, Urgency, WorkerId
+from chivefall.scheduling._cluster import WorkerView
+from chivefall.scheduling._room import Room, SearchCost
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from chivefall.model import AccountId, Guarantee, JobId
+    from chivefall.scheduling._cluster import QueuedJob, RunningJob
+
+__all__ = ["GuaranteeLedger", "unplaced_shapes"]
+
+Rank = tuple[bool, int, bool, float]
+
+
+class _Share:
+    """The guaranteed shapes of one account, filled with that account's jobs.
+
+    Each gang of a shape is modelled as a rack (or a worker, or separate racks)
+    of its own, so that the search for room also decides what a shape covers.
+    """
+
+    def __init__(self, guarantees: list[Guarantee], cost: SearchCost) -> None:
+        self._cost = cost
+        self.accelerators = sum(g.gangs * g.gang_size * g.accelerators for g in guarantees)
+        self.protected: set[JobId] = set()
+        self._gangs: list[tuple[JobSpec, list[WorkerId]]] = []
+        self._workers: list[WorkerView] = []
+        self._claims: dict[JobId, tuple[Rank, JobSpec]] = {}
+        self._refused: set[tuple[bool, int, int, Adjacency]] = set()
+        for number, guarantee in enumerate(guarantees):
+            for index in range(guarantee.gangs):
+                self._add_gang(guarantee, f"{number}.{index}")
+        self._room = Room(self._workers, cost=self._cost)
+
+    def _add_gang(self, shape: Guarantee, name: str) -> None:
+        count, size = shape.gang_size, shape.accelerators
+        if shape.adjacency is Adjacency.WORKER:
+            count, size = 1, size * count
+        names = [WorkerId(f"{name}.{member}") for member in range(count)]
+        for worker in names:
+            rack = worker if shape.adjacency is Adjacency.DOMAIN else name
+            self._workers.append(WorkerView(worker, RackId(rack), size, size))
+        spec = JobSpec(
+            shape.account, "", None, shape.gang_size, shape.accelerators, shape.adjacency
+        )
+        self._gangs.append((spec, names))
+
+    def add(self, jobs: Iterable[RunningJob]) -> None:
+        """Add the running jobs of the account."""
+        for job in jobs:
+            self._claims[job.job_id] = (_rank(job.spec, False, job.started_at), job.spec)
+        self._fill()
+
+    def _fill(self) -> None:
+        self._room = Room(self._workers, cost=self._cost)
+        self.protected = set()
+        for job_id, (_, spec) in sorted(self._claims.items(), key=lambda item: item[1][0]):
+            self._cover(job_id, spec)
+
+    def _cover(self, job_id: JobId, spec: JobSpec) -> bool:
+        placement = self._room.place(spec)
+        if placement is None:
+            return False
+        self._room.take(placement)
+        self.protected.add(job_id)
+        return True
+
+    def admit(self, job: QueuedJob) -> bool:
+        """Count a queued job as guaranteed if a shape covers it.
+
+        Urgent and larger jobs replace the account's smaller running jobs, which
+        then count as borrowing.
+        """
+        spec = job.spec
+        shape = (
+            spec.urgency is Urgency.URGENT,
+            spec.gang_size,
+            spec.accelerators,
+            spec.adjacency,
+        )
+        if shape in self._refused:
+            return False
+        rank = _rank(spec, True, job.submitted_at)
+        if self._cover(job.job_id, spec):
+            self._claims[job.job_id] = (rank, spec)
+            return True
+        if any(self._claims[other][0] > rank for other in self.protected):
+            self._claims[job.job_id] = (rank, spec)
+            self._fill()
+            if job.job_id in self.protected:
+                return True
+            del self._claims[job.job_id]
+            self._fill()
+        self._refused.add(shape)
+        return False
+
+    def open_shapes(self) -> list[JobSpec]:
+        """Return the parts of the shapes that no job fills."""
+        shapes = []
+        for spec, names in self._gangs:
+            size = sum(self._room.free[name] // spec.accelerators for name in names)
+            if size > 0:
+                shapes.append(replace(spec, gang_size=size))
+        return shapes
+
+
+def _rank(spec: JobSpec, queued: bool, since: float) -> Rank:
+    """Return the order in which an account's jobs fill its shapes."""
+    return (spec.urgency is not Urgency.URGENT, -spec.total_accelerators, queued, since)
+
+
+class GuaranteeLedger:
+    """The guaranteed shapes of all accounts and the jobs that fill them."""
+
+    def __init__(
+        self,
+        guarantees: Iterable[Guarantee],
+        running: Iterable[RunningJob],
+        cost: SearchCost | None = None,
+    ) -> None:
+        cost = cost or SearchCost()
+        shapes: dict[AccountId, list[Guarantee]] = defaultdict(list)
+        for guarantee in guarantees:
+            shapes[guarantee.account].append(guarantee)
+        self._shares = {account: _Share(items, cost) for account, items in shapes.items()}
+        jobs: dict[AccountId, list[RunningJob]] = defaultdict(list)
+        for job in running:
+            if job.spec.accelerators > 0 and not job.checkpointing:
+                jobs[job.spec.account].append(job)
+        for account, share in self._shares.items():
+            share.add(jobs[account])
+
+    def admit(self, job: QueuedJob) -> bool:
+        """Count a queued job as guaranteed if its account's shapes cover it."""
+        if job.spec.accelerators == 0:
+            return False
+        share = self._shares.get(job.spec.account)
+        return share is not None and share.admit(job)
+
+    def is_protected(self, job: RunningJob) -> bool:
+        """Return whether a running job is inside its own account's guarantee."""
+        share = self._shares.get(job.spec.account)
+        return share is not None and job.job_id in share.protected
+
+    def guaranteed(self, account: AccountId) -> int:
+        """Return the guaranteed accelerators of an account."""
+        share = self._shares.get(account)
+        return 0 if share is None else share.accelerators
+
+    def open_shapes(self) -> list[JobSpec]:
+        """Return the guaranteed shapes that are not in use, largest first."""
+        shapes = [spec for share in self._shares.values() for spec in share.open_shapes()]
+        return sorted(shapes, key=lambda spec: -spec.total_accelerators)
+
+
+def unplaced_shapes(shapes: Iterable[JobSpec], room: Room) -> int:
+    """Return the accelerators of the shapes that do not fit a room together."""
+    rest = room.copy()
+    missing = 0
+    for spec in shapes:
+        placement = rest.place(spec)
+        if placement is None:
+            missing += spec.total_accelerators
+        else:
+            rest.take(placement)
+    return missing
--- /dev/null
+++ b/chivefall/scheduling/_reservation.py
@@ -0,0 +1,120 @@
+"""Time and place that are kept for a large job at the head of the queue."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
+
+from chivefall.model import Adjacency, JobId, Placement
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from chivefall.model import JobSpec, RackId, WorkerId
+    from chivefall.scheduling._cluster import QueuedJob, RunningJob
+    from chivefall.scheduling._estimator import RunTimeEstimator
+    from chivefall.scheduling._room import Room
+
+__all__ = ["Reservation", "hold_reservation", "renew", "reserve"]
+
+CHECKPOINT_SECONDS = 0.5  # seconds until a job that is being checkpointed has left
+BETTER_PLACE = 0.5  # another rack is taken only if it at least halves the remaining wait
+
+
+@dataclass(frozen=True)
+class Reservation:
+    """A place that a waiting job gets at an estimated time.
+
+    Attributes
+    ----------
+    starts_at : float
+        Estimated start in seconds since the epoch.
+    promised_at : float
+        First estimate. After it nothing is backfilled into the place, so wrong
+        run times delay the job only until what runs there then has ended.
+    """
+
+    job_id: JobId
+    placement: Placement
+    starts_at: float
+    promised_at: float
+
+    def group(self, spec: JobSpec, room: Room) -> set[WorkerId]:
+        """Return the workers of the worker or of the racks that hold the place."""
+        if spec.adjacency is Adjacency.WORKER:
+            return {member.worker for member in self.placement}
+        racks = {member.rack for member in self.placement}
+        return {name for rack in racks for name in room.racks.get(rack, ())}
+
+    def moved_to(self, placement: Placement, now: float) -> Reservation:
+        """Return the reservation of a place that other jobs are leaving."""
+        return replace(self, placement=placement, starts_at=now + CHECKPOINT_SECONDS)
+
+
+def reserve(
+    job: QueuedJob,
+    room: Room,
+    running: Iterable[RunningJob],
+    estimator: RunTimeEstimator,
+    now: float,
+) -> Reservation | None:
+    """Return the earliest place and time at which a job fits.
+
+    Parameters
+    ----------
+    room : Room
+        Room that is free, or whose checkpoint is under way; not changed.
+    running : iterable of RunningJob
+        Jobs that hold other room.
+    """
+    after = room.copy()
+    spec = job.spec
+    placement = after.place(spec)
+    if placement is not None:
+        at = now + CHECKPOINT_SECONDS
+        return Reservation(job.job_id, placement, at, at)
+    ends = [(estimator.remaining(other, now), other) for other in running]
+    for seconds, other in sorted(ends, key=lambda item: item[0]):
+        touched = {member.rack for member in other.placement if member.worker in after.free}
+        after.give(other.placement)
+        if not touched or not _may_fit(spec, after, touched):
+            continue
+        placement = after.place(spec)
+        if placement is not None:
+            return Reservation(job.job_id, placement, now + seconds, now + seconds)
+    return None
+
+
+def _may_fit(spec: JobSpec, room: Room, racks: Iterable[RackId]) -> bool:
+    if spec.adjacency is Adjacency.DOMAIN:
+        return True
+    return any(room.fits(spec, rack) for rack in racks)
+
+
+def renew(
+    old: Reservation,
+    job: QueuedJob,
+    room: Room,
+    running: list[RunningJob],
+    estimator: RunTimeEstimator,
+    now: float,
+) -> Reservation | None:
+    """Return a reservation with new estimates that keeps its group and its promise."""
+    fresh = reserve(job, room, running, estimator, now)
+    if job.spec.adjacency is not Adjacency.DOMAIN:
+        kept = reserve(job, room.copy(old.group(job.spec, room)), running, estimator, now)
+        if kept is not None and (
+            fresh is None or fresh.starts_at - now > BETTER_PLACE * (kept.starts_at - now)
+        ):
+            fresh = kept
+    return None if fresh is None else replace(fresh, promised_at=old.promised_at)
+
+
+def hold_reservation(reservation: Reservation, spec: JobSpec, room: Room, now: float) -> Room:
+    """Return the room that jobs may use which outlast the reservation."""
+    rest = room.copy()
+    rest.hold(reservation.placement)
+    if now > reservation.promised_at:
+        for name in reservation.group(spec, room):
+            rest.free[name] = min(0, rest.free.get(name, 0))
+    return rest
--- /dev/null
+++ b/chivefall/scheduling/_round.py
@@ -0,0 +1,178 @@
+"""The working state of one scheduling round."""
+
+from __future__ import annotations
+
+from collections import Counter
+from functools import cached_property
+from typing import TYPE_CHECKING
+
+from chivefall.scheduling._cluster import Plan
+from chivefall.scheduling._guarantees import GuaranteeLedger, unplaced_shapes
+from chivefall.scheduling._room import Room, count_tasks
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection, Iterable
+
+    from chivefall.model import AccountId, JobId, JobSpec, Placement, RackId
+    from chivefall.scheduling._cluster import ClusterView, QueuedJob, RunningJob
+
+__all__ = ["Round"]
+
+MAX_RACKS_TRIED = 8  # racks compared for a guaranteed start; bounds the work of a round
+MIN_WEIGHT = 8  # accelerators that an account counts for at least when borrowing is shared
+
+
+class Round:
+    """Room, usage and decisions while one plan is made.
+
+    Attributes
+    ----------
+    room : Room
+        Room that is free now and not held for another job.
+    future : Room
+        The same with the room of jobs whose checkpoint is under way.
+    stuck : callable
+        Whether jobs like a given one cannot be checkpointed in time.
+    """
+
+    def __init__(
+        self,
+        view: ClusterView,
+        leaving: Collection[JobId],
+        stuck: Callable[[JobSpec], bool],
+        now: float,
+    ) -> None:
+        self.view = view
+        self.now = now
+        self.stuck = stuck
+        self.tasks = count_tasks(view.running)
+        self.room = Room(view.workers, self.tasks)
+        self.future = self.room.copy()
+        self.staying = [job for job in view.running if job.job_id not in leaving]
+        for job in view.running:
+            if job.job_id in leaving:
+                self.future.give(job.placement)
+        self.ledger = GuaranteeLedger(view.guarantees, self.staying, self.room.cost)
+        self.usage: Counter[AccountId] = Counter()
+        for job in view.running:
+            self.usage[job.spec.account] += job.spec.total_accelerators
+        self.starts: list[tuple[JobId, Placement]] = []
+        self.preemptions: list[JobId] = []
+        self.moves: list[JobId] = []
+
+    def plan(self, rejections: dict[JobId, str]) -> Plan:
+        """Return the decisions made so far."""
+        return Plan(tuple(self.starts), tuple(self.preemptions), tuple(self.moves), rejections)
+
+    @property
+    def examined(self) -> int:
+        """Return the racks, workers and jobs that searches looked at."""
+        return self.room.cost.examined
+
+    def start(self, job: QueuedJob, placement: Placement) -> None:
+        """Start a job at a place."""
+        self.room.take(placement)
+        self.future.take(placement)
+        self.usage[job.spec.account] += job.spec.total_accelerators
+        self.starts.append((job.job_id, placement))
+
+    def hold(self, job: QueuedJob, placement: Placement) -> None:
+        """Keep a place for a job until the jobs that leave it are gone."""
+        self.room.hold(placement)
+        self.future.take(placement)
+        self.usage[job.spec.account] += job.spec.total_accelerators
+
+    def preempt(self, jobs: Iterable[RunningJob]) -> None:
+        """Checkpoint jobs and count their room as about to be free.
+
+        Jobs that cannot be checkpointed yet are asked in a later round.
+        """
+        self.preemptions += [job.job_id for job in jobs if job.checkpointable]
+        self._release(jobs)
+
+    def move(self, jobs: Iterable[RunningJob]) -> None:
+        """Checkpoint jobs so that they start elsewhere."""
+        self.moves += [job.job_id for job in jobs]
+        self._release(jobs)
+
+    def started_at(self, job_id: JobId) -> float:
+        """Return when a running job was started."""
+        return next(job.started_at for job in self.view.running if job.job_id == job_id)
+
+    def _release(self, jobs: Iterable[RunningJob]) -> None:
+        names = set()
+        for job in jobs:
+            self.future.give(job.placement)
+            names.add(job.job_id)
+        self.staying = [job for job in self.staying if job.job_id not in names]
+
+    def within_quota(self, spec: JobSpec) -> bool:
+        """Return whether an account may use that much more."""
+        account = self.view.accounts.get(spec.account)
+        if account is None:
+            return True
+        return self.usage[spec.account] + spec.total_accelerators <= account.max_accelerators
+
+    def borrowing(self, account: AccountId) -> float:
+        """Return what an account uses beyond its guarantee, by its weight."""
+        guaranteed = self.ledger.guaranteed(account)
+        return (self.usage[account] - guaranteed) / max(MIN_WEIGHT, guaranteed)
+
+    def borrowers(self) -> list[RunningJob]:
+        """Return the staying jobs that hold accelerators beyond their account's guarantee."""
+        return [
+            job
+            for job in self.staying
+            if job.spec.accelerators > 0 and not self.ledger.is_protected(job)
+        ]
+
+    def place_guaranteed(self, job: QueuedJob) -> Placement | None:
+        """Return the place that leaves most of the unused guaranteed shapes reclaimable.
+
+        Borrowers can make room, so only protected jobs count as occupied.
+        """
+        placement = self.room.place(job.spec, job.avoid)
+        shapes = self.ledger.open_shapes()
+        if placement is None or not shapes:
+            return placement
+        allowed = unplaced_shapes(shapes, self.reclaimable)
+        best, best_missing = placement, self._missing(shapes, placement)
+        for rack in self._other_racks(job.spec, placement):
+            if best_missing <= allowed:
+                break
+            other = self.room.place(job.spec, job.avoid, [rack])
+            missing = best_missing if other is None else self._missing(shapes, other)
+            if missing < best_missing:
+                best, best_missing = other, missing
+        self.reclaimable.take(best)
+        return best
+
+    @cached_property
+    def reclaimable(self) -> Room:
+        """Return the room that is free or that borrowers can be made to leave."""
+        room = self.future.copy()
+        for job in self.borrowers():
+            if not self.stuck(job.spec):
+                room.give(job.placement)
+        return room
+
+    def may_borrow(self, spec: JobSpec, placement: Placement) -> bool:
+        """Return whether a borrower leaves the unused guaranteed shapes reclaimable."""
+        if not self.stuck(spec):
+            return True
+        shapes = self.ledger.open_shapes()
+        return not shapes or self._missing(shapes, placement) <= unplaced_shapes(
+            shapes, self.reclaimable
+        )
+
+    def _missing(self, shapes: list[JobSpec], placement: Placement) -> int:
+        after = self.reclaimable.copy()
+        after.take(placement)
+        return unplaced_shapes(shapes, after)
+
+    def _other_racks(self, spec: JobSpec, placement: Placement) -> list[RackId]:
+        used = {member.rack for member in placement}
+        racks = [
+            rack for rack in self.room.racks if rack not in used and self.room.fits(spec, rack)
+        ]
+        return racks[:MAX_RACKS_TRIED]
--- /dev/null
+++ b/chivefall/scheduling/_start_history.py
@@ -0,0 +1,48 @@
+"""Commands whose jobs cannot be checkpointed soon after their start."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from chivefall.model import AccountId, JobId, JobSpec
+    from chivefall.scheduling._cluster import RunningJob
+
+__all__ = ["StartHistory"]
+
+SLOW_START = 10.0  # seconds without a checkpoint after which a job blocks a reclaim for long
+FORGET = 3600.0  # seconds after which such a command may borrow freely again
+MAX_COMMANDS = 1000  # accounts and commands kept; bounds the memory of a daemon
+
+
+class StartHistory:
+    """Observes for how long jobs cannot be checkpointed."""
+
+    def __init__(self) -> None:
+        self._since: dict[JobId, float] = {}
+        self._slow: dict[tuple[AccountId, str], float] = {}
+        self._now = 0.0
+
+    def observe(self, running: Iterable[RunningJob], now: float) -> None:
+        """Note the running jobs of one round."""
+        since = {}
+        self._now = now
+        self._slow = {key: at for key, at in self._slow.items() if now - at < FORGET}
+        for job in running:
+            key = (job.spec.account, job.spec.command)
+            if job.checkpointing:
+                continue
+            if job.checkpointable:
+                if job.job_id in self._since and now - self._since[job.job_id] < SLOW_START:
+                    self._slow.pop(key, None)
+                continue
+            since[job.job_id] = self._since.get(job.job_id, now)
+            if now - since[job.job_id] >= SLOW_START and len(self._slow) < MAX_COMMANDS:
+                self._slow[key] = now
+        self._since = since
+
+    def is_slow(self, spec: JobSpec) -> bool:
+        """Return whether jobs of this command could not be checkpointed for long."""
+        return (spec.account, spec.command) in self._slow
--- /dev/null
+++ b/tests/scheduling/test_guarantee_policy.py
@@ -0,0 +1,216 @@
+"""Guarantees, urgent work and fair shares."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+
+from chivefall.model import Account, AccountId, Adjacency, WorkerState
+from chivefall.scheduling import GuaranteePolicy
+from tests.scheduling.views import URGENT, WORKER, guarantee, queued, running, spec, view
+
+NOW = 200.0
+
+
+def plan(*args: object, policy: GuaranteePolicy | None = None, now: float = NOW, **kwargs: object):
+    """Return a plan of a view."""
+    return (policy or GuaranteePolicy()).plan(view(*args, **kwargs), now)
+
+
+def starts(result: object) -> list[str]:
+    """Return the names of the started jobs."""
+    return [name for name, _ in result.starts]
+
+
+class ReclaimTest(unittest.TestCase):
+    OWN = (guarantee("farmers", 8),)
+
+    def test_reclaims_a_shape_from_borrowers(self) -> None:
+        """Guards against an account that waits while others use its guarantee (G1)."""
+        jobs = [running("b", spec("buyers", 8), "a1"), running("c", spec("buyers", 8), "a2")]
+        result = plan(["a1", "a2"], jobs, [queued("j", spec("farmers", 8))], guarantees=self.OWN)
+        self.assertEqual(len(result.preemptions), 1)
+
+    def test_no_preemption_when_free_room_suffices(self) -> None:
+        """Guards against preempting work without need."""
+        jobs = [running("b", spec("buyers", 8), "a1")]
+        result = plan(["a1", "a2"], jobs, [queued("j", spec("farmers", 8))], guarantees=self.OWN)
+        self.assertEqual((starts(result), result.preemptions), (["j"], ()))
+
+    def test_never_preempts_inside_another_guarantee(self) -> None:
+        """Guards against reclaiming one account's guarantee from another's."""
+        jobs = [running("b", spec("buyers", 8), "a1"), running("c", spec("captains", 8), "a2")]
+        shapes = (*self.OWN, guarantee("captains", 8))
+        result = plan(["a1", "a2"], jobs, [queued("j", spec("farmers", 8))], guarantees=shapes)
+        self.assertEqual(result.preemptions, ("b",))
+        for urgency in (URGENT, spec("x", 1).urgency):
+            waiting = [queued("j", spec("buyers", 2, urgency=urgency))]
+            result = plan(["a2"], jobs[1:], waiting, guarantees=shapes)
+            self.assertEqual(result.preemptions, ())
+
+    def test_chooses_least_lost_work_and_fewest_jobs(self) -> None:
+        """Guards against preempting old or many jobs when one young job suffices."""
+        old = running("old", spec("buyers", 8), "a1", started_at=100.0)
+        young = running("young", spec("buyers", 8), "a2", started_at=190.0)
+        small = [
+            running(f"s{index}", spec("buyers", 1), "a3", started_at=190.0) for index in range(8)
+        ]
+        waiting = [queued("j", spec("farmers", 8))]
+        result = plan(["a1", "a2", "a3"], [old, *small, young], waiting, guarantees=self.OWN)
+        self.assertEqual(result.preemptions, ("young",))
+
+    def test_preempted_room_is_held_during_the_checkpoint(self) -> None:
+        """Guards against backfill that takes the room of the reclaiming job."""
+        waiting = [queued("j", spec("farmers", 8)), queued("k", spec("buyers", 4, run_time=1.0))]
+        members = [running("b", spec("buyers", 4), "a1"), running("c", spec("buyers", 4), "a1")]
+        for policy in (GuaranteePolicy(), GuaranteePolicy()):
+            first = plan(["a1"], members, waiting, guarantees=self.OWN, policy=policy)
+            self.assertEqual(sorted(first.preemptions), ["b", "c"])
+            # One checkpoint is done, the other is under way; the leader may have changed.
+            jobs = [replace(members[0], checkpointing=True)]
+            second = plan(["a1"], jobs, waiting, guarantees=self.OWN, policy=GuaranteePolicy())
+            self.assertEqual((second.starts, second.preemptions), ((), ()))
+            third = plan(["a1"], [], waiting, guarantees=self.OWN, policy=policy)
+            self.assertEqual(starts(third), ["j"])
+
+    def test_ordered_checkpoint_is_not_ordered_again(self) -> None:
+        """Guards against more victims while the first ones have not answered yet."""
+        policy = GuaranteePolicy()
+        jobs = [running("b", spec("buyers", 8), "a1"), running("c", spec("buyers", 8), "a2")]
+        waiting = [queued("j", spec("farmers", 8))]
+        orders = [
+            plan(["a1", "a2"], jobs, waiting, guarantees=self.OWN, policy=policy, now=now)
+            for now in (NOW, NOW + 0.25, NOW + 60)
+        ]
+        self.assertEqual([len(order.preemptions) for order in orders], [1, 0, 1])
+
+    def test_holds_the_place_of_borrowers_that_still_start(self) -> None:
+        """Guards against borrowers that follow each other where none can be checkpointed yet."""
+        jobs = [running("b", spec("buyers", 6), "a1", checkpointable=False)]
+        waiting = [queued("j", spec("farmers", 8)), queued("k", spec("buyers", 2))]
+        result = plan(["a1"], jobs, waiting, guarantees=self.OWN)
+        self.assertEqual((result.starts, result.preemptions), ((), ()))
+
+    def test_commands_without_checkpoints_leave_the_shape_reclaimable(self) -> None:
+        """Guards against borrowers that block a guaranteed shape for long."""
+        policy = GuaranteePolicy()
+        stuck = [running("b", spec("buyers", 2), "a1", checkpointable=False)]
+        waiting = [queued("k", spec("buyers", 2))]
+        for now in (NOW, NOW + 20.0):
+            plan(["a1", "a2"], stuck, waiting, policy=policy, now=now)
+        kwargs = {"guarantees": (guarantee("farmers", 8),), "policy": policy, "now": NOW + 21}
+        self.assertEqual(starts(plan(["a1", "a2"], stuck, waiting, **kwargs)), ["k"])
+        self.assertEqual(starts(plan(["a1"], [], waiting, **kwargs)), [])
+
+    def test_larger_job_replaces_the_accounts_own_small_ones(self) -> None:
+        """Guards against a guaranteed gang that waits for single jobs of its account."""
+        jobs = [running(f"s{index}", spec("farmers", 1), "a1") for index in range(8)]
+        result = plan(["a1"], jobs, [queued("j", spec("farmers", 8))], guarantees=self.OWN)
+        self.assertEqual(len(result.preemptions), 8)
+
+    def test_guaranteed_starts_keep_other_shapes_adjacent(self) -> None:
+        """Guards against protected jobs spread so that a shape never fits again."""
+        shapes = (
+            guarantee("farmers", 1, 8, adjacency=WORKER),
+            guarantee("captains", 2, adjacency=Adjacency.DOMAIN),
+        )
+        jobs = [
+            running("p", spec("captains", 1), "b1"),
+            running("q", spec("buyers", 6), "a1"),
+            running("r", spec("buyers", 4), "b1"),
+        ]
+        result = plan(["a1", "b1"], jobs, [queued("j", spec("captains", 1))], guarantees=shapes)
+        self.assertEqual(result.starts[0][1].members[0].worker, "b1")
+
+
+class UrgentTest(unittest.TestCase):
+    def test_urgent_preempts_borrowers_of_any_account(self) -> None:
+        """Guards against urgent work that waits behind borrowed room."""
+        jobs = [running("b", spec("farmers", 8), "a1")]
+        result = plan(["a1"], jobs, [queued("j", spec("farmers", 2, urgency=URGENT))])
+        self.assertEqual(result.preemptions, ("b",))
+
+    def test_urgent_replaces_its_accounts_guaranteed_normal_work(self) -> None:
+        """Guards against an account whose long jobs block its own urgent ones."""
+        jobs = [running("b", spec("farmers", 8), "a1")]
+        waiting = [queued("j", spec("farmers", 2, urgency=URGENT))]
+        result = plan(["a1"], jobs, waiting, guarantees=(guarantee("farmers", 8),))
+        self.assertEqual(result.preemptions, ("b",))
+
+    def test_urgent_does_not_preempt_urgent_borrowers(self) -> None:
+        """Guards against urgent jobs that preempt each other in turn."""
+        jobs = [running("b", spec("buyers", 8, urgency=URGENT), "a1")]
+        result = plan(["a1"], jobs, [queued("j", spec("farmers", 2, urgency=URGENT))])
+        self.assertEqual(result.preemptions, ())
+
+    def test_urgent_uses_room_reserved_for_a_large_job(self) -> None:
+        """Guards against free room that urgent work may not use."""
+        jobs = [running("b", spec("buyers", 4), "a1")]
+        waiting = [queued("g", spec("farmers", 8)), queued("j", spec("farmers", 2, urgency=URGENT))]
+        self.assertEqual(starts(plan(["a1"], jobs, waiting)), ["j"])
+
+
+class ShareTest(unittest.TestCase):
+    def test_account_that_borrows_least_goes_first(self) -> None:
+        """Guards against an account that takes all borrowed room by submitting first."""
+        jobs = [running("b", spec("buyers", 4), "a1")]
+        waiting = [queued("x", spec("buyers", 4), 1.0), queued("y", spec("farmers", 4), 2.0)]
+        self.assertEqual(starts(plan(["a1"], jobs, waiting)), ["y"])
+
+    def test_quota(self) -> None:
+        """Guards against use beyond the quota."""
+        accounts = {AccountId("buyers"): Account(max_accelerators=5)}
+        jobs = [running("b", spec("buyers", 4), "a1")]
+        for changes in ({}, {"urgency": URGENT}):
+            waiting = [queued("x", spec("buyers", 2, **changes)), queued("y", spec("farmers", 2))]
+            self.assertEqual(starts(plan(["a1"], jobs, waiting, accounts=accounts)), ["y"])
+
+    def test_nothing_starts_while_draining(self) -> None:
+        """Guards against starts in a domain out of service (G3)."""
+        result = plan(["a1"], [], [queued("x", spec("buyers", 2))], draining=True)
+        self.assertEqual(result.starts, ())
+
+    def test_probation_worker_gets_one_job(self) -> None:
+        """Guards against many jobs on a worker that may fail them all."""
+        seen = view(["a1"], [], [queued(name, spec("buyers", 1)) for name in "xy"])
+        workers = (replace(seen.workers[0], state=WorkerState.PROBATION),)
+        result = GuaranteePolicy().plan(replace(seen, workers=workers), NOW)
+        self.assertEqual(starts(result), ["x"])
+        seen = view(["a1"], [running("b", spec("buyers", 1, 0), "a1")], seen.queued)
+        result = GuaranteePolicy().plan(replace(seen, workers=workers), NOW)
+        self.assertEqual(starts(result), [])
+
+    def test_work_without_accelerators_is_spread(self) -> None:
+        """Guards against one worker that gets all the work on processors."""
+        waiting = [queued(f"p{index}", spec("buyers", 1, 0)) for index in range(4)]
+        result = plan(["a1", "a2"], [], waiting)
+        names = [placement.members[0].worker for _, placement in result.starts]
+        self.assertEqual(sorted(names), ["a1", "a1", "a2", "a2"])
+
+
+class RejectionTest(unittest.TestCase):
+    def test_impossible_jobs_are_rejected_with_the_reason(self) -> None:
+        """Guards against jobs that wait forever."""
+        accounts = {AccountId("buyers"): Account(max_accelerators=12)}
+        waiting = [
+            queued("rack", spec("farmers", 17)),
+            queued("worker", spec("farmers", 9, adjacency=WORKER)),
+            queued("domain", spec("farmers", 33, adjacency=Adjacency.DOMAIN)),
+            queued("quota", spec("buyers", 13)),
+            queued("fine", spec("farmers", 32, adjacency=Adjacency.DOMAIN)),
+        ]
+        result = plan(["a1", "a2", "b1", "b2"], [], waiting, accounts=accounts)
+        self.assertEqual(set(result.rejections), {"rack", "worker", "domain", "quota"})
+        self.assertIn("fits no rack", result.rejections["rack"])
+        self.assertIn("quota", result.rejections["quota"])
+
+    def test_lost_worker_does_not_make_a_job_impossible(self) -> None:
+        """Guards against rejecting a job because of a failure that passes."""
+        policy = GuaranteePolicy()
+        waiting = [queued("j", spec("farmers", 16))]
+        plan(["a1", "a2"], [], waiting, policy=policy)
+        self.assertEqual(plan(["a1"], [], waiting, policy=policy).rejections, {})
+        seen = view(["a1", "a2"], [], waiting)
+        workers = (seen.workers[0], replace(seen.workers[1], state=WorkerState.LOST))
+        result = GuaranteePolicy().plan(replace(seen, workers=workers), NOW)
+        self.assertEqual((result.starts, result.rejections), ((), {}))
--- /dev/null
+++ b/tests/scheduling/test_reservations.py
@@ -0,0 +1,158 @@
+"""Reservations, backfill, estimates and moves."""
+
+from __future__ import annotations
+
+import unittest
+
+from chivefall.scheduling import GuaranteePolicy, RunTimeEstimator, drain_order
+from tests.scheduling.views import URGENT, guarantee, queued, running, spec, view
+
+NOW = 200.0
+
+
+def round_of(policy: GuaranteePolicy, workers: list, jobs: list, waiting: list, now: float = NOW):
+    """Return the plan of one round."""
+    return policy.plan(view(workers, jobs, waiting), now)
+
+
+def starts(result: object) -> list[str]:
+    """Return the names of the started jobs."""
+    return [name for name, _ in result.starts]
+
+
+class ReservationTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.policy = GuaranteePolicy()
+        self.jobs = [running("b", spec("buyers", 4, run_time=200.0), "a1")]
+        self.head = queued("head", spec("farmers", 8))
+
+    def round(self, *others: object, jobs: list | None = None, now: float = NOW):
+        """Return the names of the jobs started beside the large job."""
+        waiting = [self.head, *others]
+        return starts(
+            round_of(self.policy, ["a1"], self.jobs if jobs is None else jobs, waiting, now)
+        )
+
+    def test_backfill_only_before_the_reservation(self) -> None:
+        """Guards against small jobs that starve a large one."""
+        short = queued("short", spec("captains", 2, run_time=50.0), 101.0)
+        long = queued("long", spec("captains", 2, run_time=500.0), 101.0)
+        self.assertEqual(self.round(long, short), ["short"])
+
+    def test_backfill_beside_the_reserved_place(self) -> None:
+        """Guards against idle room that the large job does not need."""
+        long = queued("long", spec("captains", 2, run_time=5000.0), 101.0)
+        result = round_of(
+            self.policy,
+            ["a1", "b1"],
+            [*self.jobs, running("c", spec("buyers", 6, run_time=900.0), "b1")],
+            [self.head, long],
+        )
+        self.assertEqual(
+            [(name, place.members[0].worker) for name, place in result.starts], [("long", "b1")]
+        )
+
+    def test_backfill_uses_corrected_run_times(self) -> None:
+        """Guards against declared run times that are too short."""
+        liar = spec("captains", 2, run_time=50.0)
+        for _ in range(3):
+            self.policy.observe_finished(liar, 500.0)
+        self.assertEqual(self.round(queued("short", liar, 101.0)), [])
+
+    def test_overrun_enlarges_the_estimate(self) -> None:
+        """Guards against a reservation in the past, which would stop all backfill or none."""
+        estimator = RunTimeEstimator()
+        job = running("b", spec("buyers", 4, run_time=50.0), "a1")
+        self.assertEqual(estimator.remaining(job, 120.0), 30.0)
+        self.assertEqual(estimator.remaining(job, 160.0), 40.0)
+        self.assertEqual(estimator.remaining(job, 350.0), 150.0)
+
+    def test_no_backfill_into_the_place_after_the_promised_start(self) -> None:
+        """Guards against wrong run times that push a reservation back forever."""
+        short = queued("short", spec("captains", 2, run_time=10.0), 101.0)
+        self.assertEqual(self.round(short), ["short"])
+        self.assertEqual(self.round(short, now=301.0), [])
+
+    def test_reservation_stays_with_its_job(self) -> None:
+        """Guards against a reservation that passes to a newer job when shares change."""
+        self.round()
+        newer = queued("newer", spec("captains", 8), 150.0)
+        jobs = [*self.jobs, running("c", spec("farmers", 2, run_time=200.0), "a1")]
+        self.round(newer, jobs=jobs)
+        self.assertEqual(self.policy.reservation.job_id, "head")
+        self.assertEqual(self.round(newer, jobs=[]), ["head"])
+
+    def test_reservation_is_dropped_with_its_job(self) -> None:
+        """Guards against room that is kept for a cancelled job."""
+        self.round()
+        long = queued("long", spec("captains", 2, run_time=5000.0), 101.0)
+        result = round_of(self.policy, ["a1"], self.jobs, [long])
+        self.assertEqual(starts(result), ["long"])
+
+
+class MoveTest(unittest.TestCase):
+    def plan(self, **changes: object):
+        """Return the plan for a gang that fits only after a small job has moved."""
+        policy = GuaranteePolicy()
+        jobs = [
+            running("small", spec("buyers", 1, run_time=900.0, **changes), "a1"),
+            running("other", spec("captains", 6, run_time=900.0), "b1"),
+        ]
+        waiting = [queued("gang", spec("farmers", 8))]
+        return round_of(policy, ["a1", "b1"], jobs, waiting)
+
+    def test_moves_a_small_job_for_a_gang(self) -> None:
+        """Guards against a gang that waits because small jobs break up its room."""
+        self.assertEqual(self.plan().moves, ("small",))
+
+    def test_moves_only_if_it_pays(self) -> None:
+        """Guards against moves for a gang that would soon fit anyway."""
+        policy = GuaranteePolicy()
+        jobs = [
+            running("small", spec("buyers", 1, run_time=105.0), "a1"),
+            running("other", spec("captains", 6, run_time=900.0), "b1"),
+        ]
+        result = round_of(policy, ["a1", "b1"], jobs, [queued("gang", spec("farmers", 8))])
+        self.assertEqual(result.moves, ())
+
+    def test_moves_only_to_a_free_place(self) -> None:
+        """Guards against a move that is a preemption in disguise."""
+        policy = GuaranteePolicy()
+        jobs = [
+            running("small", spec("buyers", 3, run_time=900.0), "a1"),
+            running("other", spec("captains", 5, run_time=900.0), "b1"),
+            running("full", spec("captains", 1, run_time=900.0), "b1"),
+        ]
+        result = round_of(policy, ["a1", "b1"], jobs, [queued("gang", spec("farmers", 7))])
+        self.assertEqual(result.moves, ())
+
+    def test_does_not_move_the_same_job_again(self) -> None:
+        """Guards against a job that is moved back and forth."""
+        policy = GuaranteePolicy()
+        jobs = [
+            running("small", spec("buyers", 1, run_time=900.0), "a1"),
+            running("other", spec("captains", 6, run_time=900.0), "b1", checkpointable=False),
+        ]
+        waiting = [queued("gang", spec("farmers", 8))]
+        moves = []
+        for now, started in ((NOW, 100.0), (NOW + 60, NOW + 1)):
+            jobs[0] = running("small", spec("buyers", 1, run_time=900.0), "a1", started_at=started)
+            moves.append(round_of(policy, ["a1", "b1"], jobs, waiting, now).moves)
+        self.assertEqual(moves, [("small",), ()])
+
+
+class DrainTest(unittest.TestCase):
+    def test_order(self) -> None:
+        """Guards against urgent or guaranteed work that leaves a domain too late."""
+        jobs = [
+            running("ending", spec("farmers", 1, run_time=105.0, urgency=URGENT), "a1"),
+            running("borrower", spec("buyers", 4, run_time=900.0), "a2"),
+            running("large", spec("buyers", 8, run_time=900.0), "a3"),
+            running("own", spec("farmers", 2, run_time=900.0), "a1"),
+            running("urgent", spec("buyers", 1, run_time=900.0, urgency=URGENT), "a2"),
+            running("gone", spec("farmers", 1, run_time=900.0), "a1", checkpointing=True),
+        ]
+        order = drain_order(jobs, (guarantee("farmers", 4),), RunTimeEstimator(), NOW)
+        self.assertEqual(
+            [job.job_id for job in order], ["urgent", "own", "large", "borrower", "ending"]
+        )
