--- a/chivefall/document/_codec.py
+++ b/chivefall/document/_codec.py
@@ -5,9 +5,9 @@
 import msgspec
 
 from chivefall.errors import DocumentError
-from chivefall.model import Document
+from chivefall.model import ChangeRecord, Document
 
-__all__ = ["decode_document", "encode_document"]
+__all__ = ["decode_change", "decode_document", "encode_change", "encode_document"]
 
 _decoder = msgspec.json.Decoder(Document)
 
@@ -32,3 +32,24 @@
             f"stored document cannot be decoded: {exc}",
             "apply a valid document with 'chivefall document apply'",
         ) from exc
+
+
+def encode_change(change: ChangeRecord) -> bytes:
+    """Return an audit record as JSON."""
+    return msgspec.json.encode(change)
+
+
+def decode_change(data: bytes) -> ChangeRecord:
+    """Return the audit record in JSON.
+
+    Raises
+    ------
+    DocumentError
+        If the data is not an audit record of this version.
+    """
+    try:
+        return msgspec.json.decode(data, type=ChangeRecord)
+    except msgspec.DecodeError as exc:
+        raise DocumentError(
+            f"audit record cannot be decoded: {exc}", "delete the record from the history"
+        ) from exc
--- a/chivefall/model/__init__.py
+++ b/chivefall/model/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from chivefall.model._document import Account, Document, Guarantee, Service
+from chivefall.model._document import Account, ChangeRecord, Document, Guarantee, Section, Service
 from chivefall.model._ids import (
     AccountId,
     AttemptId,
@@ -39,6 +39,7 @@
     "AccountId",
     "Adjacency",
     "AttemptId",
+    "ChangeRecord",
     "Completed",
     "Document",
     "DomainId",
@@ -62,6 +63,7 @@
     "RackId",
     "RequestId",
     "Revision",
+    "Section",
     "Service",
     "ServiceId",
     "TaskState",
--- a/chivefall/model/_document.py
+++ b/chivefall/model/_document.py
@@ -3,11 +3,23 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
 
 from chivefall.model._ids import AccountId, DomainId, Revision, ServiceId, TeamId
 from chivefall.model._states import Adjacency, DomainState
 
-__all__ = ["Account", "Document", "Guarantee", "Service"]
+__all__ = ["Account", "ChangeRecord", "Document", "Guarantee", "Section", "Service"]
+
+
+class Section(Enum):
+    """A part of the document that has its own owners."""
+
+    ACCOUNTS = "accounts"
+    GUARANTEES = "guarantees"
+    FAILURE_DOMAINS = "failure_domains"
+    SERVICES = "services"
+    OWNERS = "owners"
 
 
 @dataclass(frozen=True)
@@ -59,17 +71,63 @@
     max_attempts: int = 3
 
 
+@dataclass(frozen=True)
+class ChangeRecord:
+    """The audit record of an accepted change.
+
+    Attributes
+    ----------
+    base : Revision
+        Revision from which the team made the change.
+    change_id : str
+        Random name that identifies the change when a store reply is lost.
+    made_at : float
+        Seconds since the epoch at the instance that took the change.
+    diff : tuple of str
+        Changed keys with their old and new values, cut to a bounded length.
+    """
+
+    revision: Revision
+    base: Revision
+    change_id: str
+    team: TeamId
+    sections: tuple[Section, ...]
+    made_at: float
+    reason: str = ""
+    diff: tuple[str, ...] = ()
+
+
 @dataclass(frozen=True)
 class Document:
-    """One revision of the operators' document."""
+    """One revision of the operators' document.
+
+    Attributes
+    ----------
+    section_revisions : dict
+        Revision at which each section last changed; a missing section counts as
+        changed at the document's own revision.
+    last_change : ChangeRecord or None
+        Audit record of the change that made this revision. It is part of the
+        value, so that a crash before the history is written does not lose it.
+    """
 
     revision: Revision = Revision(0)
     accounts: dict[AccountId, Account] = field(default_factory=dict)
     guarantees: tuple[Guarantee, ...] = ()
     failure_domains: dict[DomainId, DomainState] = field(default_factory=dict)
     services: dict[ServiceId, Service] = field(default_factory=dict)
-    owners: dict[str, tuple[TeamId, ...]] = field(default_factory=dict)
+    owners: dict[Section, tuple[TeamId, ...]] = field(default_factory=dict)
+    section_revisions: dict[Section, Revision] = field(default_factory=dict)
+    last_change: ChangeRecord | None = None
 
     def is_in_service(self, domain: DomainId) -> bool:
         """Return whether new work may start in a failure domain."""
         return self.failure_domains.get(domain) is DomainState.IN_SERVICE
+
+    def section(self, section: Section) -> Any:
+        """Return the content of a section."""
+        return getattr(self, section.value)
+
+    def section_revision(self, section: Section) -> Revision:
+        """Return the revision at which a section last changed."""
+        return self.section_revisions.get(section, self.revision)
