Answer every request of a peer and bound the peer transport

Cause: a handler that raised, an unknown operation or an answer without an encoding left the caller waiting for its whole timeout, up to an hour for wait_job; so did a restart of the asked peer. An answer of an instance that was not asked was taken. Sockets grew with the addresses named in messages, came back after close, and errors other than a full buffer left the send.

Change: responses carry an error. Open requests remember the peer asked; a new incarnation of it, or the end of this process, fails them. Messages of replaced processes are dropped. Sockets, open requests and message sizes are bounded. Heartbeats can be sent to one peer and carry fields with which the receiver computes how old they can be.

--- a/chivefall/net/__init__.py
+++ b/chivefall/net/__init__.py
@@ -6,7 +6,8 @@
 from chivefall.net._http_client import HttpClient, HttpFailure, HttpResponse
 from chivefall.net._http_server import HttpReply, HttpRequest, HttpServer
 from chivefall.net._messages import CallerRequest, CallerResponse, Envelope, Heartbeat, PeerMessage
-from chivefall.net._peers import NngPeers, PeerFailure, Peers
+from chivefall.net._peer_base import PeerFailure, Peers
+from chivefall.net._peers import NngPeers
 
 __all__ = [
     "CallerRequest",
--- a/chivefall/net/_messages.py
+++ b/chivefall/net/_messages.py
@@ -28,11 +28,22 @@
         Seconds since the store last confirmed the sender's document revision.
     store_reachable : bool
         Whether the sender's last call to the store was answered.
+    change_open : bool
+        Whether the sender does not know the outcome of a change it wrote.
     leader_epoch : int
         Epoch of the sender's leadership; 0 if it does not lead.
     capacity : tuple of int
         Free accelerators, largest free block of a rack and queue length, as a
         leader sees them; empty for others.
+    leaving : bool
+        Whether the sender ends and changes nothing more.
+    uptime : float
+        Seconds since the sender's process started.
+    sent_at : float
+        Sender's time; only the sender can interpret it.
+    echo_incarnation, echo_sent_at, echo_held : str, float, float
+        The receiver's own last heartbeat and the seconds since its arrival at
+        the sender. They tell the receiver how old this message can be at most.
     """
 
     failure_domain: str
@@ -42,6 +53,12 @@
     leader_epoch: int = 0
     capacity: tuple[int, ...] = ()
     leaving: bool = False
+    change_open: bool = False
+    uptime: float = 0.0
+    sent_at: float = 0.0
+    echo_incarnation: str = ""
+    echo_sent_at: float = 0.0
+    echo_held: float = 0.0
 
 
 class CallerRequest(msgspec.Struct, tag="req", frozen=True, array_like=True):
@@ -63,10 +80,17 @@
 
 
 class CallerResponse(msgspec.Struct, tag="res", frozen=True, array_like=True):
-    """The answer to the request with the same correlation number."""
+    """The answer to the request with the same correlation number.
+
+    Attributes
+    ----------
+    error : str
+        Why there is no answer although the request arrived; empty otherwise.
+    """
 
     correlation: int
     body: Any
+    error: str = ""
 
 
 PeerMessage = Union[Heartbeat, CallerRequest, CallerResponse]
--- /dev/null
+++ b/chivefall/net/_peer_base.py
@@ -0,0 +1,70 @@
+"""Interface of the message transport between entry instances."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from chivefall.config import Address
+    from chivefall.model import InstanceId
+    from chivefall.net._messages import Envelope, Heartbeat, PeerMessage
+    from chivefall.runtime import Future
+
+__all__ = ["PeerFailure", "Peers"]
+
+
+class PeerFailure:
+    """The request to a peer ended without an answer.
+
+    Attributes
+    ----------
+    sent : bool
+        Whether the request may have reached the peer.
+    """
+
+    __slots__ = ("reason", "sent")
+
+    def __init__(self, reason: str, sent: bool) -> None:
+        self.reason = reason
+        self.sent = sent
+
+
+class Peers(ABC):
+    """Sends messages to other instances and hands received ones on.
+
+    Attributes
+    ----------
+    incarnation : str
+        Random name of this process.
+    """
+
+    incarnation: str
+
+    @abstractmethod
+    def broadcast(self, message: PeerMessage) -> None:
+        """Send a message to every known peer; lost messages are not repeated."""
+
+    @abstractmethod
+    def send(self, peer: InstanceId, message: PeerMessage) -> None:
+        """Send a message to a known peer; a lost message is not repeated."""
+
+    @abstractmethod
+    def call(
+        self, peer: InstanceId, operation: str, body: Any, timeout: float
+    ) -> Future[Any | PeerFailure]:
+        """Ask a peer and return a future of the answer's body."""
+
+    @abstractmethod
+    def set_peers(self, addresses: dict[InstanceId, Address]) -> None:
+        """Replace the set of peers."""
+
+    @abstractmethod
+    def on_heartbeat(self, handle: Callable[[Envelope, Heartbeat], None]) -> None:
+        """Hand received heartbeats to ``handle``."""
+
+    @abstractmethod
+    def serve(self, operation: str, handle: Callable[[Any], Future[Any]]) -> None:
+        """Answer an operation of peers with ``handle``."""
--- /dev/null
+++ b/chivefall/net/_peer_senders.py
@@ -0,0 +1,90 @@
+"""Sending sockets to other instances, on pynng."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pynng
+
+if TYPE_CHECKING:
+    from collections.abc import Container
+
+__all__ = ["PeerSenders", "bound_library_threads"]
+
+POOL_THREADS = 2
+SEND_BUFFER_MESSAGES = 64
+RECONNECT_MIN_MS = 100
+RECONNECT_MAX_MS = 2000
+MAX_SENDERS = 256  # sockets; answers to addresses beyond that are dropped
+
+
+def bound_library_threads() -> None:
+    """Limit nng's thread pools; its default grows with the processors.
+
+    Takes effect only before the process opens its first nng socket.
+    """
+    lib = pynng.lib
+    for parameter in (
+        lib.NNG_INIT_NUM_TASK_THREADS,
+        lib.NNG_INIT_MAX_TASK_THREADS,
+        lib.NNG_INIT_NUM_EXPIRE_THREADS,
+        lib.NNG_INIT_MAX_EXPIRE_THREADS,
+        lib.NNG_INIT_NUM_POLLER_THREADS,
+        lib.NNG_INIT_MAX_POLLER_THREADS,
+        lib.NNG_INIT_NUM_RESOLVER_THREADS,
+    ):
+        lib.nng_init_set_parameter(parameter, POOL_THREADS)
+
+
+class PeerSenders:
+    """One sending socket with a bounded buffer for each address.
+
+    All sends are non-blocking: a blocking send to a peer that is gone would
+    stop the loop.
+    """
+
+    def __init__(self) -> None:
+        self._sockets: dict[str, pynng.Push0] = {}
+        self._closed = False
+        self.bytes_sent = 0
+
+    def send(self, address: str, data: bytes) -> bool:
+        """Queue a message; return False if it certainly was not queued."""
+        try:
+            sock = self._sockets.get(address) or self._open(address)
+            if sock is None:
+                return False
+            sock.send(data, block=False)
+        except pynng.TryAgain:
+            return False
+        except pynng.NNGException:
+            self._close_one(address)
+            return False
+        self.bytes_sent += len(data)
+        return True
+
+    def keep_only(self, addresses: Container[str]) -> None:
+        """Close the sockets of all other addresses."""
+        for address in [item for item in self._sockets if item not in addresses]:
+            self._close_one(address)
+
+    def close(self) -> None:
+        """Close all sockets; later sends fail."""
+        self._closed = True
+        self.keep_only(())
+
+    def _open(self, address: str) -> pynng.Push0 | None:
+        if self._closed or len(self._sockets) >= MAX_SENDERS:
+            return None
+        sock = self._sockets[address] = pynng.Push0(
+            send_buffer_size=SEND_BUFFER_MESSAGES,
+            reconnect_time_min=RECONNECT_MIN_MS,
+            reconnect_time_max=RECONNECT_MAX_MS,
+        )
+        sock.dial(f"tcp://{address}", block=False)
+        return sock
+
+    def _close_one(self, address: str) -> None:
+        sock = self._sockets.pop(address, None)
+        if sock is not None:
+            sock.close()
--- a/chivefall/net/_peers.py
+++ b/chivefall/net/_peers.py
@@ -5,7 +5,7 @@
 import itertools
 import os
 import secrets
-from abc import ABC, abstractmethod
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import pynng
@@ -14,6 +14,7 @@
 from circuits.core.utils import findcmp
 
 from chivefall.errors import MessageError
+from chivefall.model import InstanceId
 from chivefall.net._messages import (
     CallerRequest,
     CallerResponse,
@@ -23,79 +24,30 @@
     decode_envelope,
     encode_envelope,
 )
+from chivefall.net._peer_base import PeerFailure, Peers
+from chivefall.net._peer_senders import PeerSenders, bound_library_threads
 from chivefall.runtime import AbstractComponent, Clock, Future
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from chivefall.config import Address
-    from chivefall.model import InstanceId
 
-__all__ = ["NngPeers", "PeerFailure", "Peers"]
+__all__ = ["NngPeers"]
 
-POOL_THREADS = 2
-SEND_BUFFER_MESSAGES = 64
 RECEIVE_BUFFER_MESSAGES = 256
+MAX_MESSAGE_BYTES = 4_000_000  # a document has up to 1 MB
 MAX_MESSAGES_A_TURN = 64
-RECONNECT_MIN_MS = 100
-RECONNECT_MAX_MS = 2000
+MAX_OPEN_CALLS = 4096
+PAST_INCARNATIONS = 4  # remembered for each peer, to ignore their late messages
 
 
-class PeerFailure:
-    """The request to a peer ended without an answer.
+@dataclass(frozen=True)
+class _OpenCall:
+    """A request that waits for its answer."""
 
-    Attributes
-    ----------
-    sent : bool
-        Whether the request may have reached the peer.
-    """
-
-    __slots__ = ("reason", "sent")
-
-    def __init__(self, reason: str, sent: bool) -> None:
-        self.reason = reason
-        self.sent = sent
-
-
-class Peers(ABC):
-    """Sends messages to other instances and hands received ones on."""
-
-    @abstractmethod
-    def broadcast(self, message: PeerMessage) -> None:
-        """Send a message to every known peer; lost messages are not repeated."""
-
-    @abstractmethod
-    def call(
-        self, peer: InstanceId, operation: str, body: Any, timeout: float
-    ) -> Future[Any | PeerFailure]:
-        """Ask a peer and return a future of the answer's body."""
-
-    @abstractmethod
-    def set_peers(self, addresses: dict[InstanceId, Address]) -> None:
-        """Replace the set of peers."""
-
-    @abstractmethod
-    def on_heartbeat(self, handle: Callable[[Envelope, Heartbeat], None]) -> None:
-        """Hand received heartbeats to ``handle``."""
-
-    @abstractmethod
-    def serve(self, operation: str, handle: Callable[[Any], Future[Any]]) -> None:
-        """Answer an operation of peers with ``handle``."""
-
-
-def _bound_library_threads() -> None:
-    """Limit nng's thread pools; its default grows with the processors."""
-    lib = pynng.lib
-    for parameter in (
-        lib.NNG_INIT_NUM_TASK_THREADS,
-        lib.NNG_INIT_MAX_TASK_THREADS,
-        lib.NNG_INIT_NUM_EXPIRE_THREADS,
-        lib.NNG_INIT_MAX_EXPIRE_THREADS,
-        lib.NNG_INIT_NUM_POLLER_THREADS,
-        lib.NNG_INIT_MAX_POLLER_THREADS,
-        lib.NNG_INIT_NUM_RESOLVER_THREADS,
-    ):
-        lib.nng_init_set_parameter(parameter, POOL_THREADS)
+    peer: InstanceId
+    fut: Future[Any | PeerFailure]
 
 
 class NngPeers(AbstractComponent, Peers):
@@ -113,7 +65,7 @@
         on_dropped: Callable[[str], None],
     ) -> None:
         super().__init__(channel="peers")
-        _bound_library_threads()
+        bound_library_threads()
         self._instance = instance
         self._address = address
         self._clock = clock
@@ -121,16 +73,24 @@
         self._on_dropped = on_dropped
         self.incarnation = secrets.token_hex(8)
         self._correlations = itertools.count(1)
-        self._open_calls: dict[int, Future[Any | PeerFailure]] = {}
+        self._open_calls: dict[int, _OpenCall] = {}
         self._operations: dict[str, Callable[[Any], Future[Any]]] = {}
-        self._senders: dict[str, pynng.Push0] = {}
+        self._senders = PeerSenders()
+        self._incarnations: dict[str, tuple[str, ...]] = {}
         self._peer_addresses: dict[InstanceId, Address] = {}
-        self._receiver = pynng.Pull0(recv_buffer_size=RECEIVE_BUFFER_MESSAGES)
+        self._receiver = pynng.Pull0(
+            recv_buffer_size=RECEIVE_BUFFER_MESSAGES, recv_max_size=MAX_MESSAGE_BYTES
+        )
         self._receiver.listen(f"tcp://{address}")
         self._receive_fd = os.dup(self._receiver.recv_fd)
-        self.bytes_sent = 0
+        self._closed = False
         self.bytes_received = 0
 
+    @property
+    def bytes_sent(self) -> int:
+        """Return the bytes of all messages sent."""
+        return self._senders.bytes_sent
+
     @handler("started", channel="*")
     def _on_started(self, *_: object) -> None:
         findcmp(self.root, BasePoller).addReader(self, self._receive_fd)
@@ -138,9 +98,11 @@
     @handler("_read", priority=1)
     def _on_read(self, *_: object) -> None:
         for _ in range(MAX_MESSAGES_A_TURN):
+            if self._closed:
+                return
             try:
                 data = self._receiver.recv(block=False)
-            except pynng.TryAgain:
+            except pynng.NNGException:
                 return
             self.bytes_received += len(data)
             self._receive(data)
@@ -150,14 +112,19 @@
         self._peer_addresses = {
             name: address for name, address in addresses.items() if name != self._instance
         }
-        wanted = {str(address) for address in self._peer_addresses.values()}
-        for address in list(self._senders):
-            if address not in wanted:
-                self._senders.pop(address).close()
+        self._senders.keep_only({str(address) for address in self._peer_addresses.values()})
+        for name in [name for name in self._incarnations if name not in addresses]:
+            del self._incarnations[name]
 
     def broadcast(self, message: PeerMessage) -> None:
         """Send a message to every known peer; lost messages are not repeated."""
-        for address in self._peer_addresses.values():
+        for name in self._peer_addresses:
+            self.send(name, message)
+
+    def send(self, peer: InstanceId, message: PeerMessage) -> None:
+        """Send a message to a known peer; a lost message is not repeated."""
+        address = self._peer_addresses.get(peer)
+        if address is not None:
             self._send(str(address), message)
 
     def call(
@@ -169,13 +136,16 @@
         if address is None:
             fut.set_result(PeerFailure(f"{peer} is not a known peer", sent=False))
             return fut
+        if len(self._open_calls) >= MAX_OPEN_CALLS:
+            fut.set_result(PeerFailure("too many requests to peers are open", sent=False))
+            return fut
         correlation = next(self._correlations)
         if not self._send(str(address), CallerRequest(correlation, operation, body)):
             fut.set_result(PeerFailure(f"{peer} is not connected", sent=False))
             return fut
-        self._open_calls[correlation] = fut
+        self._open_calls[correlation] = _OpenCall(peer, fut)
         timer = self._clock.call_later(
-            timeout, lambda: self._expire(correlation, f"{peer} did not answer in {timeout} s")
+            timeout, lambda: self._fail(correlation, f"{peer} did not answer in {timeout} s")
         )
         fut.add_done_callback(lambda _: timer.cancel())
         return fut
@@ -189,39 +159,27 @@
         self._handle_heartbeat = handle
 
     def close(self) -> None:
-        """Close all sockets."""
+        """Close all sockets; open requests fail."""
+        if self._closed:
+            return
+        self._closed = True
         poller = findcmp(self.root, BasePoller)
         if poller is not None:
             poller.discard(self._receive_fd)
         os.close(self._receive_fd)
-        for sender in self._senders.values():
-            sender.close()
-        self._senders.clear()
+        self._senders.close()
         self._receiver.close()
+        for correlation in list(self._open_calls):
+            self._fail(correlation, "this instance is stopping")
 
-    def _expire(self, correlation: int, reason: str) -> None:
-        fut = self._open_calls.pop(correlation, None)
-        if fut is not None:
-            fut.set_result(PeerFailure(reason, sent=True))
+    def _fail(self, correlation: int, reason: str) -> None:
+        call = self._open_calls.pop(correlation, None)
+        if call is not None:
+            call.fut.set_result(PeerFailure(reason, sent=True))
 
     def _send(self, address: str, message: PeerMessage, target: str = "") -> bool:
-        sender = self._senders.get(address)
-        if sender is None:
-            sender = self._senders[address] = pynng.Push0(
-                send_buffer_size=SEND_BUFFER_MESSAGES,
-                reconnect_time_min=RECONNECT_MIN_MS,
-                reconnect_time_max=RECONNECT_MAX_MS,
-            )
-            sender.dial(f"tcp://{address}", block=False)
-        data = encode_envelope(
-            Envelope(self._instance, self.incarnation, str(self._address), message, target)
-        )
-        try:
-            sender.send(data, block=False)
-        except pynng.TryAgain:
-            return False
-        self.bytes_sent += len(data)
-        return True
+        envelope = Envelope(self._instance, self.incarnation, str(self._address), message, target)
+        return self._senders.send(address, encode_envelope(envelope))
 
     def _receive(self, data: bytes) -> None:
         try:
@@ -229,6 +187,9 @@
         except MessageError as exc:
             self._on_dropped(str(exc))
             return
+        if not self._note_incarnation(envelope):
+            self._on_dropped(f"{envelope.sender} has been replaced since it sent a message")
+            return
         message = envelope.message
         if isinstance(message, Heartbeat):
             if self._handle_heartbeat is not None:
@@ -238,26 +199,65 @@
         else:
             self._accept_response(envelope, message)
 
+    def _note_incarnation(self, envelope: Envelope) -> bool:
+        """Return False for a message of a replaced process.
+
+        A new process cannot answer the requests that its predecessor got, so
+        they fail at once.
+        """
+        known = self._incarnations.get(envelope.sender, ())
+        if known and known[-1] == envelope.incarnation:
+            return True
+        if envelope.incarnation in known:
+            return False
+        if envelope.sender in self._peer_addresses:
+            self._incarnations[envelope.sender] = (*known, envelope.incarnation)[
+                -PAST_INCARNATIONS:
+            ]
+        if known:
+            for correlation, call in list(self._open_calls.items()):
+                if call.peer == envelope.sender:
+                    self._fail(correlation, f"{call.peer} was restarted")
+        return True
+
     def _answer(self, envelope: Envelope, request: CallerRequest) -> None:
+        """Answer a request; one that fails is answered with an error."""
         handle = self._operations.get(request.operation)
         if handle is None:
             self._on_dropped(f"{envelope.sender} asked for unknown {request.operation}")
+            self._respond(envelope, request, None, f"no operation {request.operation}")
             return
-        handle(request.body).add_done_callback(
-            lambda fut: self._send(
-                envelope.address,
-                CallerResponse(request.correlation, fut.result()),
-                envelope.incarnation,
-            )
-        )
+        try:
+            fut = handle(request.body)
+        except Exception as exc:  # noqa: BLE001 - reported to the peer
+            self._respond(envelope, request, None, repr(exc))
+            return
+        fut.add_done_callback(lambda done: self._respond_result(envelope, request, done))
+
+    def _respond_result(self, envelope: Envelope, request: CallerRequest, fut: Future[Any]) -> None:
+        try:
+            self._respond(envelope, request, fut.result(), "")
+        except Exception as exc:  # noqa: BLE001 - the handler's, or the answer has no encoding
+            self._respond(envelope, request, None, repr(exc))
+
+    def _respond(self, envelope: Envelope, request: CallerRequest, body: Any, error: str) -> None:
+        response = CallerResponse(request.correlation, body, error)
+        if not self._send(envelope.address, response, envelope.incarnation):
+            self._on_dropped(f"{envelope.sender} cannot be reached with its response")
 
     def _accept_response(self, envelope: Envelope, response: CallerResponse) -> None:
-        fut = None
-        if envelope.target_incarnation == self.incarnation:
-            fut = self._open_calls.pop(response.correlation, None)
-        if fut is None:
+        call = self._open_calls.get(response.correlation)
+        if (
+            call is None
+            or call.peer != envelope.sender
+            or envelope.target_incarnation != self.incarnation
+        ):
             self._on_dropped(
                 f"response {response.correlation} of {envelope.sender} matches no open request"
             )
             return
-        fut.set_result(response.body)
+        del self._open_calls[response.correlation]
+        if response.error:
+            call.fut.set_result(PeerFailure(response.error, sent=True))
+        else:
+            call.fut.set_result(response.body)
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import TYPE_CHECKING, Any
 
 from chivefall.net import CallerRequest, Envelope, Heartbeat, PeerFailure, Peers
@@ -256,6 +257,7 @@
 
     def __init__(self) -> None:
         self.peers: dict[InstanceId, MemoryPeers] = {}
+        self.incarnations = itertools.count(1)
         self.cut: set[frozenset[InstanceId]] = set()
 
     def connected(self, one: InstanceId, other: InstanceId) -> bool:
@@ -273,7 +275,7 @@
         clock: Clock,
     ) -> None:
         self.instance = instance
-        self.incarnation = f"{instance}-incarnation"
+        self.incarnation = f"{instance}-{next(network.incarnations)}"
         self._network = network
         self._clock = clock
         self._handle_heartbeat: Callable[[Envelope, Heartbeat], None] | None = None
@@ -293,10 +295,15 @@
 
     def broadcast(self, message: PeerMessage) -> None:
         """Deliver a heartbeat to every connected peer at once."""
-        envelope = Envelope(self.instance, self.incarnation, "", message)
-        for name, peer in list(self._network.peers.items()):
-            if name != self.instance and self._network.connected(self.instance, name):
-                peer._receive_heartbeat(envelope, message)
+        for name in list(self._network.peers):
+            if name != self.instance:
+                self.send(name, message)
+
+    def send(self, peer: InstanceId, message: PeerMessage) -> None:
+        """Deliver a heartbeat at once if the peer is connected."""
+        if self._network.connected(self.instance, peer):
+            envelope = Envelope(self.instance, self.incarnation, "", message)
+            self._network.peers[peer]._receive_heartbeat(envelope, message)
 
     def call(
         self, peer: InstanceId, operation: str, body: Any, timeout: float
@@ -315,7 +322,10 @@
             self._handle_heartbeat(envelope, message)
 
     async def _deliver(self, peer: InstanceId, request: CallerRequest) -> Any | PeerFailure:
-        answer = await self._network.peers[peer]._operations[request.operation](request.body)
+        handle = self._network.peers[peer]._operations.get(request.operation)
+        if handle is None:
+            return PeerFailure(f"{peer} has no operation {request.operation}", sent=True)
+        answer = await handle(request.body)
         if not self._network.connected(self.instance, peer):
             await Future()
         return answer
