Use the public name of free_ports in the peer tests

Cause: the deployment module made the function public while the tests were written. Change: the import and its uses.

--- a/tests/net/test_peers.py
+++ b/tests/net/test_peers.py
@@ -19,7 +19,7 @@
 from chivefall.net._messages import encode_envelope
 from chivefall.net._peer_senders import MAX_SENDERS, SEND_BUFFER_MESSAGES, PeerSenders
 from chivefall.runtime import Future, ManualClock
-from standins.deployment import _free_ports
+from standins.deployment import free_ports
 
 A, B = InstanceId("a"), InstanceId("b")
 LIMIT_S = 10.0
@@ -45,7 +45,7 @@
 
     def start(self, name: InstanceId) -> NngPeers:
         if name not in self.addresses:
-            self.addresses[name] = Address("127.0.0.1", _free_ports(1)[0])
+            self.addresses[name] = Address("127.0.0.1", free_ports(1)[0])
         peers = NngPeers(name, self.addresses[name], self.clock, self.dropped.append)
         root = BaseComponent()
         EPoll().register(root)
@@ -177,7 +177,7 @@
         """Guards against a peer without a process that stops the loop or fills the memory."""
         self.b.close()
         gone = InstanceId("gone")
-        self.a.set_peers({gone: Address("127.0.0.1", _free_ports(1)[0])})
+        self.a.set_peers({gone: Address("127.0.0.1", free_ports(1)[0])})
         futures = [self.a.call(gone, "ask", None, 60.0) for _ in range(200)]
         refused = [fut for fut in futures if fut.done()]
         self.assertGreaterEqual(len(refused), 200 - SEND_BUFFER_MESSAGES - 1)
@@ -215,7 +215,7 @@
     @unittest.skipUnless(Path("/proc/self/task").exists(), "needs the list of threads")
     def test_library_threads_are_bounded(self) -> None:
         """Guards against thread pools that grow with the processors of the machine."""
-        code = COUNT_THREADS.format(port=_free_ports(1)[0])
+        code = COUNT_THREADS.format(port=free_ports(1)[0])
         done = subprocess.run(
             [sys.executable, "-c", code],
             capture_output=True,
