Change, distribute and confirm the document, and decide on starts

Cause: nothing wrote the document; every instance read the store each second (6 reads a second for 6 instances); an instance without a fresh confirmation stopped all starts during a store outage; and the age of a heartbeat was counted from its arrival, so messages read after a pause confirmed an old document.

Change: changes are written by compare-and-swap and rebased up to 8 times. A lost reply is resolved by repeating the same write and comparing the change id, also in the history when a later change has replaced it; if that fails for 5 s the outcome is reported as unknown. The audit record inside the document is written to the history by the instance that made the change, by any leader, and at the latest before the next change. Only leaders read the store each second; the others take over the confirmations of peers and fetch higher revisions from them.

--- a/chivefall/application.py
+++ b/chivefall/application.py
@@ -30,8 +30,6 @@
 
 __all__ = ["Application", "Connections"]
 
-NEVER = 1e9  # seconds reported as the age of a confirmation that never happened
-
 
 @dataclass(frozen=True)
 class Connections:
@@ -67,8 +65,10 @@
     def _add_controllers(self, connections: Connections) -> None:
         cfg, clock, add = self.cfg, self.clock, self.registry.add
         store, peers = connections.store, connections.peers
-        self.document = add(DocumentController(clock, store, cfg.timing))
         self.membership = add(MembershipController(clock, cfg, peers, self._describe))
+        self.document = add(
+            DocumentController(clock, cfg, store, peers, self.membership, lambda: self.leader.leads)
+        )
         self.leader = add(LeaderController(clock, cfg, store, self._other_leader_heard))
         self.workers = add(WorkerController(clock, cfg, connections.workers, self.leader))
         self.jobs = add(
@@ -99,10 +99,11 @@
         return Heartbeat(
             self.cfg.failure_domain,
             self.document.revision,
-            min(self.document.confirmed_age(now), NEVER),
+            self.document.confirmed_age(now),
             self.document.store_reachable,
             self.leader.epoch,
             self.jobs.capacity_digest() if leads else (),
+            change_open=self.document.change_is_open,
         )
 
     @handler("exception", channel="*")
--- a/chivefall/controllers/_document.py
+++ b/chivefall/controllers/_document.py
@@ -1,69 +1,245 @@
-"""The document revision in force and its confirmation."""
+"""The document revision in force, its distribution and its confirmation."""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import secrets
+from dataclasses import replace
+from typing import TYPE_CHECKING, Any
+
+from circuits import handler
 
 from chivefall.controllers._base import Controller
-from chivefall.document import decode_document
+from chivefall.controllers._document_changes import DocumentChanges
+from chivefall.controllers._document_history import DocumentHistory
+from chivefall.document import (
+    ChangeAccepted,
+    ChangeNotMade,
+    ChangeOutcome,
+    ChangeRequest,
+    Edit,
+    decode_document,
+    encode_document,
+    shape_warnings,
+)
 from chivefall.errors import DocumentError
 from chivefall.events import document_adopted
-from chivefall.model import Document, Revision
-from chivefall.store import DOCUMENT_KEY, Found, Store, Unavailable
+from chivefall.membership import OwnEvidence, PeerState, Stale, StartPermission
+from chivefall.model import ChangeRecord, Document, InstanceKind, Revision
+from chivefall.net import PeerFailure, Peers
+from chivefall.store import (
+    DOCUMENT_KEY,
+    Entry,
+    Found,
+    Missing,
+    Store,
+    Unavailable,
+    Unmodified,
+    Version,
+)
 from chivefall.telemetry import LogEvent, log_event
 
 if TYPE_CHECKING:
-    from chivefall.config import Timing
+    from collections.abc import Callable
+
+    from chivefall.config import Settings
+    from chivefall.controllers._membership import MembershipController
+    from chivefall.model import InstanceId, RackId, TeamId
     from chivefall.runtime import Clock
+    from chivefall.workers import Instance
 
 __all__ = ["DocumentController"]
 
+GET_DOCUMENT = "get_document"
+UNCONFIRMED_HEARTBEATS = 2  # heartbeat intervals without confirmation before an own read
+MAX_FETCHES = 2  # documents asked of peers at the same time
+NEVER_CONFIRMED = 1e9  # seconds reported as the age of a confirmation that never happened
+
 
 class DocumentController(Controller):
-    """Adopts higher revisions of the document and knows how fresh the adopted one is."""
+    """Adopts higher revisions of the document and decides whether tasks may start.
 
-    def __init__(self, clock: Clock, store: Store, timing: Timing) -> None:
+    Attributes
+    ----------
+    confirmed_at : float
+        A time at which the store had no higher revision than the one in force.
+    store_reachable : bool
+        Whether the last call to the store was answered; True before the first.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        cfg: Settings,
+        store: Store,
+        peers: Peers,
+        membership: MembershipController,
+        leads: Callable[[], bool],
+    ) -> None:
         super().__init__(clock)
+        self._cfg = cfg
+        self._timing = cfg.timing
         self._store = store
-        self._timing = timing
+        self._peers = peers
+        self._membership = membership
+        self._leads = leads
+        self._history = DocumentHistory(store)
+        self._changes = DocumentChanges(
+            clock, store, self._history, self._base, self._note_reachable, self._accept
+        )
+        self._version: Version | None = None
+        self._rejected: Version | None = None
+        self._fetching: set[InstanceId] = set()
+        self._racks: tuple[tuple[RackId, int], ...] = ()
+        self._permission: type[StartPermission] | None = None
         self.document = Document()
         self.confirmed_at = float("-inf")
-        self.store_reachable = False
+        self.store_reachable = True
 
     def start(self) -> None:
-        """Begin to read the document at each heartbeat interval."""
-        self.every(self._timing.heartbeat, lambda _: self.run_task(self._refresh()))
+        """Read the document once and begin to keep it confirmed.
+
+        The reads come half an interval after the heartbeats, so that the
+        heartbeats of a leader carry a recent confirmation.
+        """
+        self._peers.serve(GET_DOCUMENT, lambda _: self.run_task(self._serve_document()))
+        self.run_task(self._refresh())
+        interval = self._timing.heartbeat
+        self.clock.call_later(interval / 2, lambda: self.every(interval, self._turn))
+
+    @property
+    def revision(self) -> Revision:
+        """Return the revision in force."""
+        return self.document.revision
+
+    @property
+    def may_reach_store(self) -> bool:
+        """Return whether a write of this instance may have taken effect unnoticed."""
+        changes = self._changes
+        return bool(
+            self.store_reachable or changes.in_progress or changes.unknown_since is not None
+        )
+
+    @property
+    def change_is_open(self) -> bool:
+        """Return whether the outcome of a change made here is not known."""
+        return bool(self._changes.in_progress or self._changes.unknown_since is not None)
 
     def confirmed_age(self, now: float) -> float:
-        """Return seconds since the store confirmed the adopted revision."""
-        return now - self.confirmed_at
+        """Return seconds since the store confirmed the revision in force."""
+        return min(now - self.confirmed_at, NEVER_CONFIRMED)
+
+    def may_start(self, now: float) -> StartPermission:
+        """Return whether tasks may start, and on which evidence.
+
+        The clock is read again, because the process may have been paused since
+        the caller read it.
+        """
+        now = max(now, self.clock.now())
+        own = OwnEvidence(
+            self.revision, self.confirmed_at, self.may_reach_store, self._membership.started_at
+        )
+        return self._membership.start_permission(own, now)
 
     def is_fresh(self, now: float) -> bool:
-        """Return whether the adopted revision was confirmed recently enough to start tasks."""
-        return self.confirmed_age(now) <= self._timing.freshness
+        """Return whether tasks may start."""
+        return not isinstance(self.may_start(now), Stale)
 
-    def adopt(self, document: Document) -> None:
+    async def change(
+        self, team: TeamId, base: Revision, edit: Edit, reason: str = ""
+    ) -> ChangeOutcome:
+        """Make a team's change to the document.
+
+        Parameters
+        ----------
+        base : Revision
+            Revision from which the team made the change.
+        """
+        if self._stopped:
+            return ChangeNotMade("the instance is stopping; ask another one")
+        request = ChangeRequest(team, base, edit, secrets.token_hex(8), reason)
+        outcome = await self._changes.make(request)
+        if isinstance(outcome, ChangeAccepted):
+            warnings = shape_warnings(self.document, self._racks)
+            return replace(outcome, warnings=warnings)
+        return outcome
+
+    async def history(self, limit: int) -> tuple[ChangeRecord, ...] | Unavailable:
+        """Return up to ``limit`` audit records, the newest first."""
+        records = await self._history.list(self.document.last_change)
+        if isinstance(records, Unavailable):
+            return records
+        return records[::-1][:limit]
+
+    def adopt(self, document: Document, version: Version | None = None) -> None:
         """Put a revision in force if it is higher than the present one."""
         if document.revision <= self.document.revision:
             return
         self.document = document
+        self._version = version
         log_event(LogEvent.DOCUMENT_ADOPTED, revision=document.revision)
         self.fire(document_adopted(document))
 
+    def _turn(self, now: float) -> None:
+        unconfirmed = UNCONFIRMED_HEARTBEATS * self._timing.heartbeat
+        if self._leads() or now - self.confirmed_at > unconfirmed or self.change_is_open:
+            self.run_task(self._refresh())
+        record = self.document.last_change
+        if self._leads() and not self._history.is_written(record):
+            self.run_task(self._history.ensure(record))
+        self._log_permission(now)
+
     async def _refresh(self) -> None:
+        """Read the document, without its content if it has not changed."""
         asked_at = self.clock.now()
-        outcome = await self._store.get(DOCUMENT_KEY)
+        outcome = await self._store.get(DOCUMENT_KEY, self._version)
         self._note_reachable(not isinstance(outcome, Unavailable))
-        if not isinstance(outcome, Found):
+        if isinstance(outcome, Unavailable):
             return
+        unknown_since = self._changes.unknown_since
+        if unknown_since is not None and asked_at >= unknown_since:
+            self._changes.unknown_since = None
+        if isinstance(outcome, Unmodified) or (isinstance(outcome, Missing) and not self.revision):
+            self._confirm(asked_at)
+        elif isinstance(outcome, Found):
+            self._take_stored(outcome.entry, asked_at)
+
+    def _take_stored(self, entry: Entry, asked_at: float) -> None:
+        """Adopt the stored document; one that is invalid or lower confirms nothing."""
         try:
-            document = decode_document(outcome.entry.value)
+            document = decode_document(entry.value)
         except DocumentError as exc:
-            log_event(LogEvent.DOCUMENT_INVALID, error=str(exc))
+            self._reject(entry, str(exc))
             return
-        self.adopt(document)
-        if document.revision == self.document.revision:
-            self.confirmed_at = max(self.confirmed_at, asked_at)
+        if document.revision < self.revision:
+            self._reject(
+                entry,
+                f"the stored revision {document.revision} is lower than {self.revision} in force;"
+                " replace the whole document",
+            )
+            return
+        self.adopt(document, entry.version)
+        self._version = entry.version
+        self._confirm(asked_at)
+
+    def _reject(self, entry: Entry, error: str) -> None:
+        if entry.version != self._rejected:
+            log_event(LogEvent.DOCUMENT_INVALID, error=error, version=entry.version)
+        self._rejected = entry.version
+
+    def _confirm(self, confirmed_at: float) -> None:
+        self.confirmed_at = max(self.confirmed_at, confirmed_at)
+
+    def _accept(self, document: Document, version: Version | None, asked_at: float) -> None:
+        self.adopt(document, version)
+        if document.revision == self.revision:
+            self._confirm(asked_at)
+        self.run_task(self._history.ensure(document.last_change))
+
+    def _base(self) -> Document:
+        """Return the document in force, numbered as the highest revision of the region."""
+        peers = self._membership.table.all()
+        highest = max([self.revision, *(peer.revision for peer in peers)])
+        return replace(self.document, revision=highest)
 
     def _note_reachable(self, reachable: bool) -> None:
         if reachable != self.store_reachable:
@@ -71,7 +247,53 @@
             log_event(event)
         self.store_reachable = reachable
 
-    @property
-    def revision(self) -> Revision:
-        """Return the revision in force."""
-        return self.document.revision
+    def _log_permission(self, now: float) -> None:
+        permission = self.may_start(now)
+        if type(permission) is not self._permission:
+            self._permission = type(permission)
+            log_event(
+                LogEvent.START_PERMISSION,
+                permission=type(permission).__name__,
+                reason=permission.reason if isinstance(permission, Stale) else "",
+            )
+
+    @handler("peer_heard")
+    def _on_peer_heard(self, peer: PeerState) -> None:
+        if self._stopped:
+            return
+        if peer.revision <= self.revision:
+            self._confirm(peer.confirmed_at)
+        elif peer.instance not in self._fetching and len(self._fetching) < MAX_FETCHES:
+            self.run_task(self._fetch(peer.instance))
+
+    async def _fetch(self, peer: InstanceId) -> None:
+        """Adopt the document of a peer with a higher revision."""
+        asked_at = self.clock.now()
+        self._fetching.add(peer)
+        try:
+            reply = await self._peers.call(peer, GET_DOCUMENT, None, self._timing.peer_timeout)
+        finally:
+            self._fetching.discard(peer)
+        if isinstance(reply, PeerFailure):
+            return
+        try:
+            document = decode_document(reply["document"])
+            age = float(reply["confirmed_age"])
+        except (DocumentError, KeyError, TypeError, ValueError) as exc:
+            log_event(LogEvent.DOCUMENT_INVALID, error=str(exc), peer=peer)
+            return
+        self.adopt(document)
+        if document.revision <= self.revision:
+            self._confirm(asked_at - age)
+
+    async def _serve_document(self) -> dict[str, Any]:
+        return {
+            "document": encode_document(self.document),
+            "confirmed_age": self.confirmed_age(self.clock.now()),
+        }
+
+    @handler("instances_listed")
+    def _on_instances_listed(self, instances: tuple[Instance, ...]) -> None:
+        self._racks = tuple(
+            (item.rack, item.accelerators) for item in instances if item.kind is InstanceKind.WORKER
+        )
--- a/chivefall/document/_change.py
+++ b/chivefall/document/_change.py
@@ -132,7 +132,9 @@
 ]
 
 
-def plan_change(current: Document, request: ChangeRequest, now: float) -> ChangePlan:
+def plan_change(
+    current: Document, request: ChangeRequest, now: float, stored: bool = True
+) -> ChangePlan:
     """Return the revision that follows the current one, or why there is none.
 
     A change made from an older base is carried over to the current revision
@@ -141,9 +143,12 @@
     Parameters
     ----------
     current : Document
-        The document in the store.
+        The document in the store, or the one that replaces a broken one there.
     now : float
         Seconds since the epoch, for the audit record.
+    stored : bool
+        Whether the store holds the current document; if not, it is written
+        even without a difference.
     """
     guarded = request.edit.guarded_sections()
     changed = tuple(item for item in guarded if current.section_revision(item) > request.base)
@@ -152,7 +157,7 @@
     try:
         edited = request.edit.apply(current)
         touched = tuple(item for item in Section if current.section(item) != edited.section(item))
-        if not touched:
+        if stored and not touched:
             return ChangeUnneeded(current.revision)
         for section in touched:
             if current.owners and request.team not in current.owners.get(section, ()):
--- a/chivefall/events.py
+++ b/chivefall/events.py
@@ -9,6 +9,7 @@
     "instances_listed",
     "leadership_gained",
     "leadership_lost",
+    "peer_heard",
     "task_reported",
     "worker_lost",
 ]
@@ -30,6 +31,10 @@
     """The instance does not lead any more; argument: reason."""
 
 
+class peer_heard(Event):  # noqa: N801
+    """A peer's heartbeat arrived; argument: PeerState."""
+
+
 class task_reported(Event):  # noqa: N801
     """A worker reported a task; arguments: WorkerId, TaskReport."""
 
--- a/chivefall/membership/__init__.py
+++ b/chivefall/membership/__init__.py
@@ -1,7 +1,26 @@
-"""Peers of the region and what they say about the store."""
+"""Peers of the region, what they say about the store, and what follows for starts."""
 
 from __future__ import annotations
 
+from chivefall.membership._members import Members
+from chivefall.membership._permission import (
+    Fresh,
+    OwnEvidence,
+    Stale,
+    StartPermission,
+    StoreOutage,
+    start_permission,
+)
 from chivefall.membership._table import PeerState, PeerTable
 
-__all__ = ["PeerState", "PeerTable"]
+__all__ = [
+    "Fresh",
+    "Members",
+    "OwnEvidence",
+    "PeerState",
+    "PeerTable",
+    "Stale",
+    "StartPermission",
+    "StoreOutage",
+    "start_permission",
+]
--- a/chivefall/telemetry/_events.py
+++ b/chivefall/telemetry/_events.py
@@ -25,6 +25,8 @@
     DOCUMENT_CHANGED = (2002, "A change to the document was accepted.")
     DOCUMENT_CONFLICT = (2003, "A change was refused because another one was first.")
     DOCUMENT_INVALID = (2004, "A stored revision of the document cannot be used.")
+    START_PERMISSION = (2005, "The evidence on which tasks may start has changed.")
+    AUDIT_DELAYED = (2006, "An audit record could not be written yet.")
     PEER_MESSAGE_DROPPED = (3001, "A message of a peer matches no open request.")
     LEADERSHIP_GAINED = (3002, "The instance leads its failure domain.")
     LEADERSHIP_LOST = (3003, "The instance no longer leads its failure domain.")
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -42,6 +42,8 @@
     ----------
     stores : dict
         The store client of each instance, with its faults.
+    store_down : bool
+        Whether the store is down for instances that are started.
     """
 
     def __init__(
@@ -58,8 +60,14 @@
         self.workers = MemoryWorkers()
         self.stores: dict[InstanceId, MemoryStore] = {}
         self.applications: dict[InstanceId, Application] = {}
+        self.store_down = False
         self.timing = timing or Timing()
         self.document = document or default_document(domains)
+        self.peers = {
+            InstanceId(f"{domain}-{index}"): str(Address("127.0.0.1", 8001))
+            for domain in domains
+            for index in range(1, entries_per_domain + 1)
+        }
         self.state.put(DOCUMENT_KEY, encode_document(self.document), ABSENT, None)
         for number, domain in enumerate(domains):
             self._add_workers(domain, number, workers_per_domain)
@@ -90,9 +98,11 @@
             str(Address("127.0.0.1", 8000)),
             str(Address("127.0.0.1", 8001)),
             str(Address("127.0.0.1", 8002)),
-            timing=self.timing,
+            self.peers,
+            self.timing,
         )
         store = MemoryStore(self.state, self.clock)
+        store.down = self.store_down
         peers = MemoryPeers(name, self.network, self.clock)
         application = Application(cfg, Connections(self.clock, store, self.workers, peers))
         self.stores[name] = store
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -253,16 +253,29 @@
 
 
 class MemoryNetwork:
-    """Connects the peers of one test; ``cut`` holds pairs that cannot talk."""
+    """Connects the peers of one test.
+
+    Attributes
+    ----------
+    cut : set of frozenset
+        Pairs of instances that cannot talk.
+    cut_one_way : set of tuple
+        Sender and receiver of messages that are lost.
+    """
 
     def __init__(self) -> None:
         self.peers: dict[InstanceId, MemoryPeers] = {}
         self.incarnations = itertools.count(1)
         self.cut: set[frozenset[InstanceId]] = set()
+        self.cut_one_way: set[tuple[InstanceId, InstanceId]] = set()
 
     def connected(self, one: InstanceId, other: InstanceId) -> bool:
-        """Return whether messages pass between two instances."""
-        return other in self.peers and frozenset((one, other)) not in self.cut
+        """Return whether messages pass from one instance to the other."""
+        return (
+            other in self.peers
+            and frozenset((one, other)) not in self.cut
+            and (one, other) not in self.cut_one_way
+        )
 
 
 class MemoryPeers(Peers):
@@ -326,6 +339,6 @@
         if handle is None:
             return PeerFailure(f"{peer} has no operation {request.operation}", sent=True)
         answer = await handle(request.body)
-        if not self._network.connected(self.instance, peer):
+        if not self._network.connected(peer, self.instance):
             await Future()
         return answer
