Serve the document to operators over HTTP

Cause: operators could only read the document; nothing let them change a section, take a failure domain out of service or read the history.

Change: DocumentApi converts between HTTP and the changes of the document controller: reads of document, sections and history, replacement of a section or the whole document with If-Match, and the out and in resources of a failure domain, which need no base because they state the wanted end. Each answer carries the revision; 409 names both revisions and the changes in between, 503 means that nothing was written, 504 that the outcome is not known.

--- /dev/null
+++ b/chivefall/api/_document_api.py
@@ -0,0 +1,182 @@
+"""HTTP resources of the operators' document."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
+from urllib.parse import parse_qs
+
+import msgspec
+
+from chivefall.api._requests import json_reply
+from chivefall.document import (
+    ChangeAccepted,
+    ChangeConflict,
+    ChangeDenied,
+    ChangeInvalid,
+    ChangeNotMade,
+    ChangeOutcome,
+    ChangeUnknown,
+    ChangeUnneeded,
+    DocumentEdit,
+    DomainEdit,
+    Edit,
+    SectionEdit,
+    parse_document,
+    parse_section,
+)
+from chivefall.errors import DocumentError, MessageError
+from chivefall.model import DomainId, DomainState, Revision, Section, TeamId
+from chivefall.store import Unavailable
+
+if TYPE_CHECKING:
+    from chivefall.controllers import DocumentController
+    from chivefall.net import HttpReply, HttpRequest
+    from chivefall.runtime import Clock
+
+__all__ = ["DocumentApi", "encode_change_reply"]
+
+TEAM_HEADER = "x-chivefall-team"
+REASON_HEADER = "x-chivefall-reason"
+RETRY_AFTER = "2"  # seconds after which a store that did not answer may answer again
+DEFAULT_HISTORY = 20
+MAX_HISTORY = 500
+
+_TAGS: dict[type, tuple[str, HTTPStatus]] = {
+    ChangeAccepted: ("accepted", HTTPStatus.OK),
+    ChangeUnneeded: ("unneeded", HTTPStatus.OK),
+    ChangeConflict: ("conflict", HTTPStatus.CONFLICT),
+    ChangeDenied: ("denied", HTTPStatus.FORBIDDEN),
+    ChangeInvalid: ("invalid", HTTPStatus.UNPROCESSABLE_ENTITY),
+    ChangeNotMade: ("not_made", HTTPStatus.SERVICE_UNAVAILABLE),
+    ChangeUnknown: ("unknown", HTTPStatus.GATEWAY_TIMEOUT),
+}
+_DOMAIN_STATES = {"out": DomainState.OUT_OF_SERVICE, "in": DomainState.IN_SERVICE}
+
+
+class DocumentApi:
+    """Reads and changes the document; any instance answers."""
+
+    def __init__(self, clock: Clock, document: DocumentController) -> None:
+        self._clock = clock
+        self._document = document
+
+    async def serve(self, req: HttpRequest, *parts: str) -> HttpReply:
+        """Return the reply to a request below ``/v1``.
+
+        Parameters
+        ----------
+        parts : str
+            Method and path below ``/v1``.
+        """
+        try:
+            reply = await self._route(req, parts)
+        except DocumentError as exc:
+            return encode_change_reply(ChangeInvalid(exc.problem, exc.remedy))
+        except MessageError as exc:
+            return json_reply(HTTPStatus.BAD_REQUEST, {"error": str(exc)})
+        return reply or json_reply(
+            HTTPStatus.NOT_FOUND, {"error": f"no such resource: {req.method} {req.path}"}
+        )
+
+    async def _route(self, req: HttpRequest, parts: tuple[str, ...]) -> HttpReply | None:
+        match parts:
+            case ("GET", "document"):
+                return self._reply(msgspec.to_builtins(self._document.document))
+            case ("GET", "document", "sections", name):
+                return self._read_section(_section(name))
+            case ("GET", "document", "history"):
+                return await self._read_history(_limit(req))
+            case ("PUT", "document"):
+                return await self._change(req, DocumentEdit(parse_document(req.body)))
+            case ("PUT", "document", "sections", name):
+                section = _section(name)
+                content = parse_section(section, req.body)
+                return await self._change(req, SectionEdit(section, content))
+            case ("POST", "failure-domains", domain, ("in" | "out") as state):
+                edit = DomainEdit(DomainId(domain), _DOMAIN_STATES[state])
+                return await self._change(req, edit, self._document.revision)
+        return None
+
+    def _read_section(self, section: Section) -> HttpReply:
+        document = self._document.document
+        content = msgspec.to_builtins(document.section(section))
+        return self._reply(
+            {
+                "revision": document.revision,
+                "section": section.value,
+                "section_revision": document.section_revision(section),
+                "content": content,
+            }
+        )
+
+    async def _read_history(self, limit: int) -> HttpReply:
+        records = await self._document.history(limit)
+        if isinstance(records, Unavailable):
+            return json_reply(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                {"error": f"the history cannot be read: {records.reason}"},
+                {"Retry-After": RETRY_AFTER},
+            )
+        changes = msgspec.to_builtins(records)
+        return self._reply({"revision": self._document.revision, "changes": changes})
+
+    async def _change(
+        self, req: HttpRequest, edit: Edit, base: Revision | None = None
+    ) -> HttpReply:
+        team = req.headers.get(TEAM_HEADER)
+        if not team:
+            raise MessageError("the X-Chivefall-Team header is missing", "send your team's name")
+        if base is None:
+            base = _base(req)
+        outcome = await self._document.change(
+            TeamId(team), base, edit, req.headers.get(REASON_HEADER, "")
+        )
+        return encode_change_reply(outcome)
+
+    def _reply(self, body: dict[str, Any]) -> HttpReply:
+        age = self._document.confirmed_age(self._clock.now())
+        headers = {
+            "ETag": f'"{self._document.revision}"',
+            "X-Chivefall-Confirmed-Age": f"{age:.3f}",
+        }
+        return json_reply(HTTPStatus.OK, body, headers)
+
+
+def encode_change_reply(outcome: ChangeOutcome) -> HttpReply:
+    """Return the HTTP reply for the outcome of a change."""
+    tag, status = _TAGS[type(outcome)]
+    headers = {}
+    if isinstance(outcome, ChangeAccepted | ChangeUnneeded):
+        headers["ETag"] = f'"{outcome.revision}"'
+    elif isinstance(outcome, ChangeConflict):
+        headers["ETag"] = f'"{outcome.current}"'
+    elif isinstance(outcome, ChangeNotMade):
+        headers["Retry-After"] = RETRY_AFTER
+    return json_reply(status, {"outcome": tag, **msgspec.to_builtins(outcome)}, headers)
+
+
+def _section(name: str) -> Section:
+    try:
+        return Section(name)
+    except ValueError:
+        raise MessageError(
+            f"no section {name!r}", f"use one of {', '.join(item.value for item in Section)}"
+        ) from None
+
+
+def _base(req: HttpRequest) -> Revision:
+    text = req.headers.get("if-match", "").strip().strip('"')
+    if not text.isascii() or not text.isdigit():
+        raise MessageError(
+            f"If-Match {text!r} is not a revision",
+            "send the revision from which the change was made; 0 for the first document",
+        )
+    return Revision(int(text))
+
+
+def _limit(req: HttpRequest) -> int:
+    text = parse_qs(req.query).get("limit", [str(DEFAULT_HISTORY)])[0]
+    if not text.isascii() or not text.isdigit() or not 0 < int(text) <= MAX_HISTORY:
+        raise MessageError(f"limit {text!r} is not valid", f"send a number from 1 to {MAX_HISTORY}")
+    return int(text)
--- a/chivefall/api/_http_api.py
+++ b/chivefall/api/_http_api.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from chivefall.api._document_api import DocumentApi
 from chivefall.api._requests import (
     decode_job_request,
     decode_service_request,
@@ -39,7 +40,7 @@
     ) -> None:
         self._clock = clock
         self._chain = chain
-        self._document = document
+        self._document_api = DocumentApi(clock, document)
         self._jobs = jobs
         self._metrics = metrics
 
@@ -58,8 +59,8 @@
                     return await self._job_status(JobId(job_id), now)
                 case ("POST", "v1", "services", service, "requests"):
                     return await self._run(decode_service_request(req, ServiceId(service), now))
-                case ("GET", "v1", "document"):
-                    return json_reply(HTTPStatus.OK, msgspec.to_builtins(self._document.document))
+                case (_, "v1", "document" | "failure-domains", *_):
+                    return await self._document_api.serve(req, req.method, *parts[1:])
                 case ("GET", "healthz"):
                     return json_reply(HTTPStatus.OK, {"status": "ok"})
                 case ("GET", "metrics"):
