Measure completion times on both workloads

Cause: nothing showed whether the policy is better than FIFO and plain backfill. The benchmark found that a job with a reservation could be started twice in one round, which leaked accelerators; it is fixed, with a test.

--- /dev/null
+++ b/benchmarks/bench_completion.py
@@ -0,0 +1,56 @@
+"""Completion times and work done, against FIFO and plain backfill in the same run."""
+
+from __future__ import annotations
+
+import unittest
+from functools import cache
+
+from benchmarks._loop import URGENT, Figures, Loop, Workload
+from benchmarks._workloads import EasyPolicy, assessor, booking
+from chivefall.scheduling import FifoPolicy, GuaranteePolicy
+
+URGENT_START = 1.8  # seconds; the stated target
+POLICIES = {"fifo": FifoPolicy, "easy": EasyPolicy, "guarantee": GuaranteePolicy}
+
+
+@cache
+def figures(make_workload: object, policy: str) -> Figures:
+    """Return the figures of one run; the same on every call."""
+    result = Loop(make_workload(), POLICIES[policy]).run()
+    print(result.line(f"{make_workload.__name__} {policy}"))
+    return result
+
+
+class CompletionBenchmark(unittest.TestCase):
+    def each(self) -> list[tuple[Workload, Figures, list[Figures]]]:
+        """Return the figures of the policy and of the baselines for both workloads."""
+        return [
+            (make, figures(make, "guarantee"), [figures(make, "fifo"), figures(make, "easy")])
+            for make in (booking, assessor)
+        ]
+
+    def test_urgent_work_starts_in_time(self) -> None:
+        """Guards against urgent work inside a guarantee that starts after 1.8 s."""
+        for make, own, _ in self.each():
+            with self.subTest(make.__name__):
+                self.assertGreater(len(own.urgent_delays), 100)
+                self.assertLessEqual(max(own.urgent_delays), URGENT_START)
+
+    def test_urgent_completion(self) -> None:
+        """Guards against urgent work that completes later than with a baseline."""
+        for make, own, baselines in self.each():
+            for other in baselines:
+                with self.subTest(make.__name__):
+                    self.assertLessEqual(mean(own.times(URGENT)), mean(other.times(URGENT)))
+
+    def test_every_possible_job_ends(self) -> None:
+        """Guards against a large gang that is starved, and jobs that are rejected wrongly."""
+        for make, own, baselines in self.each():
+            with self.subTest(make.__name__):
+                self.assertEqual({own.rejected}, {other.rejected for other in baselines})
+                self.assertEqual(own.unfinished, 0)
+
+
+def mean(values: list[float]) -> float:
+    """Return the mean."""
+    return sum(values) / len(values)
--- a/chivefall/scheduling/_guarantee_policy.py
+++ b/chivefall/scheduling/_guarantee_policy.py
@@ -145,11 +145,12 @@
     def _start_normal(self, current: Round, waiting: list[QueuedJob]) -> None:
         """Start other jobs by fair share around the reservation of the first that waits."""
         outside = self._renew_reservation(current, waiting)
-        for job in FairQueue(current, waiting):
-            reservation = self.reservation
-            if (reservation is not None and reservation.job_id == job.job_id) or (
-                not current.within_quota(job.spec)
-            ):
+        handled = {name for name, _ in current.starts}
+        if self.reservation is not None:
+            handled.add(self.reservation.job_id)
+        others = [job for job in waiting if job.job_id not in handled]
+        for job in FairQueue(current, others):
+            if not current.within_quota(job.spec):
                 continue
             placement = (outside or current.room).place(job.spec, job.avoid)
             if placement is None and self._ends_in_time(job, current.now):
@@ -160,7 +161,7 @@
                 current.start(job, placement)
                 if outside is not None:
                     outside.take(placement)
-            elif reservation is None and job.spec.accelerators > 0:
+            elif self.reservation is None and job.spec.accelerators > 0:
                 self.reservation = reserve(
                     job, current.future, current.staying, self.estimator, current.now
                 )
--- a/tests/scheduling/test_reservations.py
+++ b/tests/scheduling/test_reservations.py
@@ -82,6 +82,12 @@
         self.assertEqual(self.policy.reservation.job_id, "head")
         self.assertEqual(self.round(newer, jobs=[]), ["head"])
 
+    def test_reserved_job_starts_once(self) -> None:
+        """Guards against two starts of one job, which would leak accelerators."""
+        self.round()
+        result = round_of(self.policy, ["a1", "a2", "a3"], [], [self.head])
+        self.assertEqual(starts(result), ["head"])
+
     def test_reservation_is_dropped_with_its_job(self) -> None:
         """Guards against room that is kept for a cancelled job."""
         self.round()
