--- a/chivefall/api/_http_api.py
+++ b/chivefall/api/_http_api.py
@@ -14,7 +14,7 @@
     json_reply,
 )
 from chivefall.errors import MessageError
-from chivefall.model import JobId, NotRun, NotRunReason, ServiceId
+from chivefall.model import JobId, JobRecord, NotRun, NotRunReason, ServiceId, Unknown
 from chivefall.net import HttpReply, HttpRequest
 from chivefall.runtime import Clock, Future, spawn
 from chivefall.telemetry import LogEvent, Metrics, log_event
@@ -54,8 +54,9 @@
             match (req.method, *parts):
                 case ("POST", "v1", "jobs"):
                     return await self._run(decode_job_request(req, now))
-                case ("GET", "v1", "jobs", job_id):
-                    return await self._job_status(JobId(job_id), now)
+                case ("GET" | "DELETE", "v1", "jobs", job_id):
+                    act = self._job_status if req.method == "GET" else self._cancel_job
+                    return await act(JobId(job_id), now)
                 case ("POST", "v1", "services", service, "requests"):
                     return await self._run(decode_service_request(req, ServiceId(service), now))
                 case ("GET", "v1", "document"):
@@ -85,7 +86,15 @@
         return encode_reply(outcome)
 
     async def _job_status(self, job_id: JobId, now: float) -> HttpReply:
-        record = await self._jobs.status(job_id, now)
+        return self._record_reply(job_id, await self._jobs.status(job_id, now))
+
+    async def _cancel_job(self, job_id: JobId, _now: float) -> HttpReply:
+        answer = await self._jobs.cancel(job_id)
+        if isinstance(answer, Unknown):
+            return encode_reply(answer)
+        return self._record_reply(job_id, answer)
+
+    def _record_reply(self, job_id: JobId, record: JobRecord | None) -> HttpReply:
         if record is None:
             return json_reply(
                 HTTPStatus.NOT_FOUND, {"error": f"job {job_id} is not known to a reachable leader"}
--- /dev/null
+++ b/chivefall/controllers/_attempts.py
@@ -0,0 +1,129 @@
+"""What a new leader or a changed share means for an attempt."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from enum import Enum
+from typing import TYPE_CHECKING, Any
+
+from chivefall.controllers._job_table import workers_of
+from chivefall.model import JobRecord, JobState, TaskState
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Mapping
+
+    from chivefall.model import WorkerId
+    from chivefall.workers import TaskReport
+
+__all__ = ["AttemptFate", "after_release", "decide_attempt", "may_run_again", "succeeded"]
+
+MAX_FAILED_WORKERS = 3  # a job that failed on so many workers is itself at fault
+MAX_FAILURES = 6  # ends a failing job where fewer workers than that exist
+_WORKING = (TaskState.RUNNING, TaskState.SUCCEEDED)
+
+
+class AttemptFate(Enum):
+    """What to do with an attempt.
+
+    ADOPT: every share runs or succeeded. SUCCEED: every share succeeded. FAIL: a
+    share failed. RELEASE: the gang is incomplete.
+    """
+
+    ADOPT = "adopt"
+    SUCCEED = "succeed"
+    FAIL = "fail"
+    RELEASE = "release"
+
+
+def decide_attempt(
+    record: JobRecord, reports: Mapping[WorkerId, TaskReport], lost: Collection[WorkerId]
+) -> AttemptFate:
+    """Return what becomes of a record's attempt, by the reports of the same attempt."""
+    names = workers_of(record)
+    states = [
+        reports[name].state
+        for name in names
+        if name in reports and reports[name].attempt == record.attempt
+    ]
+    if names and len(states) == len(names) and set(states) == {TaskState.SUCCEEDED}:
+        return AttemptFate.SUCCEED
+    if TaskState.FAILED in states:
+        return AttemptFate.FAIL
+    if record.state is JobState.CHECKPOINTING or any(
+        name in lost and name not in reports for name in names
+    ):
+        return AttemptFate.RELEASE
+    if len(states) == len(names) and all(state in _WORKING for state in states):
+        unfinished = [n for n in names if reports[n].state is not TaskState.SUCCEEDED]
+        return AttemptFate.RELEASE if set(unfinished) & set(lost) else AttemptFate.ADOPT
+    return AttemptFate.RELEASE
+
+
+def may_run_again(
+    record: JobRecord, reports: Mapping[WorkerId, TaskReport], committed: bool
+) -> bool:
+    """Return whether a released attempt allows another one.
+
+    A non-idempotent job runs again only if no commit was sent or every worker
+    reported that its share ended without having run. A worker that does not
+    know the share proves nothing, since it may have restarted.
+    """
+    if record.spec.idempotent or not committed:
+        return True
+    return all(
+        name in reports
+        and reports[name].attempt == record.attempt
+        and reports[name].state.is_final
+        and not reports[name].ran
+        for name in workers_of(record)
+    )
+
+
+def after_release(
+    record: JobRecord, reports: Mapping[WorkerId, TaskReport], committed: bool, now: float
+) -> JobRecord:
+    """Return the record after every share of its attempt is proven to have ended."""
+    names = workers_of(record)
+    own = {n: reports[n] for n in names if n in reports and reports[n].attempt == record.attempt}
+    states = {report.state for report in own.values()}
+    if names and len(own) == len(names) and states == {TaskState.SUCCEEDED}:
+        return succeeded(record, own, now)
+    if record.cancel_requested:
+        return _ended(record, JobState.CANCELLED, now)
+    failed = [name for name, report in own.items() if report.state is TaskState.FAILED]
+    if failed:
+        return _after_failure(record, failed, own, now)
+    if len(own) == len(names) and states == {TaskState.CHECKPOINTED}:
+        first = min(own.values(), key=lambda report: report.progress)
+        if record.spec.idempotent or len(names) == 1:
+            return _queued(record, checkpoint=first.checkpoint, progress=first.progress)
+    if may_run_again(record, reports, committed):
+        return _queued(record)
+    error = "an attempt was interrupted and a second one could repeat its effect"
+    return _ended(record, JobState.FAILED, now, error=error, uncertain=True)
+
+
+def succeeded(record: JobRecord, reports: Mapping[WorkerId, TaskReport], now: float) -> JobRecord:
+    """Return the record of a job all of whose shares succeeded."""
+    answer = {name: reports[name].answer for name in sorted(workers_of(record))}
+    return _ended(record, JobState.SUCCEEDED, now, answer=answer)
+
+
+def _after_failure(
+    record: JobRecord, failed: list[WorkerId], reports: Mapping[WorkerId, TaskReport], now: float
+) -> JobRecord:
+    workers = tuple(dict.fromkeys((*record.failed_workers, *failed)))
+    counted = replace(record, failed_workers=workers, failures=record.failures + 1)
+    hopeless = len(workers) >= MAX_FAILED_WORKERS or counted.failures >= MAX_FAILURES
+    if hopeless or not record.spec.idempotent:
+        error = reports[failed[0]].error or "the program failed"
+        return _ended(counted, JobState.FAILED, now, error=error)
+    return _queued(counted)
+
+
+def _queued(record: JobRecord, **changes: Any) -> JobRecord:
+    return record.with_state(JobState.QUEUED, attempt=None, placement=None, **changes)
+
+
+def _ended(record: JobRecord, state: JobState, now: float, **changes: Any) -> JobRecord:
+    return record.with_state(state, finished_at=now, **changes)
--- /dev/null
+++ b/chivefall/controllers/_job_records.py
@@ -0,0 +1,183 @@
+"""Durable records of jobs: serialized, coalesced and repeated writes."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from chivefall.model import JobRecord, NotRun, NotRunReason, Outcome, Unknown
+from chivefall.runtime import Future, sleep
+from chivefall.store import (
+    ABSENT,
+    JOB_SHARDS,
+    Conflict,
+    Found,
+    Listed,
+    Store,
+    Stored,
+    Unavailable,
+    Unmodified,
+    Version,
+    job_key,
+    jobs_prefix,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from chivefall.controllers._job_table import Job
+    from chivefall.model import DomainId
+    from chivefall.runtime import Clock
+
+__all__ = ["MAX_RECORD_BYTES", "JobRecords", "encode_record"]
+
+MAX_RECORD_BYTES = 64_000  # see JOB_SHARDS
+MAX_WRITES = 16  # in progress at once, so that a wave of changes leaves the store room
+RETRY_DELAY = 1.0  # seconds between writes while the store does not answer
+RETRY_AFTER = 2.0  # seconds a caller should wait while the store is down
+
+
+def encode_record(record: JobRecord) -> bytes:
+    """Return a record as JSON; a final one without its payload and a too long answer."""
+    if record.state.is_final:
+        record = replace(record, spec=replace(record.spec, payload=None))
+    data = msgspec.json.encode(record)
+    if len(data) > MAX_RECORD_BYTES and record.answer is not None:
+        data = msgspec.json.encode(replace(record, answer={"omitted": "the answer is too long"}))
+    return data
+
+
+class JobRecords:
+    """Writes the records of one leader's jobs.
+
+    Parameters
+    ----------
+    run_task : callable
+        Runs a coroutine on the loop.
+    on_conflict : callable
+        Called when another leader changed a record.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        store: Store,
+        domain: DomainId,
+        run_task: Callable,
+        on_conflict: Callable[[str], None],
+    ) -> None:
+        self._clock = clock
+        self._store = store
+        self._domain = domain
+        self._run_task = run_task
+        self._on_conflict = on_conflict
+        self._waiting: deque[Job] = deque()
+        self._writing = 0
+        self._generation = 0
+
+    def reset(self) -> None:
+        """Drop all writes in progress; called when this instance stops leading."""
+        self._generation += 1
+        self._waiting.clear()
+        self._writing = 0
+
+    async def create(self, record: JobRecord) -> Version | Outcome:
+        """Create a record; a lost reply is resolved by reading it back."""
+        key = job_key(self._domain, record.job_id)
+        data = encode_record(record)
+        outcome = await self._store.put(key, data, ABSENT)
+        if isinstance(outcome, Unavailable) and outcome.applied_unknown:
+            outcome = await self._read_back(key, data)
+            if outcome is None:
+                outcome = await self._store.put(key, data, ABSENT)
+                if isinstance(outcome, Conflict) and outcome.current is not None:
+                    # The first write took effect after the read.
+                    outcome = Stored(outcome.current.version)
+            if isinstance(outcome, Unavailable):
+                return Unknown("the store did not say whether the job is recorded")
+        if isinstance(outcome, Conflict) and outcome.current and outcome.current.value == data:
+            # A repeated transfer of the same record.
+            return outcome.current.version
+        if isinstance(outcome, Stored):
+            return outcome.version
+        return NotRun(NotRunReason.STORE_UNAVAILABLE, "the job cannot be recorded", RETRY_AFTER)
+
+    async def load(self) -> list[tuple[JobRecord, Version]] | None:
+        """Read all records of the domain in parts; None if the store does not answer."""
+        loaded = []
+        for shard in range(JOB_SHARDS):
+            listed = await self._store.list(jobs_prefix(self._domain, shard))
+            if not isinstance(listed, Listed):
+                return None
+            for entry in listed.entries:
+                record = msgspec.json.decode(entry.value, type=JobRecord)
+                loaded.append((record, entry.version))
+        return loaded
+
+    def save(self, job: Job) -> Future[bool]:
+        """Write a job's latest record; the future is done when it is stored.
+
+        Only the latest state is written. The result is False if another leader
+        owns the record.
+        """
+        if job.saved.done():
+            job.saved = Future()
+        job.dirty = True
+        if not job.saving:
+            job.saving = True
+            self._waiting.append(job)
+            self._write_next()
+        return job.saved
+
+    async def delete(self, job: Job) -> bool:
+        """Delete a final record; return whether it is gone."""
+        key = job_key(self._domain, job.record.job_id)
+        return isinstance(await self._store.delete(key, job.version), Stored)
+
+    def _write_next(self) -> None:
+        while self._waiting and self._writing < MAX_WRITES:
+            self._writing += 1
+            self._run_task(self._write(self._waiting.popleft(), self._generation))
+
+    async def _write(self, job: Job, generation: int) -> None:
+        key = job_key(self._domain, job.record.job_id)
+        while job.dirty:
+            job.dirty = False
+            data = encode_record(job.record)
+            outcome = await self._store.put(key, data, job.version)
+            if generation != self._generation:
+                return
+            if isinstance(outcome, Stored):
+                job.version = outcome.version
+                job.attempted.clear()
+            elif isinstance(outcome, Unavailable):
+                job.dirty = True
+                if outcome.applied_unknown:
+                    job.attempted.append(data)
+                await sleep(self._clock, RETRY_DELAY)
+            elif outcome.current is not None and outcome.current.value in job.attempted:
+                # An earlier write whose reply was lost took effect.
+                job.version = outcome.current.version
+                job.dirty = True
+            else:
+                self._on_conflict(f"another leader wrote the record of {job.record.job_id}")
+                job.saved.set_result(False)
+                return
+        job.saving = False
+        job.saved.set_result(True)
+        self._writing -= 1
+        self._write_next()
+
+    async def _read_back(self, key: str, data: bytes) -> Stored | Conflict | Unavailable | None:
+        """Return what became of a create; None if the key is absent."""
+        found = await self._store.get(key)
+        if isinstance(found, Unavailable | Unmodified):
+            return Unavailable("the store did not answer the read")
+        if not isinstance(found, Found):
+            return None
+        if found.entry.value == data:
+            return Stored(found.entry.version)
+        return Conflict(found.entry)
--- a/chivefall/controllers/_job_router.py
+++ b/chivefall/controllers/_job_router.py
@@ -7,12 +7,14 @@
 import msgspec
 
 from chivefall.controllers._base import Controller
+from chivefall.controllers._job_table import WaitReply
 from chivefall.model import (
     Accepted,
     DomainId,
     JobId,
     JobRecord,
     JobSpec,
+    JobState,
     NotRun,
     NotRunReason,
     Outcome,
@@ -20,7 +22,7 @@
     domain_of_job,
 )
 from chivefall.net import PeerFailure, Peers, decode_outcome, encode_outcome
-from chivefall.runtime import wait_for
+from chivefall.runtime import sleep
 
 if TYPE_CHECKING:
     from chivefall.config import Settings
@@ -33,9 +35,14 @@
 __all__ = ["JobRouter"]
 
 RETRY_AFTER = 2.0  # seconds after which a domain without a leader may have one
+WAIT_SLICE = 5.0  # seconds of one wait at a peer, so that a dead leader is noticed
+WAIT_RETRY = 0.5  # seconds before a leader is asked again
+MAX_MOVES = 8  # domains followed for one question
 SUBMIT = "submit_job"
 WAIT = "wait_job"
 STATUS = "job_status"
+CANCEL = "cancel_job"
+CANCEL_TIMEOUT = 12.0  # seconds; a leader answers within CANCEL_BOUND
 
 
 class JobRouter(Controller):
@@ -64,6 +71,7 @@
         self._peers.serve(SUBMIT, lambda body: self.run_task(self._serve_submit(body)))
         self._peers.serve(WAIT, lambda body: self.run_task(self._serve_wait(body)))
         self._peers.serve(STATUS, lambda body: self.run_task(self._serve_status(body)))
+        self._peers.serve(CANCEL, lambda body: self.run_task(self._serve_cancel(body)))
 
     async def submit(self, spec: JobSpec, wait: bool, deadline: float, now: float) -> Outcome:
         """Submit a job in a failure domain with a leader and optionally wait for its end."""
@@ -73,39 +81,78 @@
                 NotRunReason.NO_LEADER, "no failure domain in service has a leader", RETRY_AFTER
             )
         if self._is_local(domain):
-            outcome = await self._jobs.submit(spec)
+            outcome = await self._jobs.submit(spec, wait)
         else:
-            outcome = await self._ask(domain, SUBMIT, msgspec.to_builtins(spec), now)
+            outcome = await self._ask_submit(domain, spec, wait, now)
         if wait and isinstance(outcome, Accepted):
             return await self.wait(outcome.job_id, deadline)
         return outcome
 
     async def wait(self, job_id: JobId, deadline: float) -> Outcome:
-        """Wait for a job's final state until the deadline."""
-        now = self.clock.now()
+        """Wait for a job's final state until the deadline, wherever it moves."""
         domain = domain_of_job(job_id)
-        remaining = max(0.0, deadline - now)
-        if self._is_local(domain):
-            fut = self.run_task(self._jobs.wait(job_id))
-            return await wait_for(self.clock, fut, remaining, Accepted(job_id))
-        outcome = await self._ask(domain, WAIT, job_id, now, remaining)
-        return Accepted(job_id) if isinstance(outcome, NotRun) else outcome
+        while (left := deadline - self.clock.now()) > 0:
+            reply = await self._wait_at(domain, job_id, min(left, WAIT_SLICE))
+            if reply.outcome is not None:
+                return reply.outcome
+            if reply.moved_to is not None:
+                domain = reply.moved_to
+            await sleep(self.clock, WAIT_RETRY)
+        return Accepted(job_id)
 
     async def status(self, job_id: JobId, now: float) -> JobRecord | None:
         """Return a job's record, or None if no leader knows it."""
-        domain = domain_of_job(job_id)
+        record = await self._follow(job_id, self._status_at)
+        if record is not None:
+            return record
+        # The leader of the job's origin may be gone while the job runs elsewhere.
+        for domain in self._document.document.failure_domains:
+            record = await self._status_at(domain, job_id)
+            if record is not None and record.state is not JobState.MOVED:
+                return record
+        return None
+
+    async def cancel(self, job_id: JobId) -> JobRecord | Unknown | None:
+        """End a job wherever it is; None if no leader knows it."""
+        return await self._follow(job_id, self._cancel_at)
+
+    async def _follow(self, job_id: JobId, ask) -> JobRecord | Unknown | None:
+        domain, answer = domain_of_job(job_id), None
+        for _ in range(MAX_MOVES):
+            answer = await ask(domain, job_id)
+            if not isinstance(answer, JobRecord) or answer.state is not JobState.MOVED:
+                return answer
+            domain = answer.moved_to
+        return answer
+
+    async def _wait_at(self, domain: DomainId, job_id: JobId, seconds: float) -> WaitReply:
+        if self._is_local(domain):
+            return await self._jobs.wait(job_id, seconds)
+        limit = seconds + self._cfg.timing.peer_timeout
+        reply = await self._call(domain, WAIT, [job_id, seconds], limit)
+        if isinstance(reply, PeerFailure):
+            return WaitReply()
+        outcome, moved_to = reply
+        return WaitReply(decode_outcome(outcome) if outcome else None, moved_to)
+
+    async def _status_at(self, domain: DomainId, job_id: JobId) -> JobRecord | None:
         if self._is_local(domain):
             return self._jobs.status(job_id)
-        leader = self._membership.leader_of(domain, now)
-        if leader is None:
-            return None
-        reply = await self._peers.call(
-            leader.instance, STATUS, job_id, self._cfg.timing.peer_timeout
-        )
+        reply = await self._call(domain, STATUS, job_id, self._cfg.timing.peer_timeout)
         if reply is None or isinstance(reply, PeerFailure):
             return None
         return msgspec.convert(reply, JobRecord)
 
+    async def _cancel_at(self, domain: DomainId, job_id: JobId) -> JobRecord | Unknown | None:
+        if self._is_local(domain):
+            return await self._jobs.cancel(job_id)
+        reply = await self._call(domain, CANCEL, job_id, CANCEL_TIMEOUT)
+        if isinstance(reply, PeerFailure):
+            return Unknown(reply.reason) if reply.sent else None
+        if reply is None or "job_id" in reply:
+            return None if reply is None else msgspec.convert(reply, JobRecord)
+        return decode_outcome(reply)
+
     def _choose_domain(self, now: float) -> DomainId | None:
         """Return the own domain if it has a leader, else the one with most free room."""
         document = self._document.document
@@ -125,14 +172,17 @@
     def _is_local(self, domain: DomainId) -> bool:
         return domain == self._cfg.failure_domain and self._leader.leads
 
-    async def _ask(
-        self, domain: DomainId, operation: str, body: Any, now: float, timeout: float = 0.0
-    ) -> Outcome:
-        leader = self._membership.leader_of(domain, now)
+    async def _call(
+        self, domain: DomainId, operation: str, body: Any, timeout: float
+    ) -> Any | PeerFailure:
+        leader = self._membership.leader_of(domain, self.clock.now())
         if leader is None:
-            return NotRun(NotRunReason.NO_LEADER, f"{domain} has no leader now", RETRY_AFTER)
-        limit = timeout or self._cfg.timing.peer_timeout
-        reply = await self._peers.call(leader.instance, operation, body, limit)
+            return PeerFailure(f"{domain} has no leader now", sent=False)
+        return await self._peers.call(leader.instance, operation, body, timeout)
+
+    async def _ask_submit(self, domain: DomainId, spec: JobSpec, wait: bool, now: float) -> Outcome:
+        body = [msgspec.to_builtins(spec), wait]
+        reply = await self._call(domain, SUBMIT, body, self._cfg.timing.peer_timeout)
         if isinstance(reply, PeerFailure):
             if reply.sent:
                 return Unknown(reply.reason)
@@ -140,11 +190,20 @@
         return decode_outcome(reply)
 
     async def _serve_submit(self, body: Any) -> Any:
-        return encode_outcome(await self._jobs.submit(msgspec.convert(body, JobSpec)))
+        spec, wait = body
+        return encode_outcome(await self._jobs.submit(msgspec.convert(spec, JobSpec), wait))
 
     async def _serve_wait(self, body: Any) -> Any:
-        return encode_outcome(await self._jobs.wait(JobId(body)))
+        job_id, seconds = body
+        reply = await self._jobs.wait(JobId(job_id), seconds)
+        return [reply.outcome and encode_outcome(reply.outcome), reply.moved_to]
 
     async def _serve_status(self, body: Any) -> Any:
         record = self._jobs.status(JobId(body))
         return None if record is None else msgspec.to_builtins(record)
+
+    async def _serve_cancel(self, body: Any) -> Any:
+        answer = await self._jobs.cancel(JobId(body))
+        if isinstance(answer, Unknown):
+            return encode_outcome(answer)
+        return None if answer is None else msgspec.to_builtins(answer)
--- /dev/null
+++ b/chivefall/controllers/_job_table.py
@@ -0,0 +1,159 @@
+"""Jobs that a leader holds, their shares and their outcomes."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass
+
+from chivefall.model import (
+    Completed,
+    DomainId,
+    JobRecord,
+    JobState,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Unknown,
+    WorkerId,
+)
+from chivefall.runtime import Future
+from chivefall.store import ABSENT, Version
+from chivefall.workers import TaskReport, TaskShare
+
+__all__ = ["Job", "WaitReply", "final_outcome", "shares_of", "workers_of"]
+
+FAILED_STATUS = 500  # the program ran and failed
+
+
+@dataclass(frozen=True)
+class WaitReply:
+    """What a leader tells of a job that a caller waits for.
+
+    Attributes
+    ----------
+    outcome : Outcome or None
+        The job's outcome; None if it has not ended or this is not its leader.
+    moved_to : DomainId or None
+        Domain whose leader has to be asked from now on.
+    """
+
+    outcome: Outcome | None = None
+    moved_to: DomainId | None = None
+
+
+class Job:
+    """A job's record and what this leader knows of its present attempt.
+
+    Attributes
+    ----------
+    version : Version
+        Version of the stored record; ABSENT while the job is unrecorded.
+    reports : dict
+        Last report of each share of the present attempt.
+    done : Future
+        The outcome; None if the job has to be asked for elsewhere.
+    dirty, saving : bool
+        Whether the stored record is older than ``record``, and whether a
+        write is in progress.
+    attempted : list of bytes
+        Values whose writes have no known result yet.
+    busy : bool
+        Whether a start, checkpoint, release or transfer is in progress.
+    committed, confirmed : bool
+        Whether a commit or a confirmation of the present attempt was sent.
+    avoid : set of WorkerId
+        Workers that did not take part in the last start.
+    not_before : float
+        Time before which no start is tried again.
+    """
+
+    __slots__ = (
+        "attempted",
+        "avoid",
+        "busy",
+        "committed",
+        "confirmed",
+        "dirty",
+        "done",
+        "not_before",
+        "record",
+        "reports",
+        "saved",
+        "saving",
+        "version",
+    )
+
+    def __init__(self, record: JobRecord, version: Version) -> None:
+        self.record = record
+        self.version = version
+        self.reports: dict[WorkerId, TaskReport] = {}
+        self.done: Future[Outcome | None] = Future()
+        self.dirty = False
+        self.saving = False
+        self.saved: Future[bool] = Future()
+        self.attempted: list[bytes] = []
+        self.busy = False
+        self.committed = False
+        self.confirmed = False
+        self.avoid: set[WorkerId] = set()
+        self.not_before = 0.0
+
+    def note(self, worker: WorkerId, report: TaskReport) -> None:
+        """Store a share's report unless a later one is known."""
+        known = self.reports.get(worker)
+        if known is None or known.attempt != report.attempt or report.stage >= known.stage:
+            self.reports[worker] = report
+
+    @property
+    def recorded(self) -> bool:
+        """Return whether the store holds a record of the job."""
+        return self.version != ABSENT
+
+
+def workers_of(record: JobRecord) -> tuple[WorkerId, ...]:
+    """Return the workers of a record's present attempt, each once."""
+    if record.placement is None:
+        return ()
+    return tuple(dict.fromkeys(member.worker for member in record.placement))
+
+
+def shares_of(record: JobRecord) -> dict[WorkerId, TaskShare]:
+    """Return the part of the gang that each worker runs."""
+    indices: dict[WorkerId, list[int]] = defaultdict(list)
+    accelerators: dict[WorkerId, int] = defaultdict(int)
+    for index, member in enumerate(record.placement or ()):
+        indices[member.worker].append(index)
+        accelerators[member.worker] += member.accelerators
+    spec = record.spec
+    return {
+        name: TaskShare(
+            record.attempt,
+            record.job_id,
+            spec.account,
+            spec.command,
+            spec.payload,
+            tuple(members),
+            spec.gang_size,
+            accelerators[name],
+            record.checkpoint,
+            spec.run_time,
+        )
+        for name, members in indices.items()
+    }
+
+
+def final_outcome(record: JobRecord) -> Outcome | None:
+    """Return what the caller of a finished job is told; None if the job moved."""
+    if record.state is JobState.MOVED:
+        return None
+    if record.state is JobState.SUCCEEDED:
+        return Completed({"job": record.job_id, "answer": record.answer})
+    if record.uncertain:
+        return Unknown(f"job {record.job_id} may have run: {record.error}")
+    if not record.ran:
+        cancelled = record.state is JobState.CANCELLED
+        reason = NotRunReason.CANCELLED if cancelled else NotRunReason.INFEASIBLE
+        return NotRun(reason, record.error or "the job was cancelled before it ran")
+    if record.state is JobState.CANCELLED:
+        return Unknown(f"job {record.job_id} was cancelled after it had started")
+    return Completed({"job": record.job_id, "error": record.error}, FAILED_STATUS)
--- a/chivefall/controllers/_jobs.py
+++ b/chivefall/controllers/_jobs.py
@@ -1,19 +1,21 @@
-"""Jobs of the failure domain: records, queue and gangs."""
+"""Jobs of the failure domain: queue, scheduling rounds and takeover."""
 
 from __future__ import annotations
 
 import secrets
 from collections import defaultdict
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
-import msgspec
 from circuits import handler
 
 from chivefall.controllers._base import Controller
+from chivefall.controllers._job_records import MAX_RECORD_BYTES, JobRecords, encode_record
+from chivefall.controllers._job_table import Job, WaitReply, final_outcome, workers_of
+from chivefall.controllers._lifecycle import RETRY_DELAY, JobLifecycle
+from chivefall.controllers._rounds import RoundTimer, view_of
 from chivefall.model import (
     Accepted,
-    AttemptId,
-    Completed,
     Epoch,
     JobId,
     JobRecord,
@@ -22,41 +24,33 @@
     NotRun,
     NotRunReason,
     Outcome,
-    Placement,
-    TaskState,
     Unknown,
     WorkerId,
+    WorkerState,
 )
-from chivefall.runtime import Future, gather
-from chivefall.scheduling import ClusterView, QueuedJob, RunningJob, SchedulingPolicy
-from chivefall.store import ABSENT, Listed, Store, Stored, Version, job_key, jobs_prefix
+from chivefall.runtime import sleep, wait_for
+from chivefall.store import ABSENT, Store
 from chivefall.telemetry import LogEvent, log_event
-from chivefall.workers import Accepted as TaskAccepted
-from chivefall.workers import TaskReport, TaskShare
 
 if TYPE_CHECKING:
     from chivefall.config import Settings
     from chivefall.controllers._document import DocumentController
     from chivefall.controllers._leader import LeaderController
     from chivefall.controllers._workers import WorkerController
+    from chivefall.model import Placement
     from chivefall.runtime import Clock
+    from chivefall.scheduling import SchedulingPolicy
+    from chivefall.workers import TaskReport
 
 __all__ = ["JobController"]
 
-ROUND_INTERVAL = 0.25  # seconds between scheduling rounds
 RETRY_AFTER = 2.0  # seconds a caller should wait when the leader cannot take a job
-
-
-class _Job:
-    """A job's record and what this leader knows of its present attempt."""
-
-    __slots__ = ("done", "record", "reports", "version")
-
-    def __init__(self, record: JobRecord, version: Version) -> None:
-        self.record = record
-        self.version = version
-        self.reports: dict[WorkerId, TaskReport] = {}
-        self.done: Future[Outcome] = Future()
+TAKEOVER_BOUND = 10.0  # seconds to wait for the workers' reports after a change of leader
+LOAD_RETRY = 0.5  # seconds between attempts to read the records
+KEEP_FINAL = 86_400.0  # seconds for which callers can ask for a finished job
+CLEANUP_INTERVAL = 60.0
+DELETIONS_A_CLEANUP = 10  # the target's 3,200 jobs a day need 2.3 a minute
+CANCEL_BOUND = 10.0  # seconds until a cancellation is answered with the present state
 
 
 class JobController(Controller):
@@ -74,205 +68,231 @@
     ) -> None:
         super().__init__(clock)
         self._cfg = cfg
-        self._store = store
         self._policy = policy
         self._document = document
         self._leader = leader
         self._workers = workers
-        self._jobs: dict[JobId, _Job] = {}
-        self._ready = False
+        self.jobs: dict[JobId, Job] = {}
+        self.ready = False
+        self.records = JobRecords(clock, store, cfg.failure_domain, self.run_task, leader.step_down)
+        self._rounds = RoundTimer(clock, self._round)
+        self._lifecycle = JobLifecycle(self, clock, cfg, workers, self._may_start)
 
     def start(self) -> None:
-        """Begin scheduling rounds."""
-        self.every(ROUND_INTERVAL, self._round)
+        """Begin to delete old records; rounds run when something changes."""
+        self.every(CLEANUP_INTERVAL, lambda now: self.run_task(self._clean_up(now)))
 
-    async def submit(self, spec: JobSpec) -> Outcome:
+    async def submit(self, spec: JobSpec, wait: bool = False) -> Outcome:
         """Record a job and queue it.
 
         Returns
         -------
         Accepted
-            The job is recorded.
+            The job is recorded, or it is idempotent, its caller waits and the
+            store is down.
         NotRun
             Nothing was recorded.
         Unknown
             The store did not say whether the job is recorded.
         """
-        if not self._leader.leads or not self._ready:
+        if not self._leader.leads or not self.ready:
             return NotRun(
                 NotRunReason.NO_LEADER, "this instance does not lead its domain", RETRY_AFTER
             )
-        now = self.clock.now()
+        epoch = self._leader.epoch
         job_id = JobId(f"{self._cfg.failure_domain}.{secrets.token_hex(8)}")
-        record = JobRecord(job_id, spec, submitted_at=now)
-        key = job_key(self._cfg.failure_domain, job_id)
-        outcome = await self._store.put(key, msgspec.json.encode(record), ABSENT)
-        if not isinstance(outcome, Stored):
-            return NotRun(NotRunReason.STORE_UNAVAILABLE, "the job cannot be recorded", RETRY_AFTER)
-        self._jobs[job_id] = _Job(record, outcome.version)
-        log_event(LogEvent.JOB_ACCEPTED, job=job_id, account=spec.account)
-        self._round(now)
+        record = JobRecord(job_id, spec, submitted_at=self.clock.now())
+        data = encode_record(record)
+        if len(data) > MAX_RECORD_BYTES:
+            detail = f"the job has {len(data)} bytes; send at most {MAX_RECORD_BYTES}"
+            return NotRun(NotRunReason.BAD_REQUEST, detail)
+        created = await self.records.create(record)
+        if self._leader.epoch != epoch:
+            # The next leader reads the record if there is one.
+            return Accepted(job_id) if isinstance(created, int) else created
+        if not isinstance(created, int) and not (spec.idempotent and wait):
+            return created
+        job = self.jobs[job_id] = Job(record, created if isinstance(created, int) else ABSENT)
+        if not job.recorded:
+            job.attempted.append(data)
+            self.records.save(job)
+        log_event(LogEvent.JOB_ACCEPTED, job=job_id, account=spec.account, recorded=job.recorded)
+        self._rounds.request()
         return Accepted(job_id)
 
-    async def wait(self, job_id: JobId) -> Outcome:
-        """Wait for a job's final state and return its outcome."""
-        job = self._jobs.get(job_id)
+    async def wait(self, job_id: JobId, seconds: float) -> WaitReply:
+        """Wait for a job's final state up to a number of seconds."""
+        if not self.ready:
+            return WaitReply()
+        job = self.jobs.get(job_id)
         if job is None:
-            return Unknown(f"job {job_id} is not known here")
-        return await job.done
+            return WaitReply(Unknown(f"job {job_id} is not known to its leader"))
+        outcome = await wait_for(self.clock, job.done, seconds, None)
+        moved = job.record.moved_to if job.record.state is JobState.MOVED else None
+        return WaitReply(outcome, moved)
 
     def status(self, job_id: JobId) -> JobRecord | None:
         """Return a job's record."""
-        job = self._jobs.get(job_id)
+        job = self.jobs.get(job_id)
         return job.record if job else None
 
+    async def cancel(self, job_id: JobId) -> JobRecord | Unknown | None:
+        """End a job and return its record; a finished one stays as it is."""
+        job = self.jobs.get(job_id)
+        if job is None or job.record.state.is_final:
+            return job.record if job else None
+        log_event(LogEvent.JOB_CANCEL_REQUESTED, job=job_id)
+        job.record = replace(job.record, cancel_requested=True)
+        self._rounds.request()
+        until = self.clock.now() + CANCEL_BOUND
+        await wait_for(self.clock, job.done, CANCEL_BOUND, None)
+        left = max(0.0, until - self.clock.now())
+        if job.record.state.is_final and await wait_for(self.clock, job.saved, left, False):
+            return job.record
+        return Unknown(f"the end of job {job_id} is not recorded yet")
+
     def capacity_digest(self) -> tuple[int, ...]:
         """Return free accelerators, the largest free block of a rack and the queue length."""
         racks: dict[str, int] = defaultdict(int)
         for worker in self._workers.views():
-            racks[worker.rack] += worker.free
-        queued = sum(1 for job in self._jobs.values() if job.record.state is JobState.QUEUED)
+            if worker.state is WorkerState.HEALTHY:
+                racks[worker.rack] += worker.free
+        queued = sum(1 for job in self.jobs.values() if job.record.state is JobState.QUEUED)
         return (sum(racks.values()), max(racks.values(), default=0), queued)
 
     @handler("leadership_gained")
     def _on_leadership_gained(self, epoch: Epoch) -> None:
-        self._ready = False
-        self.run_task(self._load_records(epoch))
+        self.ready = False
+        self.run_task(self._take_over(epoch))
 
     @handler("leadership_lost")
-    def _on_leadership_lost(self, reason: str) -> None:
-        self._ready = False
-        for job in self._jobs.values():
-            job.done.set_result(Unknown(f"the leader stepped down: {reason}"))
-        self._jobs.clear()
+    def _on_leadership_lost(self, _reason: str) -> None:
+        self.ready = False
+        self.records.reset()
+        jobs, self.jobs = self.jobs, {}
+        for job in jobs.values():
+            job.done.set_result(None)
+
+    @handler("document_adopted", "workers_changed")
+    def _on_change(self, *_: object) -> None:
+        self._rounds.request()
 
     @handler("task_reported")
     def _on_task_reported(self, worker: WorkerId, report: TaskReport) -> None:
-        job = self._jobs.get(report.job_id)
-        if job is None or job.record.attempt != report.attempt:
-            return
-        job.reports[worker] = report
-        self._check_finished(job)
-
-    async def _load_records(self, epoch: Epoch) -> None:
-        listed = await self._store.list(jobs_prefix(self._cfg.failure_domain))
-        if not isinstance(listed, Listed) or self._leader.epoch != epoch:
+        if not self.ready:
             return
-        for entry in listed.entries:
-            record = msgspec.json.decode(entry.value, type=JobRecord)
-            self._jobs[record.job_id] = _Job(record, entry.version)
-        self._ready = True
-
-    def _round(self, now: float) -> None:
-        if not self._ready or not self._leader.leads or not self._document.is_fresh(now):
+        job = self.jobs.get(report.job_id)
+        if job is not None and job.record.attempt == report.attempt:
+            job.note(worker, report)
+            self._lifecycle.check(job)
+        elif self._workers.holds(worker, report.attempt):
+            log_event(LogEvent.UNKNOWN_TASK_STOPPED, attempt=report.attempt, worker=worker)
+            self.run_task(self._workers.stop_task(worker, report.attempt))
+
+    @handler("worker_lost")
+    def _on_worker_lost(self, worker: WorkerId) -> None:
+        for job in list(self.jobs.values()):
+            if worker in workers_of(job.record):
+                self._lifecycle.check(job)
+
+    async def _take_over(self, epoch: Epoch) -> None:
+        """Load the records, then adopt or release each attempt by the workers' reports."""
+        while (loaded := await self.records.load()) is None:
+            await sleep(self.clock, LOAD_RETRY)
+            if self._leader.epoch != epoch:
+                return
+        until = self.clock.now() + TAKEOVER_BOUND
+        while not self._workers.all_reported and self.clock.now() < until:
+            await sleep(self.clock, LOAD_RETRY)
+        if self._leader.epoch != epoch:
             return
-        plan = self._policy.plan(self._view(), now)
-        for job_id, placement in plan.starts:
-            job = self._jobs[job_id]
-            attempt = AttemptId(f"{job_id}.{job.record.attempts + 1}.{secrets.token_hex(4)}")
-            job.record = job.record.with_state(
-                JobState.STARTING,
-                attempt=attempt,
-                attempts=job.record.attempts + 1,
-                placement=placement,
+        for record, version in loaded:
+            job = self.jobs[record.job_id] = Job(record, version)
+            job.committed = job.confirmed = record.attempt is not None
+            if record.state.is_final:
+                job.done.set_result(final_outcome(record))
+        self.ready = True
+        log_event(LogEvent.RECORDS_LOADED, records=len(loaded), epoch=epoch)
+        for (name, _), task in self._workers.tasks().items():
+            self._on_task_reported(name, task)
+        for job in list(self.jobs.values()):
+            if job.record.state in (JobState.STARTING, JobState.CHECKPOINTING):
+                self._lifecycle.adopt(job)
+            else:
+                self._lifecycle.check(job)
+        self._workers.forget_finished()
+        self._rounds.request()
+
+    def owns(self, job: Job) -> bool:
+        """Return whether this instance still decides about a job."""
+        return self._leader.leads and self.jobs.get(job.record.job_id) is job
+
+    def request_round(self) -> None:
+        """Run a scheduling round soon."""
+        self._rounds.request()
+
+    def _may_start(self, now: float) -> bool:
+        in_service = self._document.document.is_in_service(self._cfg.failure_domain)
+        return self._leader.leads and in_service and self._document.is_fresh(now)
+
+    def _round(self, now: float) -> float | None:
+        """Decide and act; return the time at which the next round is due."""
+        if not self.ready or not self._leader.leads:
+            return None
+        self._cancel_requested(now)
+        leaving = self._workers.leaving()
+        for job in list(self.jobs.values()):
+            if job.record.state is JobState.RUNNING and leaving.intersection(
+                workers_of(job.record)
+            ):
+                self._lifecycle.interrupt(job, checkpoint=True)
+        view = view_of(self._cfg, self._document.document, self._workers, self.jobs.values(), now)
+        waiting = any(job.record.state is JobState.QUEUED for job in self.jobs.values())
+        if not waiting and not view.draining:
+            return None
+        plan = self._policy.plan(view, now)
+        for job_id, reason in plan.rejections.items():
+            job = self.jobs[job_id]
+            self._lifecycle.settle(
+                job, job.record.with_state(JobState.FAILED, error=reason, finished_at=now)
             )
-            job.reports.clear()
-            self.run_task(self._start(job, placement))
-
-    def _view(self) -> ClusterView:
-        queued, running = [], []
-        for job in self._jobs.values():
+        for job_id in dict.fromkeys((*plan.preemptions, *plan.moves)):
+            if self.jobs[job_id].record.state is JobState.RUNNING:
+                self._lifecycle.interrupt(self.jobs[job_id], checkpoint=True)
+        if self._may_start(now):
+            self._start_planned(plan.starts, now)
+        return now + RETRY_DELAY
+
+    def _start_planned(self, starts: tuple[tuple[JobId, Placement], ...], now: float) -> None:
+        quarantine = self._workers.quarantine
+        for job_id, placement in starts:
+            names = {member.worker for member in placement}
+            states = {quarantine.state(name, now) for name in names}
+            if WorkerState.QUARANTINED in states:
+                continue  # another job of this plan probes the worker
+            for name in names:
+                quarantine.start_probe(name)
+            self.run_task(self._lifecycle.start(self.jobs[job_id], placement))
+
+    def _cancel_requested(self, now: float) -> None:
+        for job in list(self.jobs.values()):
             record = job.record
+            if not record.cancel_requested or record.state.is_final or job.busy:
+                continue
             if record.state is JobState.QUEUED:
-                queued.append(QueuedJob(record.job_id, record.spec, record.submitted_at))
-            elif record.state in (JobState.STARTING, JobState.RUNNING):
-                running.append(
-                    RunningJob(record.job_id, record.spec, record.placement, record.started_at)
-                )
-        document = self._document.document
-        return ClusterView(
-            self._workers.views(),
-            tuple(queued),
-            tuple(running),
-            document.guarantees,
-            document.accounts,
-            draining=not document.is_in_service(self._cfg.failure_domain),
-        )
-
-    async def _start(self, job: _Job, placement: Placement) -> None:
-        shares = _shares(job.record, placement)
-        attempt = job.record.attempt
-        steps = (
-            lambda name: self._workers.reserve(name, shares[name]),
-            lambda name: self._workers.commit(name, attempt),
-            lambda name: self._workers.confirm(name, attempt),
-        )
-        await self._save(job)
-        for step in steps:
-            outcomes = await gather([self.run_task(step(name)) for name in shares])
-            if not all(isinstance(outcome, TaskAccepted) for outcome in outcomes):
-                await self._release(job, shares)
-                return
-        job.record = job.record.with_state(JobState.RUNNING, started_at=self.clock.now())
-        log_event(LogEvent.JOB_STARTED, job=job.record.job_id, workers=len(shares))
-        self._check_finished(job)
-
-    async def _release(self, job: _Job, shares: dict[WorkerId, TaskShare]) -> None:
-        attempt = job.record.attempt
-        log_event(LogEvent.JOB_START_FAILED, job=job.record.job_id, attempt=attempt)
-        await gather([self.run_task(self._workers.stop_task(name, attempt)) for name in shares])
-        job.record = job.record.with_state(JobState.QUEUED, attempt=None, placement=None)
-
-    def _check_finished(self, job: _Job) -> None:
-        record = job.record
-        if record.state is not JobState.RUNNING:
-            return
-        names = {member.worker for member in record.placement}
-        reports = [job.reports[name] for name in names if name in job.reports]
-        if any(report.state is TaskState.FAILED for report in reports):
-            self._finish(job, JobState.FAILED)
-        elif len(reports) == len(names) and all(
-            report.state is TaskState.SUCCEEDED for report in reports
-        ):
-            self._finish(job, JobState.SUCCEEDED)
-
-    def _finish(self, job: _Job, state: JobState) -> None:
-        answers = {name: report.answer for name, report in sorted(job.reports.items())}
-        job.record = job.record.with_state(state, finished_at=self.clock.now(), answer=answers)
-        log_event(LogEvent.JOB_FINISHED, job=job.record.job_id, state=state.value)
-        self.run_task(self._save(job))
-        if state is JobState.SUCCEEDED:
-            job.done.set_result(Completed({"job": job.record.job_id, "answer": answers}))
-        else:
-            job.done.set_result(Unknown("the job failed"))
-
-    async def _save(self, job: _Job) -> None:
-        key = job_key(self._cfg.failure_domain, job.record.job_id)
-        outcome = await self._store.put(key, msgspec.json.encode(job.record), job.version)
-        if isinstance(outcome, Stored):
-            job.version = outcome.version
-
-
-def _shares(record: JobRecord, placement: Placement) -> dict[WorkerId, TaskShare]:
-    """Return the part of the gang that each worker runs."""
-    indices: dict[WorkerId, list[int]] = defaultdict(list)
-    accelerators: dict[WorkerId, int] = defaultdict(int)
-    for index, member in enumerate(placement):
-        indices[member.worker].append(index)
-        accelerators[member.worker] += member.accelerators
-    spec = record.spec
-    return {
-        name: TaskShare(
-            record.attempt,
-            record.job_id,
-            spec.account,
-            spec.command,
-            spec.payload,
-            tuple(members),
-            spec.gang_size,
-            accelerators[name],
-            record.checkpoint,
-            spec.run_time,
-        )
-        for name, members in indices.items()
-    }
+                self._lifecycle.settle(job, record.with_state(JobState.CANCELLED, finished_at=now))
+            elif record.state is JobState.RUNNING:
+                self._lifecycle.interrupt(job)
+
+    async def _clean_up(self, now: float) -> None:
+        """Delete the records of jobs that ended long ago, a few at a time."""
+        old = [
+            job
+            for job in self.jobs.values()
+            if job.record.state.is_final
+            and job.record.finished_at < now - KEEP_FINAL
+            and not job.saving
+        ]
+        for job in old[:DELETIONS_A_CLEANUP]:
+            if await self.records.delete(job):
+                self.jobs.pop(job.record.job_id, None)
--- /dev/null
+++ b/chivefall/controllers/_lifecycle.py
@@ -0,0 +1,149 @@
+"""The life of one job: start, reports, interruption and end of its attempts."""
+
+from __future__ import annotations
+
+import secrets
+from typing import TYPE_CHECKING
+
+from chivefall.controllers._attempts import AttemptFate, after_release, decide_attempt, succeeded
+from chivefall.controllers._gangs import Gangs
+from chivefall.controllers._job_table import Job, final_outcome, shares_of, workers_of
+from chivefall.model import AttemptId, JobRecord, JobState, TaskState
+from chivefall.telemetry import LogEvent, log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from chivefall.config import Settings
+    from chivefall.controllers._jobs import JobController
+    from chivefall.controllers._workers import WorkerController
+    from chivefall.model import Placement
+    from chivefall.runtime import Clock
+
+__all__ = ["RETRY_DELAY", "JobLifecycle"]
+
+RETRY_DELAY = 1.0  # seconds before a job whose gang did not start is tried again
+
+
+class JobLifecycle:
+    """Carries out what was decided about the jobs of a job controller."""
+
+    def __init__(
+        self,
+        jobs: JobController,
+        clock: Clock,
+        cfg: Settings,
+        workers: WorkerController,
+        may_start: Callable[[float], bool],
+    ) -> None:
+        self._jobs = jobs
+        self._clock = clock
+        self._workers = workers
+        self._may_start = may_start
+        self._gangs = Gangs(clock, cfg.timing, workers, jobs.run_task, may_start, jobs.owns)
+
+    def adopt(self, job: Job) -> None:
+        """Continue or release an attempt that an earlier leader began."""
+        fate = decide_attempt(job.record, job.reports, self._workers.lost())
+        if fate is AttemptFate.ADOPT:
+            job.busy = True
+            log_event(LogEvent.JOB_ADOPTED, job=job.record.job_id, attempt=job.record.attempt)
+            self._jobs.run_task(self._confirm(job))
+        else:
+            self.interrupt(job)
+
+    def check(self, job: Job) -> None:
+        """Act on the reports of a running job."""
+        if job.busy or job.record.state is not JobState.RUNNING:
+            return
+        fate = decide_attempt(job.record, job.reports, self._workers.lost())
+        if fate is AttemptFate.SUCCEED:
+            self.settle(job, succeeded(job.record, job.reports, self._clock.now()))
+        elif fate is not AttemptFate.ADOPT:
+            self.interrupt(job)
+
+    def interrupt(self, job: Job, checkpoint: bool = False) -> None:
+        """Checkpoint or stop a whole gang, then queue or end the job."""
+        if job.busy or not workers_of(job.record):
+            return
+        job.busy = True
+        log_event(LogEvent.JOB_INTERRUPTED, job=job.record.job_id, checkpoint=checkpoint)
+        self._jobs.run_task(self._release(job, checkpoint))
+
+    async def start(self, job: Job, placement: Placement) -> None:
+        """Record a new attempt and start its gang."""
+        number = job.record.attempts + 1
+        attempt = AttemptId(f"{job.record.job_id}.{number}.{secrets.token_hex(4)}")
+        job.record = job.record.with_state(
+            JobState.STARTING, attempt=attempt, attempts=number, placement=placement
+        )
+        job.busy, job.committed, job.confirmed = True, False, False
+        job.reports.clear()
+        for name, share in shares_of(job.record).items():
+            self._workers.hold(name, share)
+        saved = self._jobs.records.save(job)
+        if job.recorded and not await saved:
+            return
+        if self._jobs.owns(job) and self._may_start(self._clock.now()):
+            await self._run_gang(job)
+        else:
+            await self._release(job)
+
+    async def _run_gang(self, job: Job) -> None:
+        if await self._gangs.start(job):
+            self._run(job)
+        elif self._jobs.owns(job):
+            log_event(LogEvent.JOB_START_FAILED, job=job.record.job_id)
+            await self._release(job)
+
+    async def _confirm(self, job: Job) -> None:
+        if await self._gangs.confirm(job):
+            self._run(job)
+        else:
+            await self._release(job)
+
+    def _run(self, job: Job) -> None:
+        job.busy = False
+        job.avoid.clear()
+        job.record = job.record.with_state(JobState.RUNNING, started_at=self._clock.now())
+        self._jobs.records.save(job)
+        log_event(LogEvent.JOB_STARTED, job=job.record.job_id, attempt=job.record.attempt)
+        self.check(job)
+        if job.record.cancel_requested:
+            self._jobs.request_round()
+
+    async def _release(self, job: Job, checkpoint: bool = False) -> None:
+        if checkpoint:
+            job.record = job.record.with_state(JobState.CHECKPOINTING)
+            self._jobs.records.save(job)
+            await self._gangs.checkpoint(job)
+        await self._gangs.release(job)
+        if not self._jobs.owns(job):
+            return
+        now = self._clock.now()
+        self._blame(job, now)
+        job.busy = False
+        self.settle(job, after_release(job.record, job.reports, job.committed, now))
+        if not checkpoint:
+            job.not_before = now + RETRY_DELAY
+
+    def settle(self, job: Job, record: JobRecord) -> None:
+        """Store a record after an attempt and tell the callers if the job ended."""
+        if record.state is JobState.SUCCEEDED:
+            for name in workers_of(record):
+                self._workers.quarantine.record_success(name)
+        job.record = record
+        self._jobs.records.save(job)
+        if record.state.is_final:
+            log_event(LogEvent.JOB_FINISHED, job=record.job_id, state=record.state.value)
+            job.done.set_result(final_outcome(record))
+        self._jobs.request_round()
+
+    def _blame(self, job: Job, now: float) -> None:
+        for name in workers_of(job.record):
+            report = job.reports.get(name)
+            if report is not None and report.state is TaskState.FAILED:
+                if self._workers.quarantine.record_failure(name, job.record.job_id, now):
+                    log_event(LogEvent.WORKER_QUARANTINED, worker=name)
+            else:
+                self._workers.quarantine.end_probe(name)
--- /dev/null
+++ b/chivefall/controllers/_quarantine.py
@@ -0,0 +1,94 @@
+"""Decides which workers get no jobs because they fail everything."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from chivefall.model import JobId, WorkerId, WorkerState
+
+__all__ = ["Quarantine"]
+
+FAILURES_TO_QUARANTINE = 3  # shares of different jobs in a row
+BLAME_TO_QUARANTINE = 2.0  # three jobs that failed on one other worker too weigh 1.5
+FIRST_PROBE_DELAY = 60.0  # seconds; doubled after each failed probe
+MAX_PROBE_DELAY = 3600.0
+WORKERS_TO_CLEAR = 3  # a job that failed on so many workers clears them
+MAX_BLAMED_JOBS = 1000  # failed jobs remembered
+
+
+@dataclass
+class _History:
+    failed: list[JobId] = field(default_factory=list)
+    delay: float = FIRST_PROBE_DELAY
+    probe_at: float | None = None
+    probing: bool = False
+
+
+class Quarantine:
+    """Results of the shares of each worker, weighed by where their jobs failed."""
+
+    def __init__(self) -> None:
+        self._workers: dict[WorkerId, _History] = {}
+        self._failed_on: dict[JobId, set[WorkerId]] = {}
+
+    def record_success(self, worker: WorkerId) -> None:
+        """Note a share that succeeded; ends the worker's quarantine."""
+        self._workers.pop(worker, None)
+
+    def record_failure(self, worker: WorkerId, job: JobId, now: float) -> bool:
+        """Note a share that failed; return whether the worker is newly quarantined."""
+        places = self._failed_on.setdefault(job, set())
+        places.add(worker)
+        while len(self._failed_on) > MAX_BLAMED_JOBS:
+            del self._failed_on[next(iter(self._failed_on))]
+        history = self._workers.setdefault(worker, _History())
+        history.failed = [item for item in history.failed if item != job] + [job]
+        history.failed = history.failed[-FAILURES_TO_QUARANTINE:]
+        if len(places) >= WORKERS_TO_CLEAR:
+            self._clear(job)
+            return False
+        if history.probing:
+            history.probing = False
+            history.delay = min(MAX_PROBE_DELAY, history.delay * 2)
+        elif history.probe_at is not None or not self._is_to_blame(history):
+            return False
+        history.probe_at = now + history.delay
+        return True
+
+    def start_probe(self, worker: WorkerId) -> None:
+        """Note that a job was started on a worker on probation."""
+        history = self._workers.get(worker)
+        if history is not None and history.probe_at is not None:
+            history.probing = True
+
+    def state(self, worker: WorkerId, now: float) -> WorkerState:
+        """Return HEALTHY, QUARANTINED or, when a probe is due, PROBATION."""
+        history = self._workers.get(worker)
+        if history is None or history.probe_at is None:
+            return WorkerState.HEALTHY
+        if history.probing or now < history.probe_at:
+            return WorkerState.QUARANTINED
+        return WorkerState.PROBATION
+
+    def next_probe(self, now: float) -> float | None:
+        """Return the time of the next probe that becomes due after now."""
+        times = [h.probe_at for h in self._workers.values() if h.probe_at and h.probe_at > now]
+        return min(times, default=None)
+
+    def end_probe(self, worker: WorkerId) -> None:
+        """Note that a probe ended without a result, so that another one may start."""
+        history = self._workers.get(worker)
+        if history is not None:
+            history.probing = False
+
+    def _is_to_blame(self, history: _History) -> bool:
+        weight = sum(1 / len(self._failed_on.get(job, (0,))) for job in history.failed)
+        return len(history.failed) >= FAILURES_TO_QUARANTINE and weight >= BLAME_TO_QUARANTINE
+
+    def _clear(self, job: JobId) -> None:
+        """Take a job that fails everywhere out of all histories."""
+        for worker, history in list(self._workers.items()):
+            if job in history.failed:
+                history.failed.remove(job)
+                if len(history.failed) < FAILURES_TO_QUARANTINE:
+                    del self._workers[worker]
--- /dev/null
+++ b/chivefall/controllers/_rounds.py
@@ -0,0 +1,90 @@
+"""When scheduling rounds run and what they see."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from chivefall.model import JobState, WorkerState
+from chivefall.scheduling import ClusterView, QueuedJob, RunningJob, WorkerView
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from chivefall.config import Settings
+    from chivefall.controllers._job_table import Job
+    from chivefall.controllers._workers import WorkerController
+    from chivefall.model import Document
+    from chivefall.runtime import Clock, TimerHandle
+
+__all__ = ["RoundTimer", "view_of"]
+
+ROUND_DELAY = 0.05  # seconds in which changes are collected into one round
+
+
+class RoundTimer:
+    """Runs rounds after changes and when one is due, never otherwise."""
+
+    def __init__(self, clock: Clock, action: Callable[[float], float | None]) -> None:
+        self._clock = clock
+        self._action = action
+        self._timer: TimerHandle | None = None
+
+    def request(self) -> None:
+        """Run a round soon."""
+        self._schedule(self._clock.now() + ROUND_DELAY)
+
+    def _schedule(self, due: float) -> None:
+        if self._timer is not None:
+            if self._timer.due <= due:
+                return
+            self._timer.cancel()
+        self._timer = self._clock.call_later(due - self._clock.now(), self._run)
+
+    def _run(self) -> None:
+        self._timer = None
+        due = self._action(self._clock.now())
+        if due is not None:
+            self._schedule(due)
+
+
+def view_of(
+    cfg: Settings,
+    document: Document,
+    workers: WorkerController,
+    jobs: Iterable[Job],
+    now: float,
+) -> ClusterView:
+    """Return the failure domain as the scheduling policy sees it."""
+    queued, running = [], []
+    for job in jobs:
+        record = job.record
+        if record.state is JobState.QUEUED and not job.busy and job.not_before <= now:
+            avoid = tuple({*record.failed_workers, *job.avoid})
+            queued.append(
+                QueuedJob(record.job_id, record.spec, record.submitted_at, record.progress, avoid)
+            )
+        elif record.placement is not None and not record.state.is_final:
+            checkpointable = (
+                record.state is JobState.RUNNING and not job.busy and record.spec.idempotent
+            )
+            running.append(
+                RunningJob(
+                    record.job_id, record.spec, record.placement, record.started_at, checkpointable
+                )
+            )
+    return ClusterView(
+        tuple(_offered(view) for view in workers.views()),
+        tuple(queued),
+        tuple(running),
+        document.guarantees,
+        document.accounts,
+        draining=not document.is_in_service(cfg.failure_domain),
+    )
+
+
+def _offered(view: WorkerView) -> WorkerView:
+    """Return a worker on probation as healthy; only one job is started on it."""
+    if view.state is WorkerState.PROBATION and view.free == view.accelerators:
+        return replace(view, state=WorkerState.HEALTHY)
+    return view
--- a/chivefall/controllers/_workers.py
+++ b/chivefall/controllers/_workers.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from circuits import handler
 
 from chivefall.config import Address
 from chivefall.controllers._base import Controller
-from chivefall.events import instances_listed, task_reported, worker_lost
+from chivefall.controllers._quarantine import Quarantine
+from chivefall.controllers._worker_table import Worker, forgotten_tasks
+from chivefall.events import instances_listed, task_reported, worker_lost, workers_changed
 from chivefall.model import (
     AttemptId,
     Epoch,
@@ -43,25 +44,10 @@
 
 __all__ = ["WorkerController"]
 
-RETRY_DELAY = 1.0  # seconds between attempts to reach a lost worker
-
-
-@dataclass
-class _Worker:
-    """A worker and the tasks that it reported."""
-
-    instance: Instance
-    address: Address
-    state: WorkerState = WorkerState.HEALTHY
-    seen: int = 0
-    tasks: dict[AttemptId, TaskReport] = field(default_factory=dict)
-    reported: bool = False
-
-    @property
-    def free(self) -> int:
-        """Return the accelerators that no live task holds."""
-        held = sum(task.accelerators for task in self.tasks.values() if not task.state.is_final)
-        return self.instance.accelerators - held
+RETRY_DELAY = 1.0  # seconds between attempts to reach a worker that did not answer
+FAILURES_TO_LOSS = 3  # one lost reply must not stop the gangs of a worker
+LEASE_MARGIN = 4.0  # seconds that a renewal may spend on its way beyond its wait
+LATE_REPLY = 10.0  # seconds for which a finished attempt's late replies are ignored
 
 
 class WorkerController(Controller):
@@ -74,7 +60,10 @@
         self._cfg = cfg
         self._client = client
         self._leader = leader
-        self._workers: dict[WorkerId, _Worker] = {}
+        self._workers: dict[WorkerId, Worker] = {}
+        self._keep_finished = True
+        self.quarantine = Quarantine()
+        self.gained_at = clock.now()
 
     def start(self) -> None:
         """Begin to read the platform's list."""
@@ -82,49 +71,100 @@
 
     def views(self) -> tuple[WorkerView, ...]:
         """Return the workers as the scheduling policy sees them."""
+        now = self.clock.now()
         return tuple(
             WorkerView(
                 name,
                 worker.instance.rack,
                 worker.instance.accelerators,
-                worker.free,
-                worker.state if worker.reported else WorkerState.LOST,
+                max(0, worker.free),
+                self._state(name, worker, now),
             )
             for name, worker in self._workers.items()
         )
 
+    def _state(self, name: WorkerId, worker: Worker, now: float) -> WorkerState:
+        if worker.lost or worker.failures or not worker.reported:
+            return WorkerState.LOST
+        if worker.leaving or not worker.listed:
+            return WorkerState.LEAVING
+        return self.quarantine.state(name, now)
+
     @property
     def all_reported(self) -> bool:
         """Return whether every worker reported its tasks to this leader or is lost."""
         return bool(self._workers) and all(
-            worker.reported or worker.state is WorkerState.LOST for worker in self._workers.values()
+            worker.reported or worker.lost for worker in self._workers.values()
         )
 
-    def tasks_of(self, attempt: AttemptId) -> dict[WorkerId, TaskReport]:
-        """Return the reports of an attempt by worker."""
+    def lost(self) -> set[WorkerId]:
+        """Return the workers that do not answer."""
+        return {name for name, worker in self._workers.items() if worker.lost}
+
+    def leaving(self) -> set[WorkerId]:
+        """Return the workers whose work has to move."""
+        return {n for n, worker in self._workers.items() if worker.leaving or not worker.listed}
+
+    def lease_end(self, name: WorkerId) -> float:
+        """Return the time after which a worker's leases have ended."""
+        worker = self._workers.get(name)
+        return worker.lease_end if worker else self.gained_at + self._longest_lease
+
+    def holds(self, name: WorkerId, attempt: AttemptId) -> bool:
+        """Return whether a share of an attempt counts as holding accelerators."""
+        worker = self._workers.get(name)
+        task = worker.tasks.get(attempt) if worker else None
+        return task is not None and not task.state.is_final
+
+    def tasks(self) -> dict[tuple[WorkerId, AttemptId], TaskReport]:
+        """Return the last report of every task."""
         return {
-            name: worker.tasks[attempt]
+            (name, attempt): task
             for name, worker in self._workers.items()
-            if attempt in worker.tasks
+            for attempt, task in worker.tasks.items()
         }
 
+    def forget_task(self, name: WorkerId, attempt: AttemptId) -> None:
+        """Count a share as released; its worker does not know it or its lease ended."""
+        worker = self._workers.get(name)
+        if worker is not None and worker.tasks.pop(attempt, None) is not None:
+            self.fire(workers_changed())
+
+    def forget_finished(self) -> None:
+        """Drop the reports of finished tasks now and from now on."""
+        self._keep_finished = False
+        for worker in self._workers.values():
+            self._forget_final(worker)
+
+    def hold(self, name: WorkerId, share: TaskShare) -> None:
+        """Count a share as held from now on, so that the next round does not plan with it.
+
+        A reservation whose reply is lost stays counted until it is released.
+        """
+        worker = self._workers.get(name)
+        if worker is not None:
+            worker.tasks[share.attempt] = TaskReport(
+                share.attempt, share.job_id, TaskState.RESERVED, share.accelerators, share.account
+            )
+
     async def reserve(self, name: WorkerId, share: TaskShare) -> CommandOutcome:
         """Hold accelerators for a share without running it."""
-        worker = self._workers[name]
-        # Counted as held from now on, so that the next round does not plan with it.
-        worker.tasks[share.attempt] = TaskReport(
-            share.attempt, share.job_id, TaskState.RESERVED, share.accelerators, share.account
-        )
+        worker = self._workers.get(name)
+        if worker is None:
+            return _not_a_worker(name)
         outcome = await self._client.reserve(
             worker.address, self._leader.epoch, share, self._cfg.timing.gang_lease
         )
-        if isinstance(outcome, Refused):
+        refused = isinstance(outcome, Refused) and outcome.refusal is not Refusal.DUPLICATE
+        if refused or (isinstance(outcome, Unreachable) and not outcome.sent):
             worker.tasks.pop(share.attempt, None)
         return self._note(worker, outcome)
 
     async def commit(self, name: WorkerId, attempt: AttemptId) -> CommandOutcome:
         """Run a reserved share under the gang lease."""
-        worker = self._workers[name]
+        worker = self._workers.get(name)
+        if worker is None:
+            return _not_a_worker(name)
         outcome = await self._client.commit(
             worker.address, self._leader.epoch, attempt, self._cfg.timing.gang_lease
         )
@@ -132,13 +172,17 @@
 
     async def confirm(self, name: WorkerId, attempt: AttemptId) -> CommandOutcome:
         """Tell a share that its whole gang runs."""
-        worker = self._workers[name]
+        worker = self._workers.get(name)
+        if worker is None:
+            return _not_a_worker(name)
         outcome = await self._client.confirm(worker.address, self._leader.epoch, attempt)
         return self._note(worker, outcome)
 
     async def checkpoint(self, name: WorkerId, attempt: AttemptId) -> CommandOutcome:
         """Save a share's state and end it."""
-        worker = self._workers[name]
+        worker = self._workers.get(name)
+        if worker is None:
+            return _not_a_worker(name)
         outcome = await self._client.checkpoint(worker.address, self._leader.epoch, attempt)
         return self._note(worker, outcome)
 
@@ -146,13 +190,13 @@
         """End a share or release its reservation."""
         worker = self._workers.get(name)
         if worker is None:
-            return Unreachable(f"{name} is not a worker of this failure domain", sent=False)
+            return _not_a_worker(name)
         outcome = await self._client.stop(worker.address, self._leader.epoch, attempt)
         return self._note(worker, outcome)
 
-    def _note(self, worker: _Worker, outcome: CommandOutcome) -> CommandOutcome:
+    def _note(self, worker: Worker, outcome: CommandOutcome) -> CommandOutcome:
         if isinstance(outcome, Accepted) and outcome.report is not None:
-            worker.tasks[outcome.report.attempt] = outcome.report
+            worker.note(outcome.report, self.clock.now())
         elif isinstance(outcome, Refused):
             self._check_epoch(outcome)
         return outcome
@@ -166,44 +210,84 @@
         if isinstance(listed, Unreachable):
             return
         self.fire(instances_listed(listed))
-        for instance in listed:
-            if (
-                instance.kind is InstanceKind.WORKER
-                and instance.failure_domain == self._cfg.failure_domain
-            ):
-                self._update_worker(instance)
+        own = [
+            instance
+            for instance in listed
+            if instance.kind is InstanceKind.WORKER
+            and instance.failure_domain == self._cfg.failure_domain
+        ]
+        for instance in own:
+            self._update_worker(instance)
+        self._drop_unlisted({instance.worker_id for instance in own})
 
     def _update_worker(self, instance: Instance) -> None:
         name = instance.worker_id
         worker = self._workers.get(name)
         if worker is None:
-            worker = _Worker(instance, Address.parse(instance.address))
+            worker = Worker(instance, Address.parse(instance.address))
+            worker.lease_end = self.gained_at + self._longest_lease
             self._workers[name] = worker
             log_event(LogEvent.WORKER_JOINED, worker=name)
             if self._leader.leads:
                 self.run_task(self._hold_lease(worker, self._leader.epoch))
+        leaving = instance.status is InstanceStatus.LEAVING
+        if leaving != worker.leaving or not worker.listed:
+            self.fire(workers_changed())
+        worker.leaving, worker.listed = leaving, True
         worker.instance = instance
-        if instance.status is InstanceStatus.LEAVING:
-            worker.state = WorkerState.LEAVING
+        worker.address = Address.parse(instance.address)
+
+    def _drop_unlisted(self, listed: set[WorkerId]) -> None:
+        """Treat unlisted workers as leaving; forget those without tasks or a lease."""
+        now = self.clock.now()
+        for name, worker in list(self._workers.items()):
+            if name in listed:
+                continue
+            if worker.listed:
+                worker.listed = False
+                self.fire(workers_changed())
+            busy = any(not task.state.is_final for task in worker.tasks.values())
+            if (worker.lost and now > worker.lease_end) or (worker.reported and not busy):
+                del self._workers[name]
+                log_event(LogEvent.WORKER_FORGOTTEN, worker=name)
+
+    @property
+    def _longest_lease(self) -> float:
+        return self._cfg.timing.worker_lease + LEASE_MARGIN
 
     @handler("leadership_gained")
     def _on_leadership_gained(self, epoch: Epoch) -> None:
+        self.gained_at = self.clock.now()
+        self._keep_finished = True
+        self.quarantine = Quarantine()
         for worker in self._workers.values():
-            worker.seen = 0
-            worker.reported = False
+            worker.seen = worker.failures = 0
+            worker.reported = worker.lost = False
             worker.tasks.clear()
+            worker.ended.clear()
+            # The previous leader may have renewed until now.
+            worker.lease_end = self.gained_at + self._longest_lease
             self.run_task(self._hold_lease(worker, epoch))
 
-    async def _hold_lease(self, worker: _Worker, epoch: Epoch) -> None:
+    async def _hold_lease(self, worker: Worker, epoch: Epoch) -> None:
         """Renew one worker's leases for as long as this epoch leads."""
         timing = self._cfg.timing
+        name = worker.instance.worker_id
         while not self._stopped and self._leader.epoch == epoch:
+            if self._workers.get(name) is not worker:
+                return
+            answering = worker.reported and not worker.failures
+            # A worker that does not answer is asked without a renewal, so that
+            # its leases end at a known time.
+            ttl = 0.0 if worker.failures else timing.worker_lease
+            if ttl:
+                worker.lease_end = self.clock.now() + ttl + LEASE_MARGIN
             request = LeaseRequest(
                 self._cfg.failure_domain,
                 epoch,
-                timing.worker_lease,
+                ttl,
                 worker.seen,
-                timing.worker_poll if worker.reported else 0.0,
+                timing.worker_poll if answering else 0.0,
             )
             outcome = await self._client.renew(worker.address, request)
             if self._leader.epoch != epoch:
@@ -212,31 +296,48 @@
                 self._accept_report(worker, outcome)
             elif isinstance(outcome, Refused):
                 self._check_epoch(outcome)
+                await sleep(self.clock, RETRY_DELAY)
             else:
-                self._lose(worker)
+                self._count_failure(worker)
                 await sleep(self.clock, RETRY_DELAY)
 
-    def _accept_report(self, worker: _Worker, report: LeaseReport) -> None:
-        if worker.state is WorkerState.LOST:
-            worker.state = WorkerState.HEALTHY
+    def _accept_report(self, worker: Worker, report: LeaseReport) -> None:
+        if worker.lost:
             log_event(LogEvent.WORKER_RECOVERED, worker=report.worker)
+        changed = worker.lost or worker.failures or not worker.reported
+        worker.lost, worker.failures, worker.reported = False, 0, True
+        now = self.clock.now()
+        tasks = report.tasks if worker.seen else (*report.tasks, *forgotten_tasks(worker, report))
         worker.seen = report.sequence
-        worker.reported = True
-        for task in report.tasks:
-            worker.tasks[task.attempt] = task
+        for task in tasks:
+            worker.note(task, now)
             self.fire(task_reported(report.worker, task))
-        self._forget_final(worker)
+        if changed or any(task.state.is_final for task in tasks):
+            self.fire(workers_changed())
+        if not self._keep_finished:
+            self._forget_final(worker)
 
-    def _forget_final(self, worker: _Worker) -> None:
+    def _forget_final(self, worker: Worker) -> None:
         for attempt, task in list(worker.tasks.items()):
             if task.state.is_final:
                 del worker.tasks[attempt]
-
-    def _lose(self, worker: _Worker) -> None:
-        if worker.state is WorkerState.LOST:
-            return
-        worker.state = WorkerState.LOST
+        limit = self.clock.now() - LATE_REPLY
+        for attempt, ended_at in list(worker.ended.items()):
+            if ended_at < limit:
+                del worker.ended[attempt]
+
+    def _count_failure(self, worker: Worker) -> None:
+        worker.failures += 1
+        # A worker that restarted counts its reports from the beginning, so the
+        # next one has to be complete.
         worker.seen = 0
+        if worker.lost or worker.failures < FAILURES_TO_LOSS:
+            return
+        worker.lost = True
         worker.reported = False
         log_event(LogEvent.WORKER_LOST, worker=worker.instance.instance)
         self.fire(worker_lost(worker.instance.worker_id))
+
+
+def _not_a_worker(name: WorkerId) -> Unreachable:
+    return Unreachable(f"{name} is not a worker of this failure domain", sent=False)
--- a/chivefall/events.py
+++ b/chivefall/events.py
@@ -11,6 +11,7 @@
     "leadership_lost",
     "task_reported",
     "worker_lost",
+    "workers_changed",
 ]
 
 
@@ -36,3 +37,7 @@
 
 class worker_lost(Event):  # noqa: N801
     """A worker does not answer any more; argument: WorkerId."""
+
+
+class workers_changed(Event):  # noqa: N801
+    """Room or the state of workers changed, so that a scheduling round is due."""
--- a/chivefall/model/_jobs.py
+++ b/chivefall/model/_jobs.py
@@ -95,8 +95,19 @@
         Number of attempts made so far.
     checkpoint : str or None
         Name of the last checkpoint to resume from.
+    ran : bool
+        Whether an attempt may have run; False only while no attempt was committed
+        or every share proved that it did not run.
+    uncertain : bool
+        Whether a non-idempotent job ended without proof of what its attempt did.
+    failures : int
+        Number of attempts that ended because a share failed.
+    cancel_requested : bool
+        Whether the job ends as CANCELLED once its shares are proven stopped.
     moved_to : DomainId or None
         Domain whose leader owns the job now, for state MOVED and TRANSFERRING.
+    transfers : int
+        Number of transfers between failure domains; identifies a repeated one.
     """
 
     job_id: JobId
@@ -112,7 +123,12 @@
     progress: float = 0.0
     answer: Any = None
     error: str | None = None
+    ran: bool = False
+    uncertain: bool = False
+    failures: int = 0
+    cancel_requested: bool = False
     moved_to: DomainId | None = None
+    transfers: int = 0
     failed_workers: tuple[WorkerId, ...] = field(default=())
 
     def with_state(self, state: JobState, **changes: Any) -> JobRecord:
--- a/chivefall/store/__init__.py
+++ b/chivefall/store/__init__.py
@@ -6,6 +6,7 @@
 from chivefall.store._keys import (
     DOCUMENT_KEY,
     HISTORY_PREFIX,
+    JOB_SHARDS,
     claim_key,
     history_key,
     job_key,
@@ -39,6 +40,7 @@
     "ABSENT",
     "DOCUMENT_KEY",
     "HISTORY_PREFIX",
+    "JOB_SHARDS",
     "Changed",
     "Conflict",
     "Entry",
--- a/chivefall/store/_keys.py
+++ b/chivefall/store/_keys.py
@@ -4,6 +4,7 @@
 
 from hashlib import blake2b
 from typing import TYPE_CHECKING
+from zlib import crc32
 
 if TYPE_CHECKING:
     from chivefall.model import AccountId, DomainId, IdempotencyKey, JobId, Revision
@@ -11,6 +12,7 @@
 __all__ = [
     "DOCUMENT_KEY",
     "HISTORY_PREFIX",
+    "JOB_SHARDS",
     "claim_key",
     "history_key",
     "job_key",
@@ -21,6 +23,12 @@
 DOCUMENT_KEY = "document"
 HISTORY_PREFIX = "history/"
 KEY_DIGEST_BYTES = 16
+JOB_SHARDS = 64
+"""Parts in which job records are listed.
+
+A day's records of a domain at the target size, 800 of up to 64 KB, are about
+0.8 MB for each part; the store's limit is 1 MB.
+"""
 
 
 def history_key(revision: Revision) -> str:
@@ -33,14 +41,14 @@
     return f"leaders/{domain}"
 
 
-def jobs_prefix(domain: DomainId) -> str:
-    """Return the prefix of all job records of a failure domain."""
-    return f"jobs/{domain}/"
+def jobs_prefix(domain: DomainId, shard: int) -> str:
+    """Return the prefix of one part of a failure domain's job records."""
+    return f"jobs/{domain}/{shard:02d}/"
 
 
 def job_key(domain: DomainId, job_id: JobId) -> str:
     """Return the key of a job record."""
-    return f"{jobs_prefix(domain)}{job_id}"
+    return f"{jobs_prefix(domain, crc32(job_id.encode()) % JOB_SHARDS)}{job_id}"
 
 
 def claim_key(account: AccountId, key: IdempotencyKey) -> str:
--- a/chivefall/telemetry/_events.py
+++ b/chivefall/telemetry/_events.py
@@ -33,10 +33,18 @@
     WORKER_JOINED = (4001, "A worker entered the platform's list.")
     WORKER_LOST = (4002, "A worker no longer answers.")
     WORKER_RECOVERED = (4003, "A lost worker answers again.")
+    WORKER_QUARANTINED = (4004, "A worker failed several jobs and gets no more.")
+    WORKER_FORGOTTEN = (4005, "A worker left the platform's list and its lease ended.")
     JOB_ACCEPTED = (5001, "A job was recorded.")
     JOB_STARTED = (5002, "All members of a job's gang run.")
     JOB_START_FAILED = (5003, "A gang could not start and was released.")
     JOB_FINISHED = (5004, "A job reached a final state.")
+    JOB_INTERRUPTED = (5005, "A running gang was stopped as a whole.")
+    JOB_ADOPTED = (5006, "A new leader adopted a running gang.")
+    JOB_CANCEL_REQUESTED = (5007, "A caller cancelled a job.")
+    JOB_TRANSFERRED = (5008, "The leader of another failure domain took a job over.")
+    RECORDS_LOADED = (5009, "A new leader has read the job records.")
+    UNKNOWN_TASK_STOPPED = (5010, "A task that no job record names was stopped.")
     REQUEST_ANSWERED = (6001, "A request of a caller was answered.")
 
     def __init__(self, number: int, meaning: str) -> None:
--- a/chivefall/workers/_client.py
+++ b/chivefall/workers/_client.py
@@ -121,6 +121,8 @@
     ----------
     progress : float
         Seconds of work done, including work before the last checkpoint.
+    ran : bool
+        Whether the share was committed; False proves that it never ran.
     """
 
     attempt: AttemptId
@@ -133,6 +135,19 @@
     answer: Any = None
     error: str | None = None
     confirmed: bool = False
+    ran: bool = False
+
+    @property
+    def stage(self) -> int:
+        """Return how far the task is; a report of a lower stage is older.
+
+        Replies to commands and long polls overtake each other.
+        """
+        if self.state.is_final:
+            return 3
+        if self.state is TaskState.RUNNING:
+            return 2 if self.confirmed else 1
+        return 0
 
 
 @dataclass(frozen=True)
@@ -141,6 +156,9 @@
 
     Attributes
     ----------
+    ttl : float
+        Seconds for which the leases are renewed; 0 reads the report without
+        renewing, so that the leases of a lost worker end at a known time.
     seen : int
         Highest report sequence that the leader has processed; 0 asks for all.
     wait : float
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from dataclasses import replace
+from typing import TYPE_CHECKING, Any
 
 from chivefall.application import Application, Connections
 from chivefall.config import Address, Settings, Timing
 from chivefall.document import encode_document
 from chivefall.model import (
+    Accepted,
     Account,
     AccountId,
     Document,
@@ -15,20 +17,33 @@
     DomainState,
     InstanceId,
     InstanceKind,
+    JobId,
+    JobSpec,
+    Outcome,
     RackId,
     Revision,
+    TaskState,
+    domain_of_job,
 )
 from chivefall.runtime import ManualClock, spawn
 from chivefall.store import ABSENT, DOCUMENT_KEY
 from chivefall.workers import Instance
-from standins.memory import MemoryNetwork, MemoryPeers, MemoryStore, MemoryWorkers
+from standins.memory import (
+    Gate,
+    GatedWorkers,
+    InstanceClock,
+    MemoryNetwork,
+    MemoryPeers,
+    MemoryStore,
+    MemoryWorkers,
+)
 from standins.store import KeyValueState
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine, Sequence
-    from typing import Any
 
     from chivefall.runtime import Future
+    from standins.worker import WorkerState
 
 __all__ = ["Cluster"]
 
@@ -58,6 +73,8 @@
         self.workers = MemoryWorkers()
         self.stores: dict[InstanceId, MemoryStore] = {}
         self.applications: dict[InstanceId, Application] = {}
+        self.gates: dict[InstanceId, Gate] = {}
+        self.clients: dict[InstanceId, GatedWorkers] = {}
         self.timing = timing or Timing()
         self.document = document or default_document(domains)
         self.state.put(DOCUMENT_KEY, encode_document(self.document), ABSENT, None)
@@ -92,9 +109,12 @@
             str(Address("127.0.0.1", 8002)),
             timing=self.timing,
         )
-        store = MemoryStore(self.state, self.clock)
-        peers = MemoryPeers(name, self.network, self.clock)
-        application = Application(cfg, Connections(self.clock, store, self.workers, peers))
+        gate = self.gates[name] = Gate()
+        clock = InstanceClock(self.clock, gate)
+        store = MemoryStore(self.state, clock, gate)
+        peers = MemoryPeers(name, self.network, clock, gate)
+        client = self.clients[name] = GatedWorkers(self.workers, gate)
+        application = Application(cfg, Connections(clock, store, client, peers))
         self.stores[name] = store
         self.applications[name] = application
         application.start_controllers()
@@ -103,19 +123,90 @@
 
     def kill(self, name: InstanceId) -> None:
         """End an instance without any notice to the others."""
-        application = self.applications.pop(name)
-        for controller in application.registry:
-            controller._stopped = True
+        self.applications.pop(name)
+        self.gates[name].frozen = True  # never thawed: nothing of it runs any more
         del self.network.peers[name]
         self.stores.pop(name).down = True
 
+    def freeze(self, name: InstanceId) -> None:
+        """Stop an instance's timers and events, as SIGSTOP does."""
+        self.gates[name].frozen = True
+
+    def thaw(self, name: InstanceId) -> None:
+        """Let a frozen instance run again; what was due meanwhile happens late."""
+        self.gates[name].thaw()
+        self.settle()
+
+    def cut_domain(self, domain: str) -> None:
+        """Cut a failure domain off from the other domains and from the store."""
+        inside = self._entries(domain)
+        for name in inside:
+            self.stores[name].down = True
+            for other in set(self.applications) - inside:
+                self.network.cut.add(frozenset((name, other)))
+
+    def join_domain(self, domain: str) -> None:
+        """End a cut of a failure domain."""
+        inside = self._entries(domain)
+        for name in inside:
+            self.stores[name].down = False
+        self.network.cut = {pair for pair in self.network.cut if not pair & inside}
+
+    def _entries(self, domain: str) -> set[InstanceId]:
+        return {n for n, app in self.applications.items() if app.cfg.failure_domain == domain}
+
+    def put_document(self, document: Document) -> None:
+        """Store the next revision of the document."""
+        self.document = replace(document, revision=Revision(self.document.revision + 1))
+        version = self.state.get(DOCUMENT_KEY).version
+        self.state.put(DOCUMENT_KEY, encode_document(self.document), version, None)
+
+    def set_domain(self, domain: str, state: DomainState) -> None:
+        """Take a failure domain out of service or bring it back."""
+        domains = {**self.document.failure_domains, DomainId(domain): state}
+        self.put_document(replace(self.document, failure_domains=domains))
+
+    def submit(self, domain: str, wait: bool = False, **changes: Any) -> JobId:
+        """Submit a job to a domain's leader and return its id."""
+        spec = JobSpec(**{"account": AccountId("farmers"), "command": "sort", **changes})
+        accepted = self.run(self.leader(domain).jobs.submit(spec, wait))
+        if not isinstance(accepted, Accepted):
+            raise AssertionError(f"the job was not accepted: {accepted}")
+        return accepted.job_id
+
+    def outcome(self, job_id: JobId, limit: float = 60.0) -> Outcome:
+        """Return what a caller who waits for a job at its origin is told."""
+        leader = self.leader(domain_of_job(job_id)) or next(iter(self.applications.values()))
+        return self.run(leader.job_router.wait(job_id, self.clock.now() + limit), limit + 10)
+
+    def worker(self, name: str) -> WorkerState:
+        """Return the stand-in of a worker."""
+        return next(state for state in self.workers.states.values() if state.name == name)
+
+    def address(self, name: str) -> str:
+        """Return the address of a worker."""
+        return next(key for key, state in self.workers.states.items() if state.name == name)
+
+    def held(self) -> int:
+        """Return the accelerators that tasks hold at all workers."""
+        return sum(state.accelerators - state.free for state in self.workers.states.values())
+
+    def running(self, job_id: str) -> dict[str, str]:
+        """Return the attempt of each worker that runs a share of a job now."""
+        return {
+            state.name: task.attempt
+            for state in self.workers.states.values()
+            for task in state.reports()
+            if task.job_id == job_id and task.state is TaskState.RUNNING
+        }
+
     def settle(self) -> None:
         """Process the events of all instances until none is left."""
         busy = True
         while busy:
             busy = False
-            for application in list(self.applications.values()):
-                while len(application):
+            for name, application in list(self.applications.items()):
+                while len(application) and not self.gates[name].frozen:
                     application.flush()
                     busy = True
 
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from chivefall.net import CallerRequest, Envelope, Heartbeat, PeerFailure, Peers
-from chivefall.runtime import Clock, Future, sleep, spawn, wait_for
+from chivefall.runtime import Clock, Future, TimerHandle, sleep, spawn, wait_for
 from chivefall.store import (
     Changed,
     Conflict,
@@ -48,11 +48,71 @@
     from chivefall.net import PeerMessage
     from standins.store import KeyValueState
 
-__all__ = ["MemoryNetwork", "MemoryPeers", "MemoryStore", "MemoryWorkers"]
+__all__ = [
+    "Gate",
+    "GatedWorkers",
+    "InstanceClock",
+    "MemoryNetwork",
+    "MemoryPeers",
+    "MemoryStore",
+    "MemoryWorkers",
+]
 
 LOST = Unavailable("the reply was lost", applied_unknown=True)
 
 
+class Gate:
+    """Holds back everything that reaches a frozen instance until it is thawed."""
+
+    def __init__(self) -> None:
+        self.frozen = False
+        self._held: list[Callable[[], None]] = []
+
+    def run(self, action: Callable[[], None]) -> None:
+        """Run an action now, or late if the instance is frozen."""
+        if self.frozen:
+            self._held.append(action)
+        else:
+            action()
+
+    def passed(self) -> Future[None]:
+        """Return a future that is done once the instance runs."""
+        fut: Future[None] = Future()
+        self.run(lambda: fut.set_result(None))
+        return fut
+
+    def thaw(self) -> None:
+        """Run the held actions in their order."""
+        self.frozen = False
+        held, self._held = self._held, []
+        for action in held:
+            action()
+
+
+class InstanceClock(Clock):
+    """The shared clock as one instance sees it; its timers stop while it is frozen."""
+
+    def __init__(self, clock: Clock, gate: Gate) -> None:
+        super().__init__()
+        self._clock = clock
+        self._gate = gate
+
+    def now(self) -> float:
+        """Return the shared time."""
+        return self._clock.now()
+
+    def call_later(self, delay: float, callback: Callable[[], None]) -> TimerHandle:
+        """Call ``callback`` after ``delay`` seconds, or late if the instance is frozen."""
+        timer = TimerHandle(self.now() + delay, callback)
+
+        def fire() -> None:
+            if not timer.cancelled:
+                callback()
+
+        self._clock.call_later(delay, lambda: self._gate.run(fire))
+        return timer
+
+
 class MemoryStore(Store):
     """A client of a shared key-value state.
 
@@ -66,9 +126,10 @@
         Seconds until a call takes effect.
     """
 
-    def __init__(self, state: KeyValueState, clock: Clock) -> None:
+    def __init__(self, state: KeyValueState, clock: Clock, gate: Gate | None = None) -> None:
         self._state = state
         self._clock = clock
+        self._gate = gate or Gate()
         self.down = False
         self.lose_replies = 0
         self.delay = 0.0
@@ -135,6 +196,7 @@
             return Unavailable("the store is down")
         if not any(self._state.changes(prefix, after)):
             await wait_for(self._clock, self._state.watch(prefix), wait, None)
+            await self._gate.passed()
         written, deleted = self._state.changes(prefix, after)
         version = Version(self._state.version)
         if not written and not deleted:
@@ -146,6 +208,7 @@
         self.calls += 1
         if self.delay:
             await sleep(self._clock, self.delay)
+            await self._gate.passed()
         return not self.down
 
     def _write_outcome(self, key: str, done: bool) -> WriteOutcome:
@@ -167,6 +230,10 @@
         Addresses whose commands fail before they take effect.
     lose_replies : set of str
         Addresses whose commands take effect although their replies are lost.
+    unreachable_for : set of (str, str)
+        Commands of workers that fail before they take effect.
+    lose_reply_of : dict
+        Number of coming replies that are lost, by worker and command.
     instances : tuple of Instance
         The platform's list.
     """
@@ -176,6 +243,8 @@
         self.instances: tuple[Instance, ...] = ()
         self.unreachable: set[str] = set()
         self.lose_replies: set[str] = set()
+        self.lose_reply_of: dict[tuple[str, str], float] = {}
+        self.unreachable_for: set[tuple[str, str]] = set()
         self.commands: list[tuple[str, str]] = []
 
     def add(self, instance: Instance, clock: Clock) -> WorkerState:
@@ -196,11 +265,12 @@
         if str(address) in self.unreachable:
             return Unreachable("the worker is unreachable", sent=False)
         state = self.states[str(address)]
+        restarts = state.restarts
         try:
             report = await state.renew(request)
         except RefusedError as exc:
             return Refused(exc.refusal, state.epoch)
-        if str(address) in self.unreachable:
+        if str(address) in self.unreachable or state.restarts != restarts:
             return Unreachable("the connection broke", sent=True)
         return report
 
@@ -235,9 +305,9 @@
     def _command(
         self, address: Address, epoch: Epoch, name: str, act: Callable[[WorkerState], Any]
     ) -> CommandOutcome:
-        if str(address) in self.unreachable:
-            return Unreachable("the worker is unreachable", sent=False)
         state = self.states[str(address)]
+        if str(address) in self.unreachable or (state.name, name) in self.unreachable_for:
+            return Unreachable("the worker is unreachable", sent=False)
         self.commands.append((state.name, name))
         try:
             state.check_epoch(epoch)
@@ -246,7 +316,11 @@
             outcome: CommandOutcome = Refused(exc.refusal, state.epoch)
         else:
             outcome = Accepted(report)
-        if str(address) in self.lose_replies:
+        lost = str(address) in self.lose_replies
+        if self.lose_reply_of.get((state.name, name), 0) > 0:
+            self.lose_reply_of[state.name, name] -= 1
+            lost = True
+        if lost or state.faults.lose_replies:
             return Unreachable("the reply was lost", sent=True)
         return outcome
 
@@ -271,7 +345,9 @@
         instance: InstanceId,
         network: MemoryNetwork,
         clock: Clock,
+        gate: Gate | None = None,
     ) -> None:
+        self.gate = gate or Gate()
         self.instance = instance
         self.incarnation = f"{instance}-incarnation"
         self._network = network
@@ -296,7 +372,7 @@
         envelope = Envelope(self.instance, self.incarnation, "", message)
         for name, peer in list(self._network.peers.items()):
             if name != self.instance and self._network.connected(self.instance, name):
-                peer._receive_heartbeat(envelope, message)
+                peer.gate.run(lambda peer=peer: peer._receive_heartbeat(envelope, message))
 
     def call(
         self, peer: InstanceId, operation: str, body: Any, timeout: float
@@ -315,7 +391,72 @@
             self._handle_heartbeat(envelope, message)
 
     async def _deliver(self, peer: InstanceId, request: CallerRequest) -> Any | PeerFailure:
-        answer = await self._network.peers[peer]._operations[request.operation](request.body)
+        target = self._network.peers[peer]
+        await target.gate.passed()
+        answer = await target._operations[request.operation](request.body)
+        await self.gate.passed()
         if not self._network.connected(self.instance, peer):
             await Future()
         return answer
+
+
+class GatedWorkers(WorkerClient):
+    """The workers as one instance reaches them.
+
+    Attributes
+    ----------
+    cut : set of str
+        Addresses of workers that this instance cannot reach.
+    """
+
+    def __init__(self, workers: MemoryWorkers, gate: Gate) -> None:
+        self._workers = workers
+        self._gate = gate
+        self.cut: set[str] = set()
+
+    async def list_instances(self) -> tuple[Instance, ...] | Unreachable:
+        """Read the platform's list."""
+        return await self._workers.list_instances()
+
+    async def renew(
+        self, address: Address, request: LeaseRequest
+    ) -> LeaseReport | Refused | Unreachable:
+        """Renew a worker's leases and wait for changes of its tasks."""
+        return await self._pass(address, lambda: self._workers.renew(address, request))
+
+    async def reserve(
+        self, address: Address, epoch: Epoch, share: TaskShare, ttl: float
+    ) -> CommandOutcome:
+        """Hold accelerators for ``ttl`` seconds without running anything."""
+        return await self._pass(address, lambda: self._workers.reserve(address, epoch, share, ttl))
+
+    async def commit(
+        self, address: Address, epoch: Epoch, attempt: AttemptId, gang_lease: float
+    ) -> CommandOutcome:
+        """Run a reserved share; it ends after ``gang_lease`` seconds if not confirmed."""
+        return await self._pass(
+            address, lambda: self._workers.commit(address, epoch, attempt, gang_lease)
+        )
+
+    async def confirm(self, address: Address, epoch: Epoch, attempt: AttemptId) -> CommandOutcome:
+        """Tell a running share that its whole gang runs."""
+        return await self._pass(address, lambda: self._workers.confirm(address, epoch, attempt))
+
+    async def checkpoint(
+        self, address: Address, epoch: Epoch, attempt: AttemptId
+    ) -> CommandOutcome:
+        """Save a share's state and end it."""
+        return await self._pass(address, lambda: self._workers.checkpoint(address, epoch, attempt))
+
+    async def stop(self, address: Address, epoch: Epoch, attempt: AttemptId) -> CommandOutcome:
+        """End a share or release its reservation."""
+        return await self._pass(address, lambda: self._workers.stop(address, epoch, attempt))
+
+    async def _pass(self, address: Address, send: Callable[[], Any]) -> Any:
+        if str(address) in self.cut:
+            return Unreachable("the network is cut", sent=False)
+        outcome = await send()
+        await self._gate.passed()
+        if str(address) in self.cut:
+            return Unreachable("the network was cut", sent=True)
+        return outcome
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -10,7 +10,7 @@
 
 from chivefall.config import Address
 from chivefall.model import Epoch, TaskState, WorkerId
-from chivefall.runtime import Clock, Future, wait_for
+from chivefall.runtime import Clock, Future, sleep, wait_for
 from chivefall.workers import (
     LeaseReport,
     LeaseRequest,
@@ -24,9 +24,11 @@
 if TYPE_CHECKING:
     from chivefall.net import HttpReply, HttpRequest
 
-__all__ = ["WorkerService", "WorkerState"]
+__all__ = ["Faults", "WorkerService", "WorkerState"]
 
 REFUSED_STATUS = 409
+FROZEN_CHECK_INTERVAL = 0.1  # seconds between checks whether a freeze has ended
+MAX_FINISHED_TASKS = 256  # finished tasks kept for leaders that did not read them yet
 
 
 @dataclass
@@ -41,6 +43,29 @@
     answer: Any = None
     error: str | None = None
     checkpoint: str | None = None
+    ran: bool = False
+
+
+@dataclass
+class Faults:
+    """Faults that a test sets.
+
+    Attributes
+    ----------
+    fail_tasks : bool
+        Whether every task fails when it starts.
+    delay : float
+        Seconds before a command is carried out.
+    lose_replies : bool
+        Whether commands take effect although their replies are lost.
+    frozen : bool
+        Whether commands wait until the fault is removed.
+    """
+
+    fail_tasks: bool = False
+    delay: float = 0.0
+    lose_replies: bool = False
+    frozen: bool = False
 
 
 class RefusedError(Exception):
@@ -65,7 +90,8 @@
         self._clock = clock
         self._sequence = 0
         self._tasks: dict[str, _Task] = {}
-        self._checkpoints: dict[str, float] = {}
+        self.faults = Faults()
+        self.restarts = 0
         self._changed: list[Future[None]] = []
         self._lease_until = float("inf")
 
@@ -85,7 +111,8 @@
     async def renew(self, request: LeaseRequest) -> LeaseReport:
         """Renew the leases and return the changes since the seen sequence."""
         self.check_epoch(request.epoch)
-        self._renew_until(self._clock.now() + request.ttl)
+        if request.ttl > 0:
+            self._renew_until(self._clock.now() + request.ttl)
         if not self._changes(request.seen) and request.wait > 0 and request.seen:
             fut: Future[None] = Future()
             self._changed.append(fut)
@@ -101,7 +128,7 @@
         if share.accelerators > self.free:
             raise RefusedError(Refusal.NO_ROOM)
         task = _Task(share, TaskState.RESERVED, 0, self._clock.now() + ttl)
-        task.done_before = self._checkpoints.get(share.checkpoint or "", 0.0)
+        task.done_before = _checkpointed_progress(share.checkpoint)
         self._tasks[share.attempt] = task
         self._touch(task)
         self._end_at_deadline(task)
@@ -111,13 +138,17 @@
         """Run a reserved share until its gang lease ends."""
         task = self._task(attempt, TaskState.RESERVED)
         task.state = TaskState.RUNNING
+        task.ran = True
         task.started_at = self._clock.now()
         task.deadline = task.started_at + gang_lease
         self._touch(task)
         payload = task.share.payload
         run_time = payload.get("run_time") if isinstance(payload, dict) else None
         remaining = (task.share.run_time if run_time is None else run_time) - task.done_before
-        self._clock.call_later(max(0.0, remaining), lambda: self._succeed(task))
+        if self.faults.fail_tasks:
+            remaining = 0.0
+            task.error = f"{self.name} fails every task"
+        self._clock.call_later(max(0.0, remaining), lambda: self._complete(task))
         return self.report(task)
 
     def confirm(self, attempt: str) -> TaskReport:
@@ -132,7 +163,6 @@
         """Save a running share's progress and end it."""
         task = self._task(attempt, TaskState.RUNNING)
         task.checkpoint = f"{attempt}@{self._progress(task):.3f}"
-        self._checkpoints[task.checkpoint] = self._progress(task)
         self._end(task, TaskState.CHECKPOINTED)
         return self.report(task)
 
@@ -145,6 +175,20 @@
             self._end(task, TaskState.STOPPED)
         return self.report(task)
 
+    def reports(self) -> list[TaskReport]:
+        """Return the present state of all tasks."""
+        return [self.report(task) for task in self._tasks.values()]
+
+    def restart(self) -> None:
+        """Lose all tasks, as a worker whose process was replaced."""
+        self.restarts += 1
+        self._tasks.clear()
+        self._sequence = 0
+        self.epoch = Epoch(0)
+        waiting, self._changed = self._changed, []
+        for fut in waiting:
+            fut.set_result(None)
+
     def report(self, task: _Task) -> TaskReport:
         """Return the present state of a task."""
         return TaskReport(
@@ -158,6 +202,7 @@
             task.answer,
             task.error,
             task.confirmed,
+            task.ran,
         )
 
     def _task(self, attempt: str, *states: TaskState) -> _Task:
@@ -181,8 +226,15 @@
         for fut in waiting:
             fut.set_result(None)
 
-    def _succeed(self, task: _Task) -> None:
-        if task.state is TaskState.RUNNING:
+    def _complete(self, task: _Task) -> None:
+        if task.state is not TaskState.RUNNING:
+            return
+        payload = task.share.payload
+        if isinstance(payload, dict) and payload.get("fail"):
+            task.error = "the program failed"
+        if task.error is not None:
+            self._end(task, TaskState.FAILED)
+        else:
             task.answer = {"members": list(task.share.members), "payload": task.share.payload}
             self._end(task, TaskState.SUCCEEDED)
 
@@ -190,13 +242,16 @@
         task.done_before = self._progress(task)
         task.state = state
         self._touch(task)
+        finished = [name for name, item in self._tasks.items() if item.state.is_final]
+        for name in finished[:-MAX_FINISHED_TASKS]:
+            del self._tasks[name]
 
     def _end_at_deadline(self, task: _Task) -> None:
         if task.state.is_final or task.deadline == float("inf"):
             return
         remaining = task.deadline - self._clock.now()
         if remaining <= 0:
-            task.error = "the lease ended"
+            task.error = "the gang lease ended before all members were confirmed"
             self._end(task, TaskState.STOPPED)
         else:
             self._clock.call_later(remaining, lambda: self._end_at_deadline(task))
@@ -213,12 +268,17 @@
             self._clock.call_later(remaining, self._check_lease)
             return
         self._lease_until = float("inf")
-        for task in self._tasks.values():
+        for task in list(self._tasks.values()):
             if not task.state.is_final:
                 task.error = "the worker's lease ended"
                 self._end(task, TaskState.STOPPED)
 
 
+def _checkpointed_progress(checkpoint: str | None) -> float:
+    """Return the seconds of work in a checkpoint; its name ends with them."""
+    return float(checkpoint.rpartition("@")[2]) if checkpoint else 0.0
+
+
 class WorkerService(Service):
     """HTTP front of the stand-in worker."""
 
@@ -228,8 +288,20 @@
 
     async def handle(self, req: HttpRequest) -> HttpReply:
         """Return the reply to a command."""
+        faults = self._state.faults
+        if req.path == "/control/faults":
+            self._state.faults = msgspec.json.decode(req.body, type=Faults)
+            return json_reply(200, self._state.faults)
+        while faults.frozen or faults.delay:
+            await sleep(self.clock, faults.delay or FROZEN_CHECK_INTERVAL)
+            faults = self._state.faults
+            if not faults.frozen:
+                break
         try:
-            return json_reply(200, await self._carry_out(req))
+            reply = json_reply(200, await self._carry_out(req))
+            if faults.lose_replies:
+                await Future()
+            return reply
         except RefusedError as exc:
             return json_reply(REFUSED_STATUS, Refused(exc.refusal, self._state.epoch))
         except msgspec.DecodeError:
--- /dev/null
+++ b/tests/controllers/test_gangs.py
@@ -0,0 +1,217 @@
+"""Starts and releases of whole gangs (G2) and second attempts (G6)."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+from math import inf
+
+from chivefall.controllers._attempts import (
+    AttemptFate,
+    after_release,
+    decide_attempt,
+    may_run_again,
+)
+from chivefall.model import (
+    AccountId,
+    AttemptId,
+    Completed,
+    GangMember,
+    JobId,
+    JobRecord,
+    JobSpec,
+    JobState,
+    Placement,
+    RackId,
+    TaskState,
+    Unknown,
+    WorkerId,
+)
+from chivefall.workers import TaskReport
+from standins.cluster import Cluster
+
+DOMAIN = "zarcero"
+FIRST, SECOND = f"{DOMAIN}-w00", f"{DOMAIN}-w01"
+GANG = {"gang_size": 2, "accelerators": 8, "payload": {"run_time": 2.0}}
+
+
+def cluster() -> Cluster:
+    """Return a domain with two workers that already has a leader."""
+    built = Cluster((DOMAIN,), workers_per_domain=2)
+    built.advance(3)
+    return built
+
+
+class StartTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.cluster = cluster()
+        self.workers = self.cluster.workers
+
+    def attempts(self) -> int:
+        """Return the number of commits that the first worker received."""
+        return self.workers.commands.count((FIRST, "commit"))
+
+    def test_unreachable_member_releases_the_others(self) -> None:
+        """Guards against members that hold accelerators for a gang that cannot start."""
+        self.workers.unreachable_for.add((SECOND, "reserve"))
+        job_id = self.cluster.submit(DOMAIN, **GANG)
+        self.cluster.advance(0.5)
+        self.assertEqual(self.cluster.held(), 0)
+        self.assertIn((FIRST, "stop"), self.workers.commands)
+        self.assertEqual(self.attempts(), 0)
+        self.workers.unreachable_for.clear()
+        self.assertIsInstance(self.cluster.outcome(job_id), Completed)
+
+    def test_lost_reservation_reply_counts_as_held(self) -> None:
+        """Guards against planning with accelerators that a worker may have reserved."""
+        self.workers.lose_reply_of[SECOND, "reserve"] = inf
+        self.workers.unreachable_for.add((SECOND, "stop"))
+        self.cluster.submit(DOMAIN, **GANG)
+        self.cluster.advance(1)
+        views = {view.worker: view for view in self.cluster.leader(DOMAIN).workers.views()}
+        self.assertEqual(views[SECOND].free, 0)
+        self.workers.lose_reply_of.clear()
+        self.workers.unreachable_for.clear()
+        self.cluster.advance(2)
+        self.assertEqual(self.workers.commands.count((SECOND, "stop")), 1)
+
+    def test_lost_commit_reply_stops_everything_before_the_next_attempt(self) -> None:
+        """Guards against two attempts of a job that run at once."""
+        self.workers.lose_reply_of[SECOND, "commit"] = inf
+        job_id = self.cluster.submit(DOMAIN, **GANG)
+        for _ in range(200):
+            self.cluster.advance(0.05)
+            self.assertLessEqual(len(set(self.cluster.running(job_id).values())), 1)
+        self.workers.lose_reply_of.clear()
+        self.assertIsInstance(self.cluster.outcome(job_id), Completed)
+        self.assertGreater(self.attempts(), 1)
+
+    def test_uncertain_commit_of_a_non_idempotent_job_is_unknown(self) -> None:
+        """Guards against a second run of a non-idempotent job (G6)."""
+        self.workers.lose_reply_of[SECOND, "commit"] = inf
+        job_id = self.cluster.submit(DOMAIN, idempotent=False, **GANG)
+        self.assertIsInstance(self.cluster.outcome(job_id), Unknown)
+        self.workers.lose_reply_of.clear()
+        self.cluster.advance(30)
+        self.assertEqual(self.attempts(), 1)
+        self.assertEqual(self.cluster.held(), 0)
+
+    def test_confirmation_is_repeated(self) -> None:
+        """Guards against a whole gang that is lost with one reply."""
+        self.workers.lose_reply_of[SECOND, "confirm"] = 1
+        job_id = self.cluster.submit(DOMAIN, idempotent=False, **GANG)
+        self.assertIsInstance(self.cluster.outcome(job_id), Completed)
+
+    def test_uncommitted_attempt_of_a_non_idempotent_job_is_repeated(self) -> None:
+        """Guards against giving up a job that provably did not run."""
+        self.workers.lose_reply_of[SECOND, "reserve"] = inf
+        job_id = self.cluster.submit(DOMAIN, idempotent=False, **GANG)
+        self.cluster.advance(1)
+        self.workers.lose_reply_of.clear()
+        self.assertIsInstance(self.cluster.outcome(job_id), Completed)
+        self.assertEqual(self.attempts(), 1)
+
+    def test_unconfirmed_members_end_with_the_gang_lease(self) -> None:
+        """Guards against a partial gang that runs on after its leader died."""
+        self.workers.unreachable_for |= {(SECOND, "commit"), (FIRST, "stop")}
+        job_id = self.cluster.submit(DOMAIN, **{**GANG, "payload": {"run_time": 600.0}})
+        self.cluster.advance(0.5)
+        self.assertEqual(set(self.cluster.running(job_id)), {FIRST})
+        for name in list(self.cluster.applications):
+            self.cluster.kill(name)
+        self.cluster.advance(5)
+        self.assertEqual(self.cluster.running(job_id), {})
+
+
+class RunningGangTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.cluster = cluster()
+        payload = {"run_time": 20.0}
+        self.job_id = self.cluster.submit(DOMAIN, **{**GANG, "payload": payload})
+        self.cluster.advance(1)
+        self.assertEqual(set(self.cluster.running(self.job_id)), {FIRST, SECOND})
+
+    def test_restarted_worker_stops_the_whole_gang(self) -> None:
+        """Guards against members that run on without one that lost its task."""
+        first = set(self.cluster.running(self.job_id).values())
+        self.cluster.worker(SECOND).restart()
+        self.cluster.advance(6)
+        running = self.cluster.running(self.job_id)
+        self.assertEqual(set(running), {FIRST, SECOND})
+        self.assertFalse(first & set(running.values()))
+        self.assertIsInstance(self.cluster.outcome(self.job_id), Completed)
+
+    def test_dead_worker_frees_the_gang_but_not_its_own_share(self) -> None:
+        """Guards against a second attempt beside a share that may still run."""
+        self.cluster.workers.unreachable.add(self.cluster.address(SECOND))
+        self.cluster.advance(25)
+        self.assertNotIn(FIRST, self.cluster.running(self.job_id))
+        status = self.cluster.leader(DOMAIN).jobs.status(self.job_id)
+        self.assertNotEqual(status.state, JobState.QUEUED)
+        self.cluster.advance(60)
+        status = self.cluster.leader(DOMAIN).jobs.status(self.job_id)
+        self.assertEqual(status.state, JobState.QUEUED)
+        self.cluster.workers.unreachable.clear()
+        self.assertIsInstance(self.cluster.outcome(self.job_id), Completed)
+
+
+class AttemptDecisionTest(unittest.TestCase):
+    def setUp(self) -> None:
+        members = tuple(GangMember(WorkerId(name), RackId("r"), 1) for name in "ab")
+        spec = JobSpec(AccountId("farmers"), "sort", gang_size=2)
+        self.record = JobRecord(
+            JobId("z.1"),
+            spec,
+            JobState.RUNNING,
+            attempt=AttemptId("2"),
+            placement=Placement(members),
+        )
+
+    def report(self, state: TaskState, attempt: str = "2", **changes: object) -> TaskReport:
+        return TaskReport(AttemptId(attempt), JobId("z.1"), state, 1, **changes)
+
+    def test_shares_of_another_attempt_do_not_count(self) -> None:
+        """Guards against a result that is joined from two attempts (G2)."""
+        reports = {
+            WorkerId("a"): self.report(TaskState.SUCCEEDED),
+            WorkerId("b"): self.report(TaskState.SUCCEEDED, "1"),
+        }
+        fate = decide_attempt(self.record, reports, ())
+        self.assertIs(fate, AttemptFate.RELEASE)
+        self.assertIs(after_release(self.record, reports, True, 1.0).state, JobState.QUEUED)
+
+    def test_only_proof_allows_a_second_run(self) -> None:
+        """Guards against taking a worker that restarted for one that never ran the share."""
+        record = replace(self.record, spec=replace(self.record.spec, idempotent=False))
+        reports = {WorkerId("a"): self.report(TaskState.STOPPED)}
+        self.assertTrue(may_run_again(record, {}, committed=False))
+        self.assertFalse(may_run_again(record, reports, committed=True))
+        reports[WorkerId("b")] = self.report(TaskState.STOPPED, ran=True)
+        self.assertFalse(may_run_again(record, reports, committed=True))
+        reports[WorkerId("b")] = self.report(TaskState.STOPPED)
+        self.assertTrue(may_run_again(record, reports, committed=True))
+
+    def test_job_that_failed_on_three_workers_is_failed(self) -> None:
+        """Guards against a failing job that is tried for ever."""
+        reports = {WorkerId("a"): self.report(TaskState.FAILED, error="no input")}
+        record = self.record
+        for worker in ("x", "y"):
+            self.assertIs(after_release(record, reports, True, 1.0).state, JobState.QUEUED)
+            record = record.with_state(
+                JobState.RUNNING, failed_workers=(*record.failed_workers, WorkerId(worker))
+            )
+        ended = after_release(record, reports, True, 1.0)
+        self.assertEqual((ended.state, ended.error), (JobState.FAILED, "no input"))
+
+    def test_incomplete_checkpoint_keeps_the_previous_one(self) -> None:
+        """Guards against resuming from a checkpoint that only some shares have."""
+        reports = {
+            WorkerId("a"): self.report(TaskState.CHECKPOINTED, checkpoint="new@9", progress=9.0),
+            WorkerId("b"): self.report(TaskState.STOPPED),
+        }
+        record = self.record.with_state(JobState.CHECKPOINTING, checkpoint="old@4")
+        self.assertEqual(after_release(record, reports, True, 1.0).checkpoint, "old@4")
+        reports[WorkerId("b")] = self.report(
+            TaskState.CHECKPOINTED, checkpoint="new@8", progress=8.0
+        )
+        self.assertEqual(after_release(record, reports, True, 1.0).checkpoint, "new@8")
--- a/tests/controllers/test_jobs.py
+++ b/tests/controllers/test_jobs.py
@@ -18,5 +18,5 @@
             spec = JobSpec(AccountId("farmers"), "sort", {"run_time": 1.0}, gang_size=8)
             accepted = cluster.run(leader.jobs.submit(spec))
             self.assertIsInstance(accepted, Accepted)
-            outcome = cluster.run(leader.jobs.wait(accepted.job_id))
+            outcome = cluster.run(leader.job_router.wait(accepted.job_id, cluster.clock.now() + 60))
             self.assertIsInstance(outcome, Completed)
