--- a/chivefall/controllers/_jobs.py
+++ b/chivefall/controllers/_jobs.py
@@ -185,7 +185,20 @@
         if job is not None and job.record.attempt == report.attempt:
             job.note(worker, report)
             self._lifecycle.check(job)
-        elif self._workers.holds(worker, report.attempt):
+        else:
+            self._stop_unknown(worker, report)
+
+    def _match_tasks(self) -> None:
+        """Give the jobs the reports of their shares and stop all other tasks."""
+        for (name, _), task in self._workers.tasks().items():
+            job = self.jobs.get(task.job_id)
+            if job is not None and job.record.attempt == task.attempt:
+                job.note(name, task)
+            else:
+                self._stop_unknown(name, task)
+
+    def _stop_unknown(self, worker: WorkerId, report: TaskReport) -> None:
+        if self._workers.holds(worker, report.attempt):
             log_event(LogEvent.UNKNOWN_TASK_STOPPED, attempt=report.attempt, worker=worker)
             self.run_task(self._workers.stop_task(worker, report.attempt))
 
@@ -213,8 +226,7 @@
                 job.done.set_result(final_outcome(record))
         self.ready = True
         log_event(LogEvent.RECORDS_LOADED, records=len(loaded), epoch=epoch)
-        for (name, _), task in self._workers.tasks().items():
-            self._on_task_reported(name, task)
+        self._match_tasks()
         for job in list(self.jobs.values()):
             if job.record.state in (JobState.STARTING, JobState.CHECKPOINTING):
                 self._lifecycle.adopt(job)
--- a/chivefall/controllers/_lifecycle.py
+++ b/chivefall/controllers/_lifecycle.py
@@ -39,7 +39,6 @@
         self._jobs = jobs
         self._clock = clock
         self._workers = workers
-        self._may_start = may_start
         self._gangs = Gangs(clock, cfg.timing, workers, jobs.run_task, may_start, jobs.owns)
 
     def adopt(self, job: Job) -> None:
@@ -84,7 +83,7 @@
         saved = self._jobs.records.save(job)
         if job.recorded and not await saved:
             return
-        if self._jobs.owns(job) and self._may_start(self._clock.now()):
+        if self._jobs.owns(job):
             await self._run_gang(job)
         else:
             await self._release(job)
--- a/chivefall/controllers/_workers.py
+++ b/chivefall/controllers/_workers.py
@@ -225,7 +225,6 @@
         worker = self._workers.get(name)
         if worker is None:
             worker = Worker(instance, Address.parse(instance.address))
-            worker.lease_end = self.gained_at + self._longest_lease
             self._workers[name] = worker
             log_event(LogEvent.WORKER_JOINED, worker=name)
             if self._leader.leads:
@@ -265,8 +264,6 @@
             worker.reported = worker.lost = False
             worker.tasks.clear()
             worker.ended.clear()
-            # The previous leader may have renewed until now.
-            worker.lease_end = self.gained_at + self._longest_lease
             self.run_task(self._hold_lease(worker, epoch))
 
     async def _hold_lease(self, worker: Worker, epoch: Epoch) -> None:
@@ -281,6 +278,7 @@
             # its leases end at a known time.
             ttl = 0.0 if worker.failures else timing.worker_lease
             if ttl:
+                # Also holds for a lease that the previous leader renewed.
                 worker.lease_end = self.clock.now() + ttl + LEASE_MARGIN
             request = LeaseRequest(
                 self._cfg.failure_domain,
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -79,8 +79,9 @@
 class WorkerState:
     """Tasks and leases of one worker; holds no transport.
 
-    A task runs for the seconds in its payload's ``run_time`` (the declared run
-    time if the payload has none) and answers with its members and payload.
+    A task runs for the seconds in its payload's ``run_time`` (a list has one
+    entry for each member; the declared run time if the payload has none) and
+    answers with its members and payload.
     """
 
     def __init__(self, name: WorkerId, accelerators: int, clock: Clock) -> None:
@@ -144,6 +145,8 @@
         self._touch(task)
         payload = task.share.payload
         run_time = payload.get("run_time") if isinstance(payload, dict) else None
+        if isinstance(run_time, list):
+            run_time = run_time[task.share.members[0]]
         remaining = (task.share.run_time if run_time is None else run_time) - task.done_before
         if self.faults.fail_tasks:
             remaining = 0.0
--- a/tests/controllers/test_gangs.py
+++ b/tests/controllers/test_gangs.py
@@ -180,6 +180,16 @@
         self.assertIs(fate, AttemptFate.RELEASE)
         self.assertIs(after_release(self.record, reports, True, 1.0).state, JobState.QUEUED)
 
+    def test_only_a_whole_gang_is_adopted(self) -> None:
+        """Guards against continuing a gang that lost a member."""
+        running = self.report(TaskState.RUNNING)
+        for state in (TaskState.STOPPED, TaskState.RESERVED, TaskState.CHECKPOINTED):
+            reports = {WorkerId("a"): running, WorkerId("b"): self.report(state)}
+            self.assertIs(decide_attempt(self.record, reports, ()), AttemptFate.RELEASE)
+        reports[WorkerId("b")] = running
+        self.assertIs(decide_attempt(self.record, reports, ()), AttemptFate.ADOPT)
+        self.assertIs(decide_attempt(self.record, reports, "b"), AttemptFate.RELEASE)
+
     def test_only_proof_allows_a_second_run(self) -> None:
         """Guards against taking a worker that restarted for one that never ran the share."""
         record = replace(self.record, spec=replace(self.record.spec, idempotent=False))
