--- a/chivefall/controllers/_worker_table.py
+++ b/chivefall/controllers/_worker_table.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field, replace
 
 from chivefall.config import Address
-from chivefall.model import AttemptId, TaskState
+from chivefall.model import AttemptId, Epoch, TaskState
 from chivefall.workers import Instance, LeaseReport, TaskReport
 
 __all__ = ["Worker", "forgotten_tasks"]
@@ -21,6 +21,8 @@
         Renewals in a row that were not answered.
     lease_end : float
         Time after which no lease that this leader renewed is in force.
+    held_epoch : Epoch
+        Epoch under which its leases are renewed now; each needs one loop only.
     ended : dict
         Time at which each of the latest attempts was seen to have ended.
     """
@@ -36,6 +38,7 @@
     leaving: bool = False
     listed: bool = True
     lease_end: float = 0.0
+    held_epoch: Epoch = Epoch(0)
 
     @property
     def free(self) -> int:
--- a/chivefall/controllers/_workers.py
+++ b/chivefall/controllers/_workers.py
@@ -228,7 +228,7 @@
             self._workers[name] = worker
             log_event(LogEvent.WORKER_JOINED, worker=name)
             if self._leader.leads:
-                self.run_task(self._hold_lease(worker, self._leader.epoch))
+                self._begin_leases(worker, self._leader.epoch)
         leaving = instance.status is InstanceStatus.LEAVING
         if leaving != worker.leaving or not worker.listed:
             self.fire(workers_changed())
@@ -260,6 +260,15 @@
         self._keep_finished = True
         self.quarantine = Quarantine()
         for worker in self._workers.values():
+            self._begin_leases(worker, epoch)
+
+    @handler("leadership_lost")
+    def _on_leadership_lost(self, _reason: str) -> None:
+        self._keep_finished = True
+
+    def _begin_leases(self, worker: Worker, epoch: Epoch) -> None:
+        if worker.held_epoch != epoch:
+            worker.held_epoch = epoch
             worker.seen = worker.failures = 0
             worker.reported = worker.lost = False
             worker.tasks.clear()
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -89,7 +89,7 @@
         self.accelerators = accelerators
         self.epoch = Epoch(0)
         self._clock = clock
-        self._sequence = 0
+        self._sequence = 1  # 0 in a request asks for all tasks
         self._tasks: dict[str, _Task] = {}
         self.faults = Faults()
         self.restarts = 0
@@ -120,7 +120,7 @@
             await wait_for(self._clock, fut, request.wait, None)
             self.check_epoch(request.epoch)
         tasks = tuple(self.report(task) for task in self._changes(request.seen))
-        return LeaseReport(self.name, max(1, self._sequence), tasks)
+        return LeaseReport(self.name, self._sequence, tasks)
 
     def reserve(self, share: TaskShare, ttl: float) -> TaskReport:
         """Hold accelerators without running anything."""
@@ -186,7 +186,7 @@
         """Lose all tasks, as a worker whose process was replaced."""
         self.restarts += 1
         self._tasks.clear()
-        self._sequence = 0
+        self._sequence = 1
         self.epoch = Epoch(0)
         waiting, self._changed = self._changed, []
         for fut in waiting:
