Frame HTTP messages within bounds in server and client

Cause: a probe with real sockets showed that the reading side of circuits.web merges or misreads messages. Of two requests in one segment the second was dropped and the connection closed; a body with both Content-Length and chunked coding was served as the raw chunk text; an idempotency key a\x41 arrived as aA; a trailing backslash and a Content-Length that is no number gave 500; HEAD with Connection: close stayed open; a body of 2 MB was read whole although 1 MB is the limit; nothing timed out. In the client, reused connections were registered twice with the poller, bytes were lost when a send would block, responses had no size limit, and a connection that the server had closed was used again.

Change: MessageFramer cuts a stream into messages with bounds on head, body, chunk lines and trailers; server and client use it. circuits.web still accepts connections and writes responses. The server refuses early (413, 431, 400, 415, 408), keeps later requests in the framer, keeps a half-closed caller until its reply, bounds connections by closing the oldest idle one, and takes connections from the listen queue before it stops listening. The client checks that an idle connection is alive, gives requests that must not repeat a connection of their own, verifies responses, bounds connections for each address, and ends idle ones.

--- a/chivefall/daemon.py
+++ b/chivefall/daemon.py
@@ -46,7 +46,7 @@
             lambda reason: log_event(LogEvent.PEER_MESSAGE_DROPPED, reason=reason),
         ).register(self)
         self.application = Application(cfg, self._connections()).register(self)
-        self.server = HttpServer(Address.parse(cfg.listen), self.application.api.serve)
+        self.server = HttpServer(Address.parse(cfg.listen), self.application.api.serve, self.clock)
         self.server.register(self)
 
     def _connections(self) -> Connections:
--- a/chivefall/net/_http_client.py
+++ b/chivefall/net/_http_client.py
@@ -5,67 +5,33 @@
 import errno
 import itertools
 import socket
-from collections import defaultdict, deque
-from dataclasses import dataclass, field
+from collections import defaultdict
 from typing import TYPE_CHECKING
 
 from circuits import BaseComponent, handler
 from circuits.core.pollers import BasePoller
 from circuits.core.utils import findcmp
-from circuits.web.parsers import HttpParser
 
-from chivefall.runtime import Clock, Future, TimerHandle
+from chivefall.net._http_connection import Connection, HttpFailure, HttpResponse, encode_request
+from chivefall.net._http_framing import FramingError, Limits, Message, MessageFramer
+from chivefall.runtime import Clock, Future
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from chivefall.config import Address
 
 __all__ = ["HttpClient", "HttpFailure", "HttpResponse"]
 
 RECEIVE_SIZE = 65536
-RESPONSE_PARSER = 1
-MAX_IDLE_CONNECTIONS = 4
+MAX_RESPONSE_BYTES = 16_000_000
+MAX_IDLE_CONNECTIONS = 4  # for each address
+MAX_CONNECTIONS = 64  # for each address
+# Shorter than the idle limits of common servers, so that most connections end from this side.
+IDLE_SECONDS = 15.0
 _channel_numbers = itertools.count()
 
 
-@dataclass(frozen=True)
-class HttpResponse:
-    """A complete response."""
-
-    status: int
-    body: bytes
-    headers: dict[str, str] = field(default_factory=dict)
-
-
-@dataclass(frozen=True)
-class HttpFailure:
-    """The exchange ended without a complete response.
-
-    Attributes
-    ----------
-    sent : bool
-        Whether any byte of the request may have reached the server.
-    """
-
-    reason: str
-    sent: bool
-
-
-class _Connection:
-    """One socket and the exchange that uses it."""
-
-    __slots__ = ("address", "fut", "outgoing", "parser", "reused", "sent", "sock", "timer")
-
-    def __init__(self, address: Address, sock: socket.socket) -> None:
-        self.address = address
-        self.sock = sock
-        self.fut: Future[HttpResponse | HttpFailure] | None = None
-        self.outgoing: deque[bytes] = deque()
-        self.parser: HttpParser | None = None
-        self.timer: TimerHandle | None = None
-        self.sent = False
-        self.reused = False
-
-
 class HttpClient(BaseComponent):
     """Sends requests over pooled connections, one exchange a connection at a time.
 
@@ -76,8 +42,9 @@
     def __init__(self, clock: Clock) -> None:
         super().__init__(channel=f"http-client-{next(_channel_numbers)}")
         self._clock = clock
-        self._active: dict[socket.socket, _Connection] = {}
-        self._idle: dict[Address, list[_Connection]] = defaultdict(list)
+        self._active: dict[socket.socket, Connection] = {}
+        self._idle: dict[Address, list[Connection]] = {}
+        self._open: dict[Address, int] = defaultdict(int)
         self.bytes_sent = 0
         self.bytes_received = 0
 
@@ -85,6 +52,10 @@
     def _poller(self) -> BasePoller:
         return findcmp(self.root, BasePoller)
 
+    def open_connections(self, address: Address) -> int:
+        """Return the number of connections to a server, idle ones included."""
+        return self._open.get(address, 0)
+
     def request(
         self,
         address: Address,
@@ -93,6 +64,10 @@
         body: bytes = b"",
         headers: dict[str, str] | None = None,
         timeout: float = 2.0,
+        *,
+        repeatable: bool = True,
+        verify: Callable[[HttpResponse], bool] | None = None,
+        max_body: int = MAX_RESPONSE_BYTES,
     ) -> Future[HttpResponse | HttpFailure]:
         """Send a request and return a future of its response.
 
@@ -100,22 +75,30 @@
         ----------
         timeout : float
             Seconds until the exchange is given up and its connection closed.
+        repeatable : bool
+            Whether a failed exchange may be repeated. Others get a connection of
+            their own, because a server may close an idle connection at the moment
+            when a request is sent on it, which leaves open whether it ran.
+        verify : callable, optional
+            Says whether a response belongs to the request; one that does not is
+            discarded with its connection.
+        max_body : int
+            Largest body of the response in bytes.
         """
         fut: Future[HttpResponse | HttpFailure] = Future()
         try:
-            conn = self._take_idle(address) or self._connect(address)
+            conn = self._take_idle(address, repeatable) or self._connect(address)
         except OSError as exc:
             fut.set_result(HttpFailure(f"cannot connect to {address}: {exc}", sent=False))
             return fut
-        conn.fut = fut
-        conn.sent = False
-        conn.parser = HttpParser(RESPONSE_PARSER)
-        conn.outgoing.append(_encode_request(address, method, path, body, headers or {}))
+        conn.fut, conn.verify, conn.sent = fut, verify, False
+        conn.framer = MessageFramer(Limits(body=max_body), responses=True)
+        data = encode_request(address, method, path, body, headers or {})
+        conn.outgoing.append(memoryview(data))
         conn.timer = self._clock.call_later(
-            timeout, lambda: self._fail(conn, f"no response from {address} in {timeout} s")
+            timeout, lambda: self._fail(conn, f"no response from {address} in {timeout:.3g} s")
         )
         self._active[conn.sock] = conn
-        self._poller.addReader(self, conn.sock)
         self._poller.addWriter(self, conn.sock)
         return fut
 
@@ -123,20 +106,25 @@
         """Close every connection; open exchanges fail."""
         for conn in list(self._active.values()):
             self._fail(conn, "the client is closing")
-        for conns in self._idle.values():
-            for conn in conns:
-                self._discard(conn)
-        self._idle.clear()
-
-    def _take_idle(self, address: Address) -> _Connection | None:
-        conns = self._idle.get(address)
-        if not conns:
-            return None
-        conn = conns.pop()
-        conn.reused = True
-        return conn
-
-    def _connect(self, address: Address) -> _Connection:
+        for conns in list(self._idle.values()):
+            for conn in list(conns):
+                self._drop_idle(conn)
+
+    def _take_idle(self, address: Address, reuse: bool) -> Connection | None:
+        """Return a live idle connection; without ``reuse`` an idle one makes room for a new one."""
+        while conns := self._idle.get(address):
+            conn = conns[-1]
+            if reuse and conn.is_alive():
+                self._remove_idle(conn)
+                return conn
+            self._drop_idle(conn)
+            if not reuse:
+                break
+        return None
+
+    def _connect(self, address: Address) -> Connection:
+        if self.open_connections(address) >= MAX_CONNECTIONS:
+            raise OSError(errno.EAGAIN, f"{MAX_CONNECTIONS} connections are open")
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -144,7 +132,9 @@
         if code not in (0, errno.EINPROGRESS):
             sock.close()
             raise OSError(code, errno.errorcode.get(code, "unknown error"))
-        return _Connection(address, sock)
+        self._open[address] += 1
+        self._poller.addReader(self, sock)
+        return Connection(address, sock)
 
     @handler("_write", priority=1)
     def _on_write(self, sock: socket.socket) -> None:
@@ -162,22 +152,23 @@
         except OSError as exc:
             self._fail(conn, f"cannot send to {conn.address}: {exc}")
 
-    def _send_some(self, conn: _Connection) -> None:
+    def _send_some(self, conn: Connection) -> None:
         while conn.outgoing:
-            data = conn.outgoing.popleft()
+            # Bytes may have left even if the call fails.
             conn.sent = True
-            count = conn.sock.send(data)
+            count = conn.sock.send(conn.outgoing[0])
             self.bytes_sent += count
-            if count < len(data):
-                conn.outgoing.appendleft(data[count:])
+            conn.outgoing[0] = conn.outgoing[0][count:]
+            if conn.outgoing[0]:
                 return
+            conn.outgoing.popleft()
         self._poller.removeWriter(conn.sock)
 
     @handler("_read", priority=1)
     def _on_read(self, sock: socket.socket) -> None:
         conn = self._active.get(sock)
         if conn is None:
-            self._drop_idle(sock)
+            self._close_idle(sock)
             return
         try:
             data = sock.recv(RECEIVE_SIZE)
@@ -186,79 +177,82 @@
         except OSError as exc:
             self._fail(conn, f"cannot receive from {conn.address}: {exc}")
             return
-        if not data:
-            self._fail(conn, f"{conn.address} closed the connection")
-            return
         self.bytes_received += len(data)
-        conn.parser.execute(data, len(data))
-        if conn.parser.errno is not None:
-            self._fail(conn, f"{conn.address} sent a malformed response")
-        elif _is_complete(conn.parser):
-            self._complete(conn)
+        try:
+            message = self._frame(conn, data)
+        except FramingError as exc:
+            self._fail(conn, f"the response of {conn.address} is not acceptable: {exc}")
+            return
+        if message is not None:
+            self._complete(conn, message)
+        elif not data:
+            self._fail(conn, f"{conn.address} closed the connection")
+
+    @staticmethod
+    def _frame(conn: Connection, data: bytes) -> Message | None:
+        if not data:
+            return conn.framer.end()
+        conn.framer.feed(data)
+        return conn.framer.take()
 
     @handler("_disconnect", "_error", priority=1)
     def _on_disconnect(self, sock: socket.socket, *_: object) -> None:
         conn = self._active.get(sock)
         if conn is None:
-            self._drop_idle(sock)
+            self._close_idle(sock)
             return
         code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         name = errno.errorcode.get(code, "connection closed")
         self._fail(conn, f"connection to {conn.address} failed: {name}")
 
-    def _complete(self, conn: _Connection) -> None:
-        parser = conn.parser
-        headers = {key.lower(): value for key, value in parser.get_headers().items()}
-        response = HttpResponse(parser.get_status_code(), parser.recv_body(), headers)
+    def _complete(self, conn: Connection, message: Message) -> None:
+        status = int(message.start_line.split(" ")[1])
+        response = HttpResponse(status, message.body, message.headers)
+        if conn.verify is not None and not conn.verify(response):
+            self._fail(conn, f"{conn.address} sent the response of another request")
+            return
+        reusable = message.keep_alive and not conn.outgoing and not conn.framer.buffered
         fut = self._finish(conn)
-        idle = self._idle[conn.address]
-        if parser.should_keep_alive() and len(idle) < MAX_IDLE_CONNECTIONS:
+        idle = self._idle.setdefault(conn.address, [])
+        if reusable and len(idle) < MAX_IDLE_CONNECTIONS:
             idle.append(conn)
+            conn.timer = self._clock.call_later(IDLE_SECONDS, lambda: self._drop_idle(conn))
         else:
             self._discard(conn)
         fut.set_result(response)
 
-    def _fail(self, conn: _Connection, reason: str) -> None:
+    def _fail(self, conn: Connection, reason: str) -> None:
         if conn.sock not in self._active:
             return
         fut = self._finish(conn)
         self._discard(conn)
         fut.set_result(HttpFailure(reason, conn.sent))
 
-    def _finish(self, conn: _Connection) -> Future[HttpResponse | HttpFailure]:
+    def _finish(self, conn: Connection) -> Future[HttpResponse | HttpFailure]:
         del self._active[conn.sock]
         conn.timer.cancel()
-        fut, conn.fut = conn.fut, None
+        fut, conn.fut, conn.verify, conn.framer = conn.fut, None, None, None
         return fut
 
-    def _discard(self, conn: _Connection) -> None:
+    def _discard(self, conn: Connection) -> None:
         self._poller.discard(conn.sock)
         conn.sock.close()
+        self._open[conn.address] -= 1
+        if not self._open[conn.address]:
+            del self._open[conn.address]
+            self._idle.pop(conn.address, None)
 
-    def _drop_idle(self, sock: socket.socket) -> None:
-        for conns in self._idle.values():
-            for conn in conns:
-                if conn.sock is sock:
-                    conns.remove(conn)
-                    self._discard(conn)
-                    return
-
-
-def _encode_request(
-    address: Address, method: str, path: str, body: bytes, headers: dict[str, str]
-) -> bytes:
-    lines = [
-        f"{method} {path} HTTP/1.1",
-        f"Host: {address}",
-        f"Content-Length: {len(body)}",
-    ]
-    lines.extend(f"{key}: {value}" for key, value in headers.items())
-    return "\r\n".join([*lines, "", ""]).encode() + body
+    def _remove_idle(self, conn: Connection) -> None:
+        self._idle[conn.address].remove(conn)
+        conn.timer.cancel()
 
+    def _drop_idle(self, conn: Connection) -> None:
+        if conn in self._idle.get(conn.address, ()):
+            self._remove_idle(conn)
+            self._discard(conn)
 
-def _is_complete(parser: HttpParser) -> bool:
-    if not parser.is_headers_complete():
-        return False
-    if parser.get_headers().get("Content-Length") == "0":
-        return True
-    return parser.is_message_complete()
+    def _close_idle(self, sock: socket.socket) -> None:
+        for conns in list(self._idle.values()):
+            for conn in list(conns):
+                if conn.sock is sock:
+                    self._drop_idle(conn)
--- /dev/null
+++ b/chivefall/net/_http_connection.py
@@ -0,0 +1,83 @@
+"""One connection of the HTTP client and the results of its exchanges."""
+
+from __future__ import annotations
+
+import re
+import socket
+from collections import deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from chivefall.config import Address
+    from chivefall.net._http_framing import MessageFramer
+    from chivefall.runtime import Future, TimerHandle
+
+__all__ = ["Connection", "HttpFailure", "HttpResponse", "encode_request"]
+
+_LINE_BREAKS = re.compile(r"[\r\n]+")
+
+
+@dataclass(frozen=True)
+class HttpResponse:
+    """A complete response."""
+
+    status: int
+    body: bytes
+    headers: dict[str, str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class HttpFailure:
+    """The exchange ended without a complete response.
+
+    Attributes
+    ----------
+    sent : bool
+        Whether any byte of the request may have reached the server.
+    """
+
+    reason: str
+    sent: bool
+
+
+class Connection:
+    """One socket and the exchange that uses it."""
+
+    __slots__ = ("address", "framer", "fut", "outgoing", "sent", "sock", "timer", "verify")
+
+    def __init__(self, address: Address, sock: socket.socket) -> None:
+        self.address = address
+        self.sock = sock
+        self.fut: Future[HttpResponse | HttpFailure] | None = None
+        self.outgoing: deque[memoryview] = deque()
+        self.framer: MessageFramer | None = None
+        self.timer: TimerHandle | None = None
+        self.verify: Callable[[HttpResponse], bool] | None = None
+        self.sent = False
+
+    def is_alive(self) -> bool:
+        """Return whether an idle connection is open and the server sent nothing on it."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+
+def encode_request(
+    address: Address, method: str, path: str, body: bytes, headers: dict[str, str]
+) -> bytes:
+    """Return a request as bytes."""
+    lines = [
+        f"{method} {path} HTTP/1.1",
+        f"Host: {address}",
+        f"Content-Length: {len(body)}",
+    ]
+    # Values may come from a caller; a line break in one would begin another header.
+    lines.extend(f"{key}: {_LINE_BREAKS.sub(' ', value)}" for key, value in headers.items())
+    return "\r\n".join([*lines, "", ""]).encode() + body
--- a/chivefall/net/_http_server.py
+++ b/chivefall/net/_http_server.py
@@ -2,33 +2,39 @@
 
 from __future__ import annotations
 
+import socket
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
+import msgspec
 from circuits import BaseComponent, handler
-from circuits.net.events import close, read
+from circuits.net.events import close, write
 from circuits.web.events import response
+from circuits.web.headers import Headers
 from circuits.web.servers import BaseServer
+from circuits.web.wrappers import Request, Response
+
+from chivefall.net._http_caller import CallerConnection
+from chivefall.net._http_framing import FramingError, Message, parse_request_line
 
 if TYPE_CHECKING:
-    import socket
     from collections.abc import Callable
 
-    from circuits.web.wrappers import Request, Response
-
     from chivefall.config import Address
-    from chivefall.runtime import Future
+    from chivefall.runtime import Clock, Future
 
 __all__ = ["HttpReply", "HttpRequest", "HttpServer"]
 
-MAX_BODY_BYTES = 1_000_000
-MAX_HELD_BYTES = 65_536
+MAX_HELD_BYTES = 65_536  # bytes of later requests that are read while one is in progress
+MAX_CONNECTIONS = 512  # half of the usual limit of open files
+SWEEP_INTERVAL = 1.0  # seconds
 INTERNAL_ERROR = b'{"error": "internal error; see the instance log"}'
 
 
 @dataclass(frozen=True)
 class HttpRequest:
-    """A complete request of a caller."""
+    """A complete request of a caller; header names are in lower case."""
 
     method: str
     path: str
@@ -66,79 +72,169 @@
 class HttpServer(BaseComponent):
     """Hands complete requests to ``serve`` and writes its replies.
 
-    Each connection has one request in progress. circuits.web would merge bytes
-    that arrive meanwhile into that request, so they are held back until its
-    reply is written.
+    circuits.web accepts connections and writes responses. Its own reading is
+    not used: it merges pipelined requests, fails on chunks that are split over
+    segments, decodes backslashes in headers, unpacks compressed bodies without
+    a limit and never times out. Each connection has one request in progress;
+    later ones stay in its framer.
     """
 
     channel = "web"
 
-    def __init__(self, address: Address, serve: Callable[[HttpRequest], Future[HttpReply]]) -> None:
+    def __init__(
+        self,
+        address: Address,
+        serve: Callable[[HttpRequest], Future[HttpReply]],
+        clock: Clock,
+        max_connections: int = MAX_CONNECTIONS,
+    ) -> None:
         super().__init__()
+        self._address = address
         self._serve = serve
-        self._pending: dict[socket.socket, bytes] = {}
+        self._clock = clock
+        self._max_connections = max_connections
+        self._conns: dict[socket.socket, CallerConnection] = {}
+        self._serving = 0
+        self._sweeping = False
+        self._draining = False
         self._server = _QuietServer(
-            (address.host, address.port), channel=self.channel, display_banner=False
+            (address.host, address.port),
+            channel=self.channel,
+            display_banner=False,
+            bufsize=MAX_HELD_BYTES,
         ).register(self)
 
     @property
     def requests_in_progress(self) -> int:
-        """Return the number of requests without a reply."""
-        return len(self._pending)
+        """Return the number of requests without a written reply."""
+        return self._serving
+
+    @property
+    def is_quiet(self) -> bool:
+        """Return whether no request is in progress or arriving and all output is sent."""
+        return not self._serving and not any(
+            not conn.is_idle or self._has_output(conn.sock) for conn in self._conns.values()
+        )
 
     def stop_listening(self) -> None:
-        """Accept no more connections; open ones stay."""
+        """Accept no more connections; open ones stay and close after their next reply."""
+        self._draining = True
         tcp = self._server.server
-        if tcp._sock is not None:
-            tcp._close(tcp._sock)
+        if tcp._sock is None:
+            return
+        # Connections that the kernel accepted would be reset together with the listening socket.
+        while True:
+            try:
+                sock, _ = tcp._sock.accept()
+            except OSError:
+                break
+            tcp._on_accept_done(sock)
+        tcp._close(tcp._sock)
+
+    @handler("connect")
+    def _on_connect(self, sock: socket.socket, *_: object) -> None:
+        self._conns[sock] = CallerConnection(sock, self._clock.now())
+        if len(self._conns) > self._max_connections:
+            idle = [conn for conn in self._conns.values() if conn.is_idle]
+            # Idle connections may be closed at any time; the new one is idle, too.
+            victim = min(idle, key=lambda conn: conn.active_at, default=self._conns[sock])
+            self._close(victim)
+        self._start_sweeping()
 
-    @handler("read", priority=10)
-    def _hold_early_bytes(self, event, sock: socket.socket, data: bytes) -> None:
-        if sock not in self._pending:
+    @handler("disconnect")
+    def _on_disconnect(self, sock: socket.socket, *_: object) -> None:
+        self._conns.pop(sock, None)
+        # circuits recreates the buffer if the socket was writable when it was closed.
+        self._server.server._buffers.pop(sock, None)
+
+    @handler("_read", priority=10)
+    def _keep_half_closed(self, event, sock: socket.socket) -> None:
+        """Keep a connection whose caller only ended its sending side until the reply."""
+        conn = self._conns.get(sock)
+        if conn is None or not conn.busy:
+            return
+        try:
+            ended = not sock.recv(1, socket.MSG_PEEK)
+        except OSError:
             return
+        if ended:
+            event.stop()
+            conn.half_closed = True
+            self._server.server._poller.removeReader(sock)
+
+    @handler("read", priority=10)
+    def _on_read(self, event, sock: socket.socket, data: bytes) -> None:
         event.stop()
-        held = self._pending[sock] + data
-        if len(held) > MAX_HELD_BYTES:
-            self.fire(close(sock))
-        else:
-            self._pending[sock] = held
+        conn = self._conns.get(sock)
+        if conn is None or conn.refused:
+            return
+        conn.active_at = self._clock.now()
+        conn.framer.feed(data)
+        if not conn.busy:
+            self._advance(conn)
+        elif conn.framer.buffered > MAX_HELD_BYTES:
+            conn.paused = True
+            self._server.server._poller.removeReader(sock)
 
     @handler("write", priority=10)
     def _skip_closed(self, event, sock: socket.socket, data: bytes) -> None:
         """Drop output to a connection that the caller closed meanwhile."""
+        del data
         if sock.fileno() < 0:
             event.stop()
 
-    @handler("disconnect")
-    def _on_disconnect(self, sock: socket.socket, *_: object) -> None:
-        self._pending.pop(sock, None)
-
-    @handler("request")
-    def _on_request(self, req: Request, res: Response, *_: object) -> bool:
-        self._pending[req.sock] = b""
-        fut = self._serve(self._convert(req, res))
-        fut.add_done_callback(lambda done: self._reply(req, res, done))
-        return True
-
-    def _convert(self, req: Request, res: Response) -> HttpRequest:
-        body = req.body.read()
-        length = int(req.headers.get("Content-Length", "0") or 0)
-        if len(body) > length and req.headers.get("Transfer-Encoding") != "chunked":
-            # Bytes of a pipelined request; closing tells the caller to repeat it.
-            body = body[:length]
-            res.close = True
-        headers = {key.lower(): value for key, value in req.headers.items()}
-        return HttpRequest(req.method, req.path, req.qs, headers, body)
-
-    def _reply(self, req: Request, res: Response, fut: Future[HttpReply]) -> None:
-        if req.sock not in self._pending:
+    def _advance(self, conn: CallerConnection) -> None:
+        """Serve the next request of a connection if it is complete."""
+        try:
+            message = conn.framer.take()
+            if message is None:
+                conn.note_incomplete(self._clock.now())
+                if conn.framer.expects_continue:
+                    self.fire(write(conn.sock, b"HTTP/1.1 100 Continue\r\n\r\n"))
+                return
+            method, path, query = parse_request_line(message)
+        except FramingError as exc:
+            self._refuse(conn, exc.status, str(exc))
+            return
+        conn.note_request()
+        self._serving += 1
+        req = HttpRequest(method, path, query, message.headers, message.body)
+        fut = self._serve(req)
+        fut.add_done_callback(lambda done: self._reply(conn, method, message, done))
+
+    def _reply(
+        self, conn: CallerConnection, method: str, message: Message, fut: Future[HttpReply]
+    ) -> None:
+        self._serving -= 1
+        if conn.sock not in self._conns:
             return
         try:
             reply = fut.result()
         except Exception:  # noqa: BLE001 - the application logs it
-            reply = HttpReply(500, INTERNAL_ERROR)
-        res.status = reply.status
+            reply = HttpReply(HTTPStatus.INTERNAL_SERVER_ERROR, INTERNAL_ERROR)
+        ends = not message.keep_alive or self._draining or conn.half_closed
+        ends = ends or reply.headers.get("Connection") == "close"
+        self._write(conn, method, message.start_line.endswith("1.0"), reply, ends)
+
+    def _write(
+        self, conn: CallerConnection, method: str, old: bool, reply: HttpReply, ends: bool
+    ) -> None:
+        try:
+            req = Request(
+                conn.sock,
+                method,
+                protocol=(1, 0) if old else (1, 1),
+                # The caller's headers are not needed any more and may not be parsable.
+                headers=Headers([("Host", str(self._address))]),
+                server=self._server,
+            )
+        except OSError:  # the caller is gone
+            self.fire(close(conn.sock))
+            return
+        res = Response(req)
+        res.status = int(reply.status)
         res.body = reply.body
+        res.close = ends
         res.headers["Content-Type"] = reply.content_type
         for key, value in reply.headers.items():
             res.headers[key] = value
@@ -146,7 +242,55 @@
 
     @handler("response_success", "response_failure")
     def _on_response_written(self, written: response, *_: object) -> None:
-        sock = written.args[0].request.sock
-        held = self._pending.pop(sock, b"")
-        if held:
-            self.fire(read(sock, held))
+        res = written.args[0]
+        conn = self._conns.get(res.request.sock)
+        if conn is None:
+            return
+        if res.close and res.request.method == "HEAD":
+            # circuits.web returns early for HEAD and would leave the connection open.
+            self.fire(close(conn.sock))
+        conn.note_reply(self._clock.now())
+        if res.close or conn.refused:
+            return
+        if conn.paused:
+            conn.paused = False
+            self._server.server._poller.addReader(self._server.server, conn.sock)
+        self._advance(conn)
+
+    def _refuse(self, conn: CallerConnection, status: HTTPStatus, detail: str) -> None:
+        """Answer a message that cannot be served and end the connection a little later.
+
+        Closing at once would reset the connection while the caller still sends,
+        and the answer would be lost.
+        """
+        conn.refuse(self._clock.now())
+        body = msgspec.json.encode({"error": detail})
+        reply = HttpReply(status, body, {"Connection": "close"})
+        self._write(conn, "POST", old=False, reply=reply, ends=False)
+
+    def _close(self, conn: CallerConnection) -> None:
+        self._conns.pop(conn.sock, None)
+        tcp = self._server.server
+        if conn.sock in tcp._closeq:
+            tcp._closeq.remove(conn.sock)
+        tcp._close(conn.sock)
+
+    def _has_output(self, sock: socket.socket) -> bool:
+        return bool(self._server.server._buffers.get(sock))
+
+    def _start_sweeping(self) -> None:
+        if not self._sweeping and self._conns:
+            self._sweeping = True
+            self._clock.call_later(SWEEP_INTERVAL, self._sweep)
+
+    def _sweep(self) -> None:
+        """Close connections that wait too long for bytes from or to their caller."""
+        self._sweeping = False
+        now = self._clock.now()
+        for conn in list(self._conns.values()):
+            conn.note_output(self._has_output(conn.sock), now)
+            if conn.is_slow(now) and not conn.refused:
+                self._refuse(conn, HTTPStatus.REQUEST_TIMEOUT, "the request did not arrive in time")
+            elif conn.is_expired(now):
+                self._close(conn)
+        self._start_sweeping()
--- a/standins/_service.py
+++ b/standins/_service.py
@@ -34,7 +34,7 @@
         clock = LoopClock()
         clock.source.register(self)
         self.clock: Clock = clock
-        self.server = HttpServer(address, self._serve).register(self)
+        self.server = HttpServer(address, self._serve, self.clock).register(self)
 
     def _serve(self, req: HttpRequest) -> Future[HttpReply]:
         return spawn(self.handle(req), on_error=lambda exc: print(repr(exc), flush=True))
--- /dev/null
+++ b/tests/net/test_http_client.py
@@ -0,0 +1,189 @@
+"""The HTTP client against scripted servers on real sockets."""
+
+from __future__ import annotations
+
+import resource
+import socket
+import unittest
+from typing import TYPE_CHECKING, Any
+
+from chivefall.config import Address
+from chivefall.net import HttpClient, HttpFailure, HttpResponse
+from tests.net.loop import Loop, RawCaller
+
+if TYPE_CHECKING:
+    from chivefall.runtime import Future
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+HEAD_END = b"\r\n\r\n"
+
+
+class ClientTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.loop = Loop()
+        self.client = HttpClient(self.loop.clock).register(self.loop)
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.setblocking(False)
+        self.addCleanup(self.listener.close)
+        self.addCleanup(self.client.close_all)
+        self.address = Address(*self.listener.getsockname())
+        self.loop.settle()
+
+    def send(self, **options: Any) -> Future[HttpResponse | HttpFailure]:
+        """Send a request."""
+        return self.client.request(self.address, "POST", "/x", b"body", **options)
+
+    def accept(self) -> RawCaller:
+        """Return the server's side of a connection after a whole request arrived."""
+        found: list[socket.socket] = []
+
+        def check() -> bool:
+            try:
+                found.append(self.listener.accept()[0])
+            except BlockingIOError:
+                return False
+            return True
+
+        self.loop.run_until(check)
+        peer = RawCaller(self.loop, found[0])
+        self.addCleanup(peer.sock.close)
+        peer.wait_for(lambda data: data.endswith(b"body"))
+        return peer
+
+    def answer(self, fut: Future[Any], peer: RawCaller, data: bytes = OK) -> Any:
+        """Send a response and return the exchange's result."""
+        peer.send(data)
+        self.loop.run_until(fut.done)
+        return fut.result()
+
+    def test_reuses_only_live_connections(self) -> None:
+        """Guards against sending on a connection that the server has closed."""
+        first = self.send()
+        peer = self.accept()
+        self.answer(first, peer)
+        again = self.send()
+        peer.wait_for(lambda data: data.count(b"body") == 2)
+        self.answer(again, peer)
+        peer.sock.close()
+        # The close has arrived but the loop has not seen it yet.
+        fut = self.send()
+        self.assertEqual(self.answer(fut, self.accept()).status, 200)
+        self.assertEqual(self.client.open_connections(self.address), 1)
+
+    def test_request_that_must_not_repeat_gets_its_own_connection(self) -> None:
+        """Guards against the ambiguous failure of a reused connection (G6)."""
+        first = self.send()
+        old = self.accept()
+        self.answer(first, old)
+        fut = self.send(repeatable=False)
+        fresh = self.accept()
+        self.answer(fut, fresh)
+        self.assertEqual(old.wait_closed().count(b"body"), 1)
+        self.assertEqual(self.client.open_connections(self.address), 1)
+
+    def test_nothing_is_reused_after_a_timeout(self) -> None:
+        """Guards against a late response that answers the next request (G4)."""
+        first = self.send(timeout=1)
+        peer = self.accept()
+        self.loop.advance(1)
+        self.assertEqual((first.result().sent, self.client._open), (True, {}))
+        second = self.send()
+        peer.send(OK.replace(b"ok", b"no"))
+        self.assertEqual(self.answer(second, self.accept()).body, b"ok")
+
+    def test_response_of_another_request_is_discarded(self) -> None:
+        """Guards against a crossed answer and the reuse of its connection (G4)."""
+        fut = self.send(verify=lambda response: response.headers.get("id") == "7")
+        result = self.answer(fut, self.accept(), OK.replace(b"\r\nC", b"\r\nId: 6\r\nC"))
+        self.assertEqual((type(result), result.sent), (HttpFailure, True))
+        self.assertEqual(self.client.open_connections(self.address), 0)
+
+    def test_surplus_bytes_end_the_connection(self) -> None:
+        """Guards against bytes after a response that answer the next request (G4)."""
+        self.answer(self.send(), self.accept(), OK + OK)
+        self.assertEqual(self.client.open_connections(self.address), 0)
+
+    def test_shapes_of_responses(self) -> None:
+        """Guards against responses that are cut, refused or never complete."""
+        large = b"x" * 3_000_000
+        cases = {
+            "hyphen in the reason": (b"HTTP/1.1 203 Non-Authoritative\r\nContent-Length: 0", b""),
+            "no content": (b"HTTP/1.1 204 No Content", b""),
+            "large": (b"HTTP/1.1 200 OK\r\nContent-Length: 3000000", large),
+            "chunks": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked", b"1\r\na\r\n0\r\n\r\n"),
+        }
+        for name, (head, body) in cases.items():
+            with self.subTest(name):
+                fut = self.send(repeatable=False)
+                result = self.answer(fut, self.accept(), head + HEAD_END + body)
+                self.assertEqual(result.body, b"a" if name == "chunks" else body)
+        fut = self.send(repeatable=False)
+        peer = self.accept()
+        peer.send(b"HTTP/1.1 200 OK\r\n\r\nuntil the end")
+        self.loop.settle()
+        self.assertFalse(fut.done())
+        peer.sock.close()
+        self.loop.run_until(fut.done)
+        self.assertEqual(fut.result().body, b"until the end")
+
+    def test_too_large_or_cut_responses_fail_as_sent(self) -> None:
+        """Guards against unbounded memory and against half an answer."""
+        for data in (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\n\r\n12345678901",
+            b"nonsense\r\n\r\n",
+        ):
+            with self.subTest(data):
+                result = self.answer(self.send(max_body=10), self.accept(), data)
+                self.assertEqual((type(result), result.sent), (HttpFailure, True))
+        fut = self.send()
+        peer = self.accept()
+        peer.send(OK[:-1])
+        peer.sock.close()
+        self.loop.run_until(fut.done)
+        self.assertTrue(fut.result().sent)
+
+    def test_refused_connection_is_not_sent(self) -> None:
+        """Guards against calling a request sent that never left (G5)."""
+        self.listener.close()
+        fut = self.send()
+        self.loop.run_until(fut.done)
+        self.assertFalse(fut.result().sent)
+
+    def test_connect_timeout_does_not_spin(self) -> None:
+        """Guards against a busy loop while a connection cannot be made."""
+        fillers = []
+        with socket.create_server(("127.0.0.1", 0), backlog=0) as full:
+            # The kernel drops further connection requests once the backlog is full.
+            for _ in range(4):
+                filler = socket.socket()
+                self.addCleanup(filler.close)
+                filler.setblocking(False)
+                filler.connect_ex(full.getsockname())
+                fillers.append(filler)
+            fut = self.client.request(Address(*full.getsockname()), "GET", "/", timeout=5)
+            before = resource.getrusage(resource.RUSAGE_SELF)
+            for _ in range(10):
+                self.loop.tick(0.05)
+            after = resource.getrusage(resource.RUSAGE_SELF)
+            self.loop.advance(5)
+        used = after.ru_utime + after.ru_stime - before.ru_utime - before.ru_stime
+        self.assertLess(used, 0.1)
+        self.assertFalse(fut.result().sent)
+
+    def test_connections_are_bounded(self) -> None:
+        """Guards against more connections to a server than it accepts."""
+        futs = [self.send(timeout=60) for _ in range(65)]
+        self.assertEqual(self.client.open_connections(self.address), 64)
+        self.assertFalse(futs[64].result().sent)
+
+    def test_idle_connections_end(self) -> None:
+        """Guards against idle connections that are kept for ever."""
+        self.answer(self.send(), self.accept())
+        self.loop.advance(15)
+        self.assertEqual((self.client._open, self.client._idle), ({}, {}))
+
+    def test_a_header_value_cannot_begin_another_header(self) -> None:
+        """Guards against a caller's account name that smuggles headers to an endpoint."""
+        self.send(headers={"A": "b\r\nC: d"})
+        self.assertIn(b"A: b C: d\r\n", bytes(self.accept().received))
--- /dev/null
+++ b/tests/net/test_http_server.py
@@ -0,0 +1,217 @@
+"""The HTTP front end on real sockets: each caller gets the answer to its own request."""
+
+from __future__ import annotations
+
+import socket
+import unittest
+
+from chivefall.config import Address
+from chivefall.net import HttpReply, HttpRequest, HttpServer
+from chivefall.runtime import Future
+from tests.net.loop import Loop, RawCaller
+
+HOST = "127.0.0.1"
+
+
+def get(path: str, *headers: str, method: str = "GET") -> bytes:
+    """Return a request without a body."""
+    return "\r\n".join([f"{method} {path} HTTP/1.1", "Host: x", *headers, "", ""]).encode()
+
+
+class ServerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.loop = Loop()
+        self.open: list[tuple[HttpRequest, Future[HttpReply]]] = []
+        self.server = self.start()
+
+    def start(self) -> HttpServer:
+        """Start a server whose requests the test answers."""
+        with socket.socket() as sock:
+            sock.bind((HOST, 0))
+            self.address = Address(*sock.getsockname())
+        server = HttpServer(self.address, self.serve, self.loop.clock)
+        server.register(self.loop)
+        self.addCleanup(server._server.server.close)
+        self.loop.settle()
+        return server
+
+    def serve(self, req: HttpRequest) -> Future[HttpReply]:
+        """Keep a request until the test answers it; ``/now`` is answered at once."""
+        fut: Future[HttpReply] = Future()
+        if req.path == "/now":
+            fut.set_result(HttpReply(200, req.body or b"now"))
+        else:
+            self.open.append((req, fut))
+        return fut
+
+    def caller(self, data: bytes = b"") -> RawCaller:
+        """Return a caller that sent some bytes."""
+        caller = RawCaller.connect(self.loop, self.address)
+        self.addCleanup(caller.sock.close)
+        caller.send(data)
+        return caller
+
+    def wait_open(self, count: int) -> None:
+        """Wait until the server handed over some requests."""
+        self.loop.run_until(lambda: len(self.open) >= count)
+
+    def test_pipelined_requests_get_their_own_answers_in_order(self) -> None:
+        """Guards against merged requests and crossed answers (G4)."""
+        body = b"POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc"
+        caller = self.caller(get("/a") + body + get("/c"))
+        for index, (path, sent) in enumerate((("/a", b""), ("/b", b"abc"), ("/c", b""))):
+            self.wait_open(index + 1)
+            req, fut = self.open[index]
+            self.assertEqual((req.path, req.body, len(self.open)), (path, sent, index + 1))
+            fut.set_result(HttpReply(200, f"answer {path}".encode()))
+        received = caller.wait_for(lambda data: b"answer /c" in data)
+        places = [received.index(f"answer {path}".encode()) for path in ("/a", "/b", "/c")]
+        self.assertEqual(places, sorted(places))
+
+    def test_late_answer_never_reaches_a_new_caller_on_the_same_descriptor(self) -> None:
+        """Guards against an answer for a caller that left and whose descriptor is used again."""
+        first = self.caller(get("/first"))
+        self.wait_open(1)
+        (descriptor,) = [sock.fileno() for sock in self.server._conns]
+        first.sock.close()
+        conn = next(iter(self.server._conns.values()))
+        self.loop.run_until(lambda: conn.half_closed)
+        self.server._close(conn)
+        second = self.caller(get("/second"))
+        self.wait_open(2)
+        self.assertEqual([sock.fileno() for sock in self.server._conns], [descriptor])
+        self.open[0][1].set_result(HttpReply(200, b"for the first"))
+        self.loop.settle()
+        second.poll()
+        self.assertEqual(second.received, b"")
+        self.open[1][1].set_result(HttpReply(200, b"for the second"))
+        self.assertIn(b"for the second", second.wait_for(lambda data: b"second" in data))
+
+    def test_caller_that_only_ends_its_sending_side_gets_its_answer(self) -> None:
+        """Guards against cutting a caller that half-closes, and against spinning on its end."""
+        caller = self.caller(get("/a"))
+        self.wait_open(1)
+        caller.sock.shutdown(socket.SHUT_WR)
+        conn = next(iter(self.server._conns.values()))
+        self.loop.run_until(lambda: conn.half_closed)
+        self.open[0][1].set_result(HttpReply(200, b"whole answer"))
+        self.assertTrue(caller.wait_closed().endswith(b"whole answer"))
+
+    def test_large_bodies_are_refused_before_they_arrive(self) -> None:
+        """Guards against reading a body that is refused in any case."""
+        for head in (b"Content-Length: 1000001", b"Transfer-Encoding: chunked"):
+            with self.subTest(head):
+                caller = self.caller(b"POST /a HTTP/1.1\r\nHost: x\r\n" + head + b"\r\n\r\n")
+                caller.send(b"f4241\r\n")
+                self.assertTrue(
+                    caller.wait_for(lambda data: b"send less" in data).startswith(
+                        b"HTTP/1.1 413 Request Entity Too Large"
+                    )
+                )
+                caller.send(b"x" * 3_000_000)
+                held = sum(conn.framer.buffered for conn in self.server._conns.values())
+                self.assertEqual(held, 0)
+                self.loop.advance(2)
+                caller.wait_closed()
+        self.assertEqual(self.open, [])
+
+    def test_whole_body_up_to_the_limit(self) -> None:
+        """Guards against refusing what is allowed, plain or in split chunks, with 100-continue."""
+        body = b"x" * 1_000_000
+        head = b"POST /now HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 1000000"
+        caller = self.caller(head + b"\r\n\r\n")
+        caller.wait_for(lambda data: data == b"HTTP/1.1 100 Continue\r\n\r\n")
+        caller.send(body)
+        self.assertTrue(caller.wait_for(lambda data: len(data) > len(body)).endswith(b"x"))
+        chunked = self.caller(get("/now", "Transfer-Encoding: chunked", method="POST"))
+        for part in (b"3", b"\r\nab", b"c\r", b"\n2\r\nde\r\n0\r\n", b"\r\n"):
+            chunked.send(part)
+            self.loop.settle()
+        chunked.wait_for(lambda data: data.endswith(b"abcde"))
+
+    def test_malformed_heads_get_400_and_their_connection_ends(self) -> None:
+        """Guards against bytes that are misread as another request."""
+        for data in (
+            b"nonsense\r\n\r\n",
+            b"GET / HTTP/1.1\r\n\r\n",
+            b"GET / HTTP/1.1\r\nHost: x\r\nbroken\r\n\r\n",
+            b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n",
+        ):
+            with self.subTest(data):
+                caller = self.caller(data + get("/smuggled"))
+                caller.wait_for(lambda received: b'{"error":' in received)
+                self.loop.advance(2)
+                self.assertTrue(caller.wait_closed().startswith(b"HTTP/1.1 400"))
+        self.assertEqual(self.open, [])
+
+    def test_slow_and_idle_connections_end(self) -> None:
+        """Guards against connections that are held for ever by slow or silent callers."""
+        slow, idle = self.caller(b"POST /a HTTP/1.1\r\nHost: x\r\n"), self.caller()
+        self.loop.settle()
+        for _ in range(21):
+            self.loop.advance(1)
+            slow.send(b"A: b\r\n")
+        self.assertTrue(slow.wait_for(bool).startswith(b"HTTP/1.1 408"))
+        self.assertFalse(idle.closed)
+        for _ in range(60):
+            self.loop.advance(1)
+        idle.wait_closed()
+        self.assertEqual(len(self.server._conns), 0)
+
+    def test_the_oldest_idle_connection_makes_room(self) -> None:
+        """Guards against unbounded connections, and against cutting one that is in use."""
+        self.server._max_connections = 2
+        busy = self.caller(get("/a"))
+        self.wait_open(1)
+        callers = []
+        for _ in range(3):
+            self.loop.advance(1)
+            callers.append(self.caller())
+            self.loop.settle()
+        callers[0].wait_closed()
+        callers[1].wait_closed()
+        self.assertEqual(len(self.server._conns), 2)
+        self.open[0][1].set_result(HttpReply(200, b"answer"))
+        busy.wait_for(lambda data: data.endswith(b"answer"))
+
+    def test_later_requests_are_held_within_bounds(self) -> None:
+        """Guards against unbounded memory for bytes that follow a request in progress."""
+        caller = self.caller(get("/a"))
+        self.wait_open(1)
+        conn = next(iter(self.server._conns.values()))
+        flood = get("/now") * 2000
+
+        def is_stuck() -> bool:
+            """Return whether the kernel takes no more bytes."""
+            try:
+                return caller.sock.send(flood) == 0
+            except BlockingIOError:
+                return conn.paused
+
+        self.loop.run_until(is_stuck)
+        self.assertLess(conn.framer.buffered, 2**18)
+
+    def test_head_and_connection_close(self) -> None:
+        """Guards against a body after HEAD and a connection that stays open against its request."""
+        caller = self.caller(get("/now", "Connection: close", method="HEAD"))
+        received = caller.wait_closed()
+        self.assertIn(b"Content-Length: 3", received)
+        self.assertTrue(received.endswith(b"\r\n\r\n"))
+        old = self.caller(b"GET /now HTTP/1.0\r\n\r\n")
+        self.assertTrue(old.wait_closed().endswith(b"now"))
+
+    def test_backslashes_in_headers_are_kept(self) -> None:
+        r"""Guards against two idempotency keys, ``a\x41`` and ``aA``, that become equal."""
+        self.caller(get("/a", r"Idempotency-Key: a\x41\n"))
+        self.wait_open(1)
+        self.assertEqual(self.open[0][0].headers["idempotency-key"], r"a\x41\n")
+
+    def test_stop_listening_answers_all_that_connected(self) -> None:
+        """Guards against resetting callers that wait in the listen queue (G8)."""
+        callers = [self.caller(get("/now")) for _ in range(5)]
+        self.server.stop_listening()
+        for caller in callers:
+            self.assertIn(b"Connection: close", caller.wait_closed())
+        with self.assertRaises(ConnectionRefusedError):
+            RawCaller.connect(self.loop, self.address)
+        self.assertTrue(self.server.is_quiet)
