--- a/chivefall/application.py
+++ b/chivefall/application.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -17,6 +18,7 @@
     WorkerController,
 )
 from chivefall.filters import AccountFilter, DispatchFilter, FilterChain
+from chivefall.model import JobState
 from chivefall.net import Heartbeat, Peers
 from chivefall.registry import Registry
 from chivefall.runtime import Clock
@@ -60,6 +62,7 @@
             ],
             self.clock.now,
         )
+        self.metrics.sample_with(self._sample)
         self.api = HttpApi(self.clock, self.chain, self.document, self.job_router, self.metrics)
 
     def _add_controllers(self, connections: Connections) -> None:
@@ -108,6 +111,14 @@
             change_open=self.document.change_is_open,
         )
 
+    def _sample(self) -> None:
+        """Set the gauges that describe the controllers' state."""
+        self.metrics.document_revision.set({}, self.document.revision)
+        self.metrics.leading.set({}, int(self.leader.leads))
+        states = Counter(job.record.state for job in self.jobs.jobs.values())
+        for state in JobState:
+            self.metrics.jobs.set({"state": state.value}, states[state])
+
     @handler("exception", channel="*")
     def _on_exception(self, kind, value, _traceback, handler=None, fevent=None) -> None:
         log_event(
--- a/chivefall/daemon.py
+++ b/chivefall/daemon.py
@@ -46,14 +46,25 @@
             lambda reason: log_event(LogEvent.PEER_MESSAGE_DROPPED, reason=reason),
         ).register(self)
         self.application = Application(cfg, self._connections()).register(self)
+        self.application.metrics.sample_with(self._sample)
         self.server = HttpServer(Address.parse(cfg.listen), self.application.api.serve, self.clock)
         self.server.register(self)
 
+    def _sample(self) -> None:
+        """Set the gauges that describe the transports."""
+        metrics = self.application.metrics
+        for transport, source in (("http", self.http), ("peers", self.peers)):
+            for direction in ("sent", "received"):
+                labels = {"transport": transport, "direction": direction}
+                metrics.control_bytes.set(labels, getattr(source, f"bytes_{direction}"))
+        metrics.store_calls.set({}, self.store.calls)
+
     def _connections(self) -> Connections:
         platform, timing = Address.parse(self.cfg.store), self.cfg.timing
+        self.store = HttpStore(self.http, platform, timing.store_timeout)
         return Connections(
             self.clock,
-            HttpStore(self.http, platform, timing.store_timeout),
+            self.store,
             HttpWorkerClient(self.http, platform, timing.worker_timeout),
             self.peers,
         )
