Add store faults and call counts to the stand-ins

Cause: outages, slow calls and lost replies could be brought about only in process, without time limits, and the load on the store could not be measured. A malformed reply raised an error that ended the caller's task. Change: the stand-in takes faults at PUT /control/faults and reports calls by kind and second at GET /control/calls. HttpStore turns malformed replies into an unknown outcome, and a refusal because of the rate (429) into one that certainly had no effect. Before, an HTML reply to a write raised KeyError for the version header. Conclusion: outages of the store can be caused in process-level tests.

--- a/chivefall/store/_http_store.py
+++ b/chivefall/store/_http_store.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-import base64
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, TypeVar
 from urllib.parse import quote
 
 import msgspec
@@ -37,9 +36,28 @@
 
 __all__ = ["HttpStore"]
 
+T = TypeVar("T")
+
 WATCH_MARGIN = 2.0  # seconds beyond the wait before a watch counts as lost
 
 
+class _RawEntry(msgspec.Struct):
+    key: str
+    value: bytes
+    version: int
+
+
+class _Entries(msgspec.Struct):
+    entries: tuple[_RawEntry, ...]
+    version: int
+    deleted: tuple[str, ...] = ()
+
+
+class _Lease(msgspec.Struct):
+    lease: str
+    ttl: float
+
+
 class HttpStore(Store):
     """Client of the platform's key-value service.
 
@@ -63,15 +81,20 @@
             return Missing()
         if reply.status == HTTPStatus.NOT_MODIFIED:
             return Unmodified()
-        return Found(Entry(key, reply.body, _version(reply)))
+        version = _version(reply)
+        if reply.status != HTTPStatus.OK or version is None:
+            return _unexpected(reply)
+        return Found(Entry(key, reply.body, version))
 
     async def list(self, prefix: str) -> Listed | Unavailable:
         """Read all keys below a prefix."""
         reply = await self._call("GET", f"{_key_path(prefix)}?list=1")
         if isinstance(reply, Unavailable):
             return reply
-        body = _decode(reply)
-        return Listed(_entries(body["entries"]), Version(body["version"]))
+        body = _decode(reply, _Entries)
+        if body is None:
+            return _unexpected(reply)
+        return Listed(_entries(body), Version(body.version))
 
     async def put(
         self, key: str, value: bytes, expected: Version, lease: LeaseId | None = None
@@ -107,11 +130,13 @@
         reply = await self._call("GET", path, timeout=wait + WATCH_MARGIN)
         if isinstance(reply, Unavailable):
             return reply
-        body = _decode(reply)
-        version = Version(body["version"])
-        if not body["entries"] and not body["deleted"]:
+        body = _decode(reply, _Entries)
+        if body is None:
+            return _unexpected(reply)
+        version = Version(body.version)
+        if not body.entries and not body.deleted:
             return Unchanged(version)
-        return Changed(_entries(body["entries"]), tuple(body["deleted"]), version)
+        return Changed(_entries(body), body.deleted, version)
 
     async def _call(
         self,
@@ -127,11 +152,10 @@
         )
         if isinstance(reply, HttpFailure):
             return Unavailable(reply.reason, applied_unknown=reply.sent)
-        if (
-            reply.status >= HTTPStatus.INTERNAL_SERVER_ERROR
-            or reply.status == HTTPStatus.TOO_MANY_REQUESTS
-        ):
-            return Unavailable(f"the store answered {reply.status}", applied_unknown=True)
+        if reply.status == HTTPStatus.TOO_MANY_REQUESTS:
+            return Unavailable("the store refused the call because of its rate")
+        if reply.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            return _unexpected(reply)
         return reply
 
 
@@ -139,30 +163,43 @@
     return f"/v1/kv/{quote(key)}"
 
 
-def _decode(reply: HttpResponse) -> Any:
-    return msgspec.json.decode(reply.body)
+def _decode(reply: HttpResponse, kind: type[T]) -> T | None:
+    """Return the body of a successful reply, or None if the reply is not one."""
+    if reply.status != HTTPStatus.OK:
+        return None
+    try:
+        return msgspec.json.decode(reply.body, type=kind)
+    except msgspec.DecodeError:
+        return None
 
 
-def _version(reply: HttpResponse) -> Version:
-    return Version(int(reply.headers["x-version"]))
+def _version(reply: HttpResponse) -> Version | None:
+    text = reply.headers.get("x-version", "")
+    return Version(int(text)) if text.isdigit() else None
 
 
-def _entries(raw: list[dict[str, Any]]) -> tuple[Entry, ...]:
-    return tuple(
-        Entry(item["key"], base64.b64decode(item["value"]), Version(item["version"]))
-        for item in raw
+def _unexpected(reply: HttpResponse) -> Unavailable:
+    """Return the outcome of a reply that does not say whether the call took effect."""
+    return Unavailable(
+        f"unexpected reply of the store, status {reply.status}", applied_unknown=True
     )
 
 
+def _entries(body: _Entries) -> tuple[Entry, ...]:
+    return tuple(Entry(item.key, item.value, Version(item.version)) for item in body.entries)
+
+
 def _write_outcome(key: str, reply: HttpResponse | Unavailable) -> WriteOutcome:
     if isinstance(reply, Unavailable):
         return reply
-    if reply.status == HTTPStatus.CONFLICT:
-        version = _version(reply)
+    version = _version(reply)
+    if reply.status == HTTPStatus.OK and version is not None:
+        return Stored(version)
+    if reply.status == HTTPStatus.CONFLICT and version is not None:
         return Conflict(Entry(key, reply.body, version) if version else None)
     if reply.status >= HTTPStatus.BAD_REQUEST:
         return Unavailable(f"the store answered {reply.status}")
-    return Stored(_version(reply))
+    return _unexpected(reply)
 
 
 def _lease_outcome(reply: HttpResponse | Unavailable) -> LeaseOutcome:
@@ -170,5 +207,5 @@
         return reply
     if reply.status == HTTPStatus.NOT_FOUND:
         return LeaseExpired()
-    body = _decode(reply)
-    return Granted(LeaseId(body["lease"]), body["ttl"])
+    body = _decode(reply, _Lease)
+    return _unexpected(reply) if body is None else Granted(LeaseId(body.lease), body.ttl)
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -5,28 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from chivefall.net import CallerRequest, Envelope, Heartbeat, PeerFailure, Peers
-from chivefall.runtime import Clock, Future, sleep, spawn, wait_for
-from chivefall.store import (
-    Changed,
-    Conflict,
-    Entry,
-    Found,
-    Granted,
-    LeaseExpired,
-    LeaseId,
-    LeaseOutcome,
-    Listed,
-    Missing,
-    ReadOutcome,
-    Store,
-    Stored,
-    Unavailable,
-    Unchanged,
-    Unmodified,
-    Version,
-    WatchOutcome,
-    WriteOutcome,
-)
+from chivefall.runtime import Clock, Future, spawn, wait_for
 from chivefall.workers import (
     Accepted,
     CommandOutcome,
@@ -38,6 +17,7 @@
     Unreachable,
     WorkerClient,
 )
+from standins.memory_store import MemoryStore
 from standins.worker import RefusedError, WorkerState
 
 if TYPE_CHECKING:
@@ -46,117 +26,9 @@
     from chivefall.config import Address
     from chivefall.model import AttemptId, Epoch, InstanceId
     from chivefall.net import PeerMessage
-    from standins.store import KeyValueState
 
 __all__ = ["MemoryNetwork", "MemoryPeers", "MemoryStore", "MemoryWorkers"]
 
-LOST = Unavailable("the reply was lost", applied_unknown=True)
-
-
-class MemoryStore(Store):
-    """A client of a shared key-value state.
-
-    Attributes
-    ----------
-    down : bool
-        Whether calls fail before they take effect.
-    lose_replies : int
-        Number of coming writes that take effect although their reply is lost.
-    delay : float
-        Seconds until a call takes effect.
-    """
-
-    def __init__(self, state: KeyValueState, clock: Clock) -> None:
-        self._state = state
-        self._clock = clock
-        self.down = False
-        self.lose_replies = 0
-        self.delay = 0.0
-        self.calls = 0
-
-    async def get(self, key: str, known: Version | None = None) -> ReadOutcome:
-        """Read one key; the answer has no value if it is at the known version."""
-        if not await self._reach():
-            return Unavailable("the store is down")
-        item = self._state.get(key)
-        if item is None:
-            return Missing()
-        if item.version == known:
-            return Unmodified()
-        return Found(Entry(key, item.value, Version(item.version)))
-
-    async def list(self, prefix: str) -> Listed | Unavailable:
-        """Read all keys below a prefix."""
-        if not await self._reach():
-            return Unavailable("the store is down")
-        entries = tuple(
-            Entry(key, item.value, Version(item.version)) for key, item in self._state.list(prefix)
-        )
-        return Listed(entries, Version(self._state.version))
-
-    async def put(
-        self, key: str, value: bytes, expected: Version, lease: LeaseId | None = None
-    ) -> WriteOutcome:
-        """Write a key if it is at the expected version."""
-        if not await self._reach():
-            return Unavailable("the store is down")
-        done = self._state.put(key, value, expected, lease)
-        return self._write_outcome(key, done)
-
-    async def delete(self, key: str, expected: Version) -> WriteOutcome:
-        """Delete a key if it is at the expected version."""
-        if not await self._reach():
-            return Unavailable("the store is down")
-        return self._write_outcome(key, self._state.delete(key, expected))
-
-    async def grant_lease(self, ttl: float) -> LeaseOutcome:
-        """Create a lease of ``ttl`` seconds."""
-        if not await self._reach():
-            return Unavailable("the store is down")
-        return Granted(LeaseId(self._state.grant(ttl)), ttl)
-
-    async def renew_lease(self, lease: LeaseId) -> LeaseOutcome:
-        """Restart a lease's period."""
-        if not await self._reach():
-            return Unavailable("the store is down")
-        ttl = self._state.renew(lease)
-        return LeaseExpired() if ttl is None else Granted(lease, ttl)
-
-    async def revoke_lease(self, lease: LeaseId) -> LeaseOutcome:
-        """End a lease and delete its keys."""
-        if not await self._reach():
-            return Unavailable("the store is down")
-        ttl = self._state.revoke(lease)
-        return LeaseExpired() if ttl is None else Granted(lease, ttl)
-
-    async def watch(self, prefix: str, after: Version, wait: float) -> WatchOutcome:
-        """Wait up to ``wait`` seconds for a change below a prefix after a version."""
-        if not await self._reach():
-            return Unavailable("the store is down")
-        if not any(self._state.changes(prefix, after)):
-            await wait_for(self._clock, self._state.watch(prefix), wait, None)
-        written, deleted = self._state.changes(prefix, after)
-        version = Version(self._state.version)
-        if not written and not deleted:
-            return Unchanged(version)
-        entries = tuple(Entry(key, item.value, Version(item.version)) for key, item in written)
-        return Changed(entries, tuple(deleted), version)
-
-    async def _reach(self) -> bool:
-        self.calls += 1
-        if self.delay:
-            await sleep(self._clock, self.delay)
-        return not self.down
-
-    def _write_outcome(self, key: str, done: bool) -> WriteOutcome:
-        if self.lose_replies:
-            self.lose_replies -= 1
-            return LOST
-        item = self._state.get(key)
-        if done:
-            return Stored(Version(item.version if item else self._state.version))
-        return Conflict(Entry(key, item.value, Version(item.version)) if item else None)
-
 
 class MemoryWorkers(WorkerClient):
     """A client of stand-in workers in the same process.
--- a/standins/store.py
+++ b/standins/store.py
@@ -13,9 +13,11 @@
 import msgspec
 
 from chivefall.config import Address
+from chivefall.errors import MessageError
 from chivefall.net import HttpReply, HttpRequest
-from chivefall.runtime import Clock, Future, wait_for
+from chivefall.runtime import Clock, Future, sleep, wait_for
 from standins._service import Service, json_reply
+from standins.store_faults import CallCounter, CallKind, StoreFaults, decode_faults
 
 __all__ = ["KeyValueState", "StoreService"]
 
@@ -33,7 +35,7 @@
     """Keys, leases and watches of the stand-in; holds no transport."""
 
     def __init__(self, clock: Clock) -> None:
-        self._clock = clock
+        self.clock = clock
         self._items: dict[str, _Item] = {}
         self._deleted: dict[str, int] = {}
         self._leases: dict[str, tuple[float, float]] = {}
@@ -69,8 +71,8 @@
     def grant(self, ttl: float) -> str:
         """Create a lease and return its id."""
         lease = f"lease-{next(self._lease_numbers)}"
-        self._leases[lease] = (self._clock.now() + ttl, ttl)
-        self._clock.call_later(ttl, lambda: self._expire(lease))
+        self._leases[lease] = (self.clock.now() + ttl, ttl)
+        self.clock.call_later(ttl, lambda: self._expire(lease))
         return lease
 
     def renew(self, lease: str) -> float | None:
@@ -78,7 +80,7 @@
         if lease not in self._leases:
             return None
         ttl = self._leases[lease][1]
-        self._leases[lease] = (self._clock.now() + ttl, ttl)
+        self._leases[lease] = (self.clock.now() + ttl, ttl)
         return ttl
 
     def revoke(self, lease: str) -> float | None:
@@ -119,9 +121,9 @@
     def _expire(self, lease: str) -> None:
         if lease not in self._leases:
             return
-        remaining = self._leases[lease][0] - self._clock.now()
+        remaining = self._leases[lease][0] - self.clock.now()
         if remaining > 0:
-            self._clock.call_later(remaining, lambda: self._expire(lease))
+            self.clock.call_later(remaining, lambda: self._expire(lease))
         else:
             self.revoke(lease)
 
@@ -133,15 +135,49 @@
 
 
 class StoreService(Service):
-    """HTTP front of the stand-in store."""
+    """HTTP front of the stand-in store.
+
+    ``PUT /control/faults`` sets the faults (see :class:`StoreFaults`) and
+    ``GET /control/calls`` returns the calls by kind and second. While the store
+    is down, a call gets status 503; a lost reply is never sent, so the caller's
+    time limit ends the exchange.
+    """
 
     def __init__(self, address: Address, instances: list[dict[str, Any]]) -> None:
         super().__init__(address)
         self._state = KeyValueState(self.clock)
         self._instances = instances
+        self._faults = StoreFaults()
+        self._calls = CallCounter()
 
     async def handle(self, req: HttpRequest) -> HttpReply:
         """Return the reply to a request."""
+        match (req.method, *req.path.strip("/").split("/")):
+            case ("PUT", "control", "faults"):
+                return self._set_faults(req.body)
+            case ("GET", "control", "calls"):
+                return json_reply(200, self._calls.counts)
+        kind = _kind_of(req)
+        self._calls.count(kind, self.clock.now())
+        if self._faults.delay:
+            await sleep(self.clock, self._faults.delay)
+        if self._faults.refuses(kind):
+            return json_reply(503, {"error": "the stand-in store is told to be down"})
+        reply = await self._act(req)
+        if self._faults.reply_delay:
+            await sleep(self.clock, self._faults.reply_delay)
+        if self._faults.loses_reply(kind):
+            await Future()
+        return reply
+
+    def _set_faults(self, body: bytes) -> HttpReply:
+        try:
+            self._faults = decode_faults(body)
+        except MessageError as exc:
+            return json_reply(400, {"error": str(exc)})
+        return json_reply(200, self._faults)
+
+    async def _act(self, req: HttpRequest) -> HttpReply:
         query = {key: values[0] for key, values in parse_qs(req.query).items()}
         match (req.method, *req.path.strip("/").split("/", 2)):
             case ("GET", "v1", "instances"):
@@ -214,6 +250,15 @@
         )
 
 
+def _kind_of(req: HttpRequest) -> CallKind:
+    """Return what a call costs the store."""
+    if req.path.startswith("/v1/watch"):
+        return CallKind.WATCH
+    if req.path.startswith("/v1/leases"):
+        return CallKind.LEASE
+    return CallKind.READ if req.method == "GET" else CallKind.WRITE
+
+
 def _missing() -> HttpReply:
     return json_reply(404, {"error": "not found"}, {"X-Version": "0"})
 
--- /dev/null
+++ b/standins/store_faults.py
@@ -0,0 +1,118 @@
+"""Faults of the stand-in store and the count of its calls."""
+
+from __future__ import annotations
+
+from dataclasses import asdict, dataclass, field
+from enum import Enum
+
+import msgspec
+
+from chivefall.errors import MessageError
+
+__all__ = ["CallCounter", "CallCounts", "CallKind", "StoreFaults", "decode_faults"]
+
+COUNTED_SECONDS = 60  # whole seconds for which calls are reported one by one
+
+
+class CallKind(Enum):
+    """What a call costs the store; a pending watch counts as one call."""
+
+    READ = "read"
+    WRITE = "write"
+    LEASE = "lease"
+    WATCH = "watch"
+
+
+@dataclass
+class StoreFaults:
+    """Faults that the store shows until they are changed.
+
+    Attributes
+    ----------
+    down : bool
+        Whether calls fail before they take effect.
+    refuse_writes : bool
+        Whether writes and lease calls fail before they take effect.
+    delay : float
+        Seconds until a call takes effect.
+    reply_delay : float
+        Seconds from the effect of a call to its reply.
+    lose_replies, lose_lease_replies : int
+        Number of coming key writes and lease calls that take effect although
+        their reply is lost.
+    """
+
+    down: bool = False
+    refuse_writes: bool = False
+    delay: float = 0.0
+    reply_delay: float = 0.0
+    lose_replies: int = 0
+    lose_lease_replies: int = 0
+
+    def refuses(self, kind: CallKind) -> bool:
+        """Return whether a call fails before it takes effect."""
+        return self.down or (self.refuse_writes and kind in (CallKind.WRITE, CallKind.LEASE))
+
+    def loses_reply(self, kind: CallKind) -> bool:
+        """Return whether a call's reply is lost, and count it off."""
+        if kind is CallKind.WRITE and self.lose_replies:
+            self.lose_replies -= 1
+            return True
+        if kind is CallKind.LEASE and self.lose_lease_replies:
+            self.lose_lease_replies -= 1
+            return True
+        return False
+
+
+def decode_faults(body: bytes) -> StoreFaults:
+    """Return the faults in a JSON object; keys that are left out have no fault.
+
+    Raises
+    ------
+    MessageError
+        If a key is unknown or a value has the wrong type or is negative.
+    """
+    try:
+        raw = msgspec.json.decode(body, type=dict[str, bool | int | float])
+        unknown = raw.keys() - asdict(StoreFaults()).keys()
+        faults = msgspec.convert(raw, StoreFaults)
+    except msgspec.MsgspecError as exc:
+        raise MessageError(f"the faults are not valid: {exc}", "correct that key") from exc
+    if unknown or min(asdict(faults).values()) < 0:
+        raise MessageError(
+            f"the faults have unknown keys {sorted(unknown)} or negative numbers", "correct them"
+        )
+    return faults
+
+
+@dataclass
+class CallCounts:
+    """Calls of each kind, in total and in each of the last whole seconds.
+
+    Attributes
+    ----------
+    per_second : list of dict
+        One entry for each second in which there were calls, with its time in
+        seconds since the epoch under ``second``.
+    """
+
+    total: dict[str, int] = field(default_factory=lambda: {kind.value: 0 for kind in CallKind})
+    per_second: list[dict[str, int]] = field(default_factory=list)
+
+
+class CallCounter:
+    """Counts the calls of a store by kind and second."""
+
+    def __init__(self) -> None:
+        self.counts = CallCounts()
+
+    def count(self, kind: CallKind, now: float) -> None:
+        """Count a call that arrives now."""
+        second = int(now)
+        self.counts.total[kind.value] += 1
+        recent = self.counts.per_second
+        if not recent or recent[-1]["second"] != second:
+            recent.append({"second": second, **{item.value: 0 for item in CallKind}})
+        recent[-1][kind.value] += 1
+        while recent[0]["second"] <= second - COUNTED_SECONDS:
+            del recent[0]
--- /dev/null
+++ b/tests/store/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the store client and its stand-in."""
