Acquire the leader lease again after an outage and guard against pauses

Cause: a leader whose lease ended in an outage stepped down and gave its work up; one that resumed from a pause still called itself leader; a domain whose leader lost the store kept it as long as its heartbeats were heard; followers that heard no leader made three store writes at each renewal although the key was held. Change: a lapsed leader creates the key again and steps down only if another process holds it or a peer announces a higher epoch. The state reads the clock at each use. Candidates read the key before they ask for a lease, and read it once in each lease period although they hear a leader. Stepping down revokes the lease. Conclusion: leadership_gained without leadership_lost before it now means the same leader under a higher epoch.

--- a/chivefall/application.py
+++ b/chivefall/application.py
@@ -17,6 +17,7 @@
     WorkerController,
 )
 from chivefall.filters import AccountFilter, DispatchFilter, FilterChain
+from chivefall.model import Epoch
 from chivefall.net import Heartbeat, Peers
 from chivefall.registry import Registry
 from chivefall.runtime import Clock
@@ -69,7 +70,7 @@
         store, peers = connections.store, connections.peers
         self.document = add(DocumentController(clock, store, cfg.timing))
         self.membership = add(MembershipController(clock, cfg, peers, self._describe))
-        self.leader = add(LeaderController(clock, cfg, store, self._other_leader_heard))
+        self.leader = add(LeaderController(clock, cfg, store, self._heard_epoch))
         self.workers = add(WorkerController(clock, cfg, connections.workers, self.leader))
         self.jobs = add(
             JobController(clock, cfg, store, FifoPolicy(), self.document, self.leader, self.workers)
@@ -90,8 +91,9 @@
         for controller in reversed(self.registry):
             controller.stop()
 
-    def _other_leader_heard(self, now: float) -> bool:
-        return self.membership.leader_of(self.cfg.failure_domain, now) is not None
+    def _heard_epoch(self, now: float) -> Epoch:
+        peer = self.membership.leader_of(self.cfg.failure_domain, now)
+        return Epoch(0) if peer is None else peer.leader_epoch
 
     def _describe(self, now: float) -> Heartbeat:
         """Return this instance's heartbeat."""
--- a/chivefall/controllers/_leader.py
+++ b/chivefall/controllers/_leader.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import secrets
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -16,6 +17,7 @@
     Granted,
     LeaseExpired,
     LeaseId,
+    Missing,
     Store,
     Stored,
     Unavailable,
@@ -48,7 +50,15 @@
     """Acquires, renews and gives up the leader lease.
 
     The epoch is the store's version of the leader key, which grows with every
-    write and so fences older leaders at the workers.
+    write and so fences older leaders at the workers. The event
+    ``leadership_gained`` without a ``leadership_lost`` before it means that the
+    instance acquired the lease again under a higher epoch.
+
+    Parameters
+    ----------
+    heard_epoch : callable
+        Returns the highest epoch that a peer of the failure domain announced
+        lately, or 0.
     """
 
     def __init__(
@@ -56,27 +66,41 @@
         clock: Clock,
         cfg: Settings,
         store: Store,
-        other_leader_heard: Callable[[float], bool],
+        heard_epoch: Callable[[float], Epoch],
     ) -> None:
         super().__init__(clock)
         self._cfg = cfg
         self._store = store
-        self._other_leader_heard = other_leader_heard
+        self._heard_epoch = heard_epoch
         self._key = leader_key(cfg.failure_domain)
+        self._name = f"{cfg.instance} {secrets.token_hex(8)} ".encode()
+        self._attempts = itertools.count(1)
         self._lease: LeaseId | None = None
         self._valid_until = float("-inf")
+        self._next_check = float("-inf")
         self._busy = False
-        self.state = LeaderState.FOLLOWER
+        self._state = LeaderState.FOLLOWER
         self.epoch = Epoch(0)
 
+    @property
+    def state(self) -> LeaderState:
+        """Return the state at the present time.
+
+        The clock is read again at each use, because the lease may have ended
+        while the process was paused.
+        """
+        if self._state is LeaderState.LEADER and self.clock.now() >= self._valid_until:
+            return LeaderState.LAPSED
+        return self._state
+
     @property
     def leads(self) -> bool:
         """Return whether this instance acts as leader."""
-        return self.state is not LeaderState.FOLLOWER
+        return self._state is not LeaderState.FOLLOWER
 
     def lease_is_valid(self, now: float) -> bool:
         """Return whether the lease is certain to be held."""
-        return self.state is LeaderState.LEADER and now < self._valid_until
+        return self._state is LeaderState.LEADER and now < self._valid_until
 
     def start(self) -> None:
         """Begin to acquire or renew the lease at each renewal interval."""
@@ -85,69 +109,104 @@
     def stop(self) -> None:
         """Give the lease up so that a peer takes over at once."""
         super().stop()
-        if self.leads and self._lease is not None:
-            self.run_task(self._store.revoke_lease(self._lease))
-            self.step_down("shutdown")
+        self.step_down("shutdown")
 
     def step_down(self, reason: str) -> None:
-        """Stop leading; called when a higher epoch was seen."""
+        """Stop leading and give the lease up."""
         if not self.leads:
             return
         log_event(LogEvent.LEADERSHIP_LOST, epoch=self.epoch, reason=reason)
-        self.state = LeaderState.FOLLOWER
+        if self._lease is not None:
+            self.run_task(self._store.revoke_lease(self._lease))
+        self._state = LeaderState.FOLLOWER
         self.epoch = Epoch(0)
         self._lease = None
         self.fire(leadership_lost(reason))
 
+    def note_epoch(self, epoch: Epoch) -> None:
+        """Step down if a higher epoch of this failure domain was issued."""
+        if self.leads and epoch > self.epoch:
+            self.step_down(f"a peer leads with epoch {epoch}")
+
     def _turn(self, now: float) -> None:
-        if self.state is LeaderState.LEADER and now >= self._valid_until:
-            self.state = LeaderState.LAPSED
+        heard = self._heard_epoch(now)
+        self.note_epoch(heard)
+        if self._state is LeaderState.LEADER and now >= self._valid_until:
+            self._lapse()
         if self._busy:
             return
-        if self.leads:
+        if self._lease is not None:
             self._begin(self._renew())
-        elif not self._other_leader_heard(now):
+        elif self.leads or not heard or now >= self._next_check:
+            # A heard leader may have lost the store while this instance reaches
+            # it, so the key is read once in each lease period all the same.
+            self._next_check = now + self._cfg.timing.leader_lease
             self._begin(self._acquire())
 
+    def _lapse(self) -> None:
+        self._state = LeaderState.LAPSED
+        log_event(LogEvent.LEADERSHIP_LAPSED, epoch=self.epoch)
+
     def _begin(self, coro) -> None:
         self._busy = True
         self.run_task(coro).add_done_callback(lambda _: setattr(self, "_busy", False))
 
     async def _renew(self) -> None:
-        asked_at = self.clock.now()
-        outcome = await self._store.renew_lease(self._lease)
+        lease, asked_at = self._lease, self.clock.now()
+        outcome = await self._store.renew_lease(lease)
+        if self._lease != lease:
+            return
         if isinstance(outcome, Granted):
             self._valid_until = asked_at + outcome.ttl
-            if self.state is LeaderState.LAPSED:
-                self.state = LeaderState.LEADER
+            self._state = LeaderState.LEADER
         elif isinstance(outcome, LeaseExpired):
-            self.step_down("the lease expired")
+            self._lease = None
+            self._lapse()
+            await self._acquire()
 
     async def _acquire(self) -> None:
+        """Create the leader key unless it exists; a lapsed leader steps down if it does."""
+        found = await self._store.get(self._key)
+        if isinstance(found, Found):
+            self._defer_to(found.entry.value)
+        if not isinstance(found, Missing) or self._stopped:
+            return
         asked_at = self.clock.now()
         granted = await self._store.grant_lease(self._cfg.timing.leader_lease)
         if not isinstance(granted, Granted):
             return
-        nonce = f"{self._cfg.instance} {secrets.token_hex(8)}".encode()
-        outcome = await self._store.put(self._key, nonce, ABSENT, granted.lease)
+        value = self._name + str(next(self._attempts)).encode()
+        outcome = await self._store.put(self._key, value, ABSENT, granted.lease)
         if isinstance(outcome, Unavailable):
-            outcome = await self._read_back(nonce)
-        if isinstance(outcome, Stored) and not self._stopped:
-            self._lead(granted.lease, asked_at + granted.ttl, Epoch(outcome.version))
+            outcome = await self._read_back(value)
+        if isinstance(outcome, Conflict) and outcome.current is not None:
+            self._defer_to(outcome.current.value)
+        valid_until = asked_at + granted.ttl
+        if isinstance(outcome, Stored) and not self._stopped and self.clock.now() < valid_until:
+            self._lead(granted.lease, valid_until, Epoch(outcome.version))
         else:
             await self._store.revoke_lease(granted.lease)
 
-    async def _read_back(self, nonce: bytes) -> Stored | Conflict | Unavailable:
+    def _defer_to(self, value: bytes) -> None:
+        """Step down if the leader key belongs to another process.
+
+        A key of this process is left from an attempt whose reply was lost; its
+        lease was revoked or expires.
+        """
+        if not value.startswith(self._name):
+            self.step_down("another instance holds the lease")
+
+    async def _read_back(self, value: bytes) -> Stored | Conflict | Unavailable:
         """Return whether a write whose reply was lost took effect."""
         found = await self._store.get(self._key)
-        if isinstance(found, Found) and found.entry.value == nonce:
+        if not isinstance(found, Found):
+            return Unavailable("the leader key cannot be read back")
+        if found.entry.value == value:
             return Stored(found.entry.version)
-        return Unavailable("the leader key is not ours")
+        return Conflict(found.entry)
 
     def _lead(self, lease: LeaseId, valid_until: float, epoch: Epoch) -> None:
-        if self.clock.now() >= valid_until:
-            return
-        self.state = LeaderState.LEADER
+        self._state = LeaderState.LEADER
         self._lease = lease
         self._valid_until = valid_until
         self.epoch = epoch
--- a/chivefall/telemetry/_events.py
+++ b/chivefall/telemetry/_events.py
@@ -30,6 +30,7 @@
     LEADERSHIP_LOST = (3003, "The instance no longer leads its failure domain.")
     STORE_UNREACHABLE = (3004, "A call to the store was not answered.")
     STORE_REACHABLE = (3005, "The store answers again.")
+    LEADERSHIP_LAPSED = (3011, "The leader lease may have expired; the leader keeps its work.")
     WORKER_JOINED = (4001, "A worker entered the platform's list.")
     WORKER_LOST = (4002, "A worker no longer answers.")
     WORKER_RECOVERED = (4003, "A lost worker answers again.")
