--- a/chivefall/application.py
+++ b/chivefall/application.py
@@ -18,7 +18,7 @@
     WorkerController,
 )
 from chivefall.filters import AccountFilter, DispatchFilter, FilterChain
-from chivefall.model import JobState
+from chivefall.model import Epoch, JobState
 from chivefall.net import Heartbeat, Peers
 from chivefall.registry import Registry
 from chivefall.runtime import Clock
@@ -72,7 +72,7 @@
         self.document = add(
             DocumentController(clock, cfg, store, peers, self.membership, lambda: self.leader.leads)
         )
-        self.leader = add(LeaderController(clock, cfg, store, self._other_leader_heard))
+        self.leader = add(LeaderController(clock, cfg, store, self._heard_epoch))
         self.workers = add(WorkerController(clock, cfg, connections.workers, self.leader))
         self.jobs = add(
             JobController(
@@ -95,8 +95,9 @@
         for controller in reversed(self.registry):
             controller.stop()
 
-    def _other_leader_heard(self, now: float) -> bool:
-        return self.membership.leader_of(self.cfg.failure_domain, now) is not None
+    def _heard_epoch(self, now: float) -> Epoch:
+        peer = self.membership.leader_of(self.cfg.failure_domain, now)
+        return Epoch(0) if peer is None else peer.leader_epoch
 
     def _describe(self, now: float) -> Heartbeat:
         """Return this instance's heartbeat."""
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -120,7 +120,7 @@
         )
         gate = self.gates[name] = Gate()
         clock = InstanceClock(self.clock, gate)
-        store = MemoryStore(self.state, clock, gate)
+        store = MemoryStore(self.state, clock, gate=gate)
         store.down = self.store_down
         peers = MemoryPeers(name, self.network, clock, gate)
         client = self.clients[name] = GatedWorkers(self.workers, gate)
