--- a/chivefall/scheduling/_estimator.py
+++ b/chivefall/scheduling/_estimator.py
@@ -13,7 +13,7 @@
 __all__ = ["RunTimeEstimator"]
 
 SAMPLES = 20  # finished jobs kept for each account and command
-QUANTILE = 0.8  # an estimate that is too short delays a reserved gang
+QUANTILE = 0.5  # an estimate that is too short delays a reserved gang
 MAX_KEYS = 2000  # accounts and commands kept; bounds the memory of a daemon
 MIN_RUN_TIME = 0.1  # seconds; a declared run time of 0 carries no information
 
