Compare shares in steps and resume preempted jobs first

Cause: gangs of busy accounts were passed by all small jobs, and preempted gangs lost their place. Change: FairQueue compares shares in whole multiples of the weight, and takes preempted jobs first.

--- a/chivefall/scheduling/_fair_queue.py
+++ b/chivefall/scheduling/_fair_queue.py
@@ -19,7 +19,10 @@
 class FairQueue:
     """Queued jobs, each time from the account that borrows least by its weight.
 
-    The jobs of one account keep the order of their submission.
+    Shares are compared in whole multiples of the weight, and accounts with the
+    same share take turns by submission, so that small differences do not let
+    small jobs pass large ones. Jobs that were preempted come first, because their
+    work is half done. The jobs of one account keep the order of their submission.
     """
 
     def __init__(self, current: Round, jobs: Iterable[QueuedJob]) -> None:
@@ -32,10 +35,12 @@
         heap = [self._entry(account) for account in self._jobs]
         heapq.heapify(heap)
         while heap:
-            _, _, account = heapq.heappop(heap)
+            *_, account = heapq.heappop(heap)
             yield self._jobs[account].pop()
             if self._jobs[account]:
                 heapq.heappush(heap, self._entry(account))
 
-    def _entry(self, account: AccountId) -> tuple[float, float, AccountId]:
-        return (self._round.borrowing(account), self._jobs[account][-1].submitted_at, account)
+    def _entry(self, account: AccountId) -> tuple[bool, int, float, AccountId]:
+        job = self._jobs[account][-1]
+        share = round(self._round.borrowing(account))
+        return (job.done <= 0, share, job.submitted_at, account)
