Move a failure domain's work out and back

Cause: a domain that went out of service kept its jobs; there was no transfer.

Change: DrainController checkpoints the running jobs of a leaving domain (those the policy names first, the others 5 s later, 8 a second) and transfers queued ones. The record names the target before the first call, so a leader after a crash or a lost reply repeats the call there; the target recognises a repeat by the number of transfers. Waits, status and cancellations follow MOVED, also while the origin has no leader. In service, jobs that wait for 5 s are offered every 5 s, 8 at most, to domains with room and no queue; this brings jobs back and moves large ones that fit only elsewhere. A job that the policy rejects is offered to the other domains before it ends. A job that no other domain takes stays queued here with its checkpoint; a running non-idempotent job runs to its end.

Conclusion: jobs, work and callers survive a domain that leaves and returns on the in-process cluster.

--- a/chivefall/application.py
+++ b/chivefall/application.py
@@ -10,6 +10,7 @@
 from chivefall.api import HttpApi
 from chivefall.controllers import (
     DocumentController,
+    DrainController,
     JobController,
     JobRouter,
     LeaderController,
@@ -77,6 +78,18 @@
         self.job_router = add(
             JobRouter(clock, cfg, peers, self.membership, self.document, self.leader, self.jobs)
         )
+        self.drain = add(
+            DrainController(
+                clock,
+                cfg,
+                peers,
+                self.membership,
+                self.document,
+                self.leader,
+                self.jobs,
+                self.workers,
+            )
+        )
         for controller in self.registry:
             controller.register(self)
 
--- /dev/null
+++ b/chivefall/controllers/_drain.py
@@ -0,0 +1,261 @@
+"""Moves the work of a failure domain out and back."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from circuits import handler
+
+from chivefall.controllers._base import Controller
+from chivefall.controllers._transfers import (
+    DomainRoom,
+    Transferable,
+    checkpoint_order,
+    choose_targets,
+)
+from chivefall.model import (
+    Accepted,
+    DomainId,
+    JobId,
+    JobRecord,
+    JobState,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Unknown,
+    WorkerState,
+)
+from chivefall.net import PeerFailure, Peers, decode_outcome, encode_outcome
+from chivefall.runtime import wait_for
+from chivefall.scheduling import find_placement
+from chivefall.telemetry import LogEvent, log_event
+
+if TYPE_CHECKING:
+    from chivefall.config import Settings
+    from chivefall.controllers._document import DocumentController
+    from chivefall.controllers._job_table import Job
+    from chivefall.controllers._jobs import JobController
+    from chivefall.controllers._leader import LeaderController
+    from chivefall.controllers._membership import MembershipController
+    from chivefall.controllers._workers import WorkerController
+    from chivefall.runtime import Clock
+
+__all__ = ["DrainController"]
+
+TRANSFER = "transfer_job"
+TURN_INTERVAL = 1.0
+OFFER_INTERVAL = 5.0  # seconds, longer than a target's next heartbeats take
+OFFER_BATCH = 8  # jobs offered at once to domains with room
+MAX_OPEN = 32  # transfers begun in a turn; the peer socket buffers 64 messages
+OFFER_AFTER = 5.0  # seconds a job waits here before it is offered
+POLICY_GRACE = 5.0  # seconds in which the policy orders the checkpoints of a leaving domain
+CHECKPOINT_BATCH = 8  # jobs a turn that the policy did not name
+STORE_LIMIT = 2.0  # seconds in which a taken job has to be recorded
+RETRY_AFTER = 2.0
+
+
+class DrainController(Controller):
+    """Transfers jobs to the leaders of other failure domains and takes theirs."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        cfg: Settings,
+        peers: Peers,
+        membership: MembershipController,
+        document: DocumentController,
+        leader: LeaderController,
+        jobs: JobController,
+        workers: WorkerController,
+    ) -> None:
+        super().__init__(clock)
+        self._cfg = cfg
+        self._peers = peers
+        self._membership = membership
+        self._document = document
+        self._leader = leader
+        self._jobs = jobs
+        self._workers = workers
+        self._out_since: float | None = None
+        self._offered_at = 0.0
+        self._open = 0
+        self._taking: set[JobId] = set()
+
+    def start(self) -> None:
+        """Take jobs of other leaders and begin to look for jobs to move."""
+        self._peers.serve(TRANSFER, lambda body: self.run_task(self._serve_transfer(body)))
+        self.every(TURN_INTERVAL, self._turn)
+
+    def _turn(self, now: float) -> None:
+        in_service = self._document.document.is_in_service(self._cfg.failure_domain)
+        if not self._leader.leads or not self._jobs.ready:
+            self._out_since = None
+            return
+        if in_service:
+            self._out_since = None
+        elif self._out_since is None:
+            self._out_since = now
+        elif now >= self._out_since + POLICY_GRACE:
+            self._checkpoint_running()
+        self._transfer_jobs(now, leaving=not in_service)
+
+    def _checkpoint_running(self) -> None:
+        """Checkpoint the running jobs that the policy did not name.
+
+        A non-idempotent job runs to its end, because a lost checkpoint would
+        leave it without a known outcome.
+        """
+        running = [
+            job.record
+            for job in self._jobs.jobs.values()
+            if job.record.state is JobState.RUNNING and not job.busy and job.record.spec.idempotent
+        ]
+        for job_id in checkpoint_order(running)[:CHECKPOINT_BATCH]:
+            self._jobs.checkpoint(job_id)
+
+    def _transfer_jobs(self, now: float, leaving: bool) -> None:
+        jobs = self._jobs.jobs
+        free = MAX_OPEN - self._open
+        for job in list(jobs.values()):
+            if job.record.state is JobState.TRANSFERRING and not job.busy and free > 0:
+                free -= 1
+                self._begin(job, job.record.moved_to)
+        if not leaving:
+            if now < self._offered_at + OFFER_INTERVAL:
+                return
+            self._offered_at = now
+            free = min(free, OFFER_BATCH)
+        waiting = [
+            Transferable(job.record.job_id, job.record.spec, frozenset(job.refused_by), leaving)
+            for job in jobs.values()
+            if job.record.state is JobState.QUEUED
+            and not job.busy
+            and not job.record.cancel_requested
+            and (leaving or job.queued_at + OFFER_AFTER <= now)
+        ]
+        if waiting and free > 0:
+            for job_id, domain in choose_targets(waiting, self._rooms(now))[:free]:
+                self._begin(jobs[job_id], domain)
+
+    def _rooms(self, now: float) -> list[DomainRoom]:
+        document = self._document.document
+        rooms = []
+        for domain in document.failure_domains:
+            leader = self._membership.leader_of(domain, now)
+            other = domain != self._cfg.failure_domain and document.is_in_service(domain)
+            if other and leader is not None and leader.capacity:
+                rooms.append(DomainRoom(domain, *leader.capacity[:3]))
+        return rooms
+
+    @handler("job_rejected")
+    def _on_job_rejected(self, job_id: JobId, reason: str) -> None:
+        job = self._jobs.jobs.get(job_id)
+        if job is not None and job.record.state is JobState.QUEUED and not job.busy:
+            self.run_task(self._place_rejected(job, reason))
+
+    async def _place_rejected(self, job: Job, reason: str) -> None:
+        """Move a job that never fits here, or end it if no other domain takes it."""
+        while self._jobs.owns(job) and job.record.state is JobState.QUEUED:
+            item = Transferable(
+                job.record.job_id, job.record.spec, frozenset(job.refused_by), must_leave=True
+            )
+            chosen = choose_targets([item], self._rooms(self.clock.now()))
+            if not chosen:
+                self._jobs.reject(job, reason)
+                return
+            target = chosen[0][1]
+            await self._transfer(job, target)
+            job.refused_by.add(target)
+
+    def _begin(self, job: Job, target: DomainId) -> None:
+        job.busy = True
+        self.run_task(self._transfer(job, target))
+
+    async def _transfer(self, job: Job, target: DomainId) -> None:
+        """Create a job at another leader, then mark it as moved here.
+
+        The record names the target before the first call, so that a leader
+        after a crash repeats the call to the same target.
+        """
+        job.busy = True
+        self._open += 1
+        try:
+            if job.record.state is JobState.QUEUED:
+                job.record = job.record.with_state(
+                    JobState.TRANSFERRING, moved_to=target, transfers=job.record.transfers + 1
+                )
+                job.offered = False
+                if not await self._jobs.records.save(job) or not self._jobs.owns(job):
+                    return
+            outcome = await self._ask(job, target)
+        finally:
+            job.busy = False
+            self._open -= 1
+        if self._jobs.owns(job):
+            self._apply(job, target, outcome)
+
+    async def _ask(self, job: Job, target: DomainId) -> Outcome:
+        leader = self._membership.leader_of(target, self.clock.now())
+        if leader is None:
+            return NotRun(NotRunReason.NO_LEADER, f"{target} has no leader")
+        body = msgspec.to_builtins(job.record)
+        limit = self._cfg.timing.peer_timeout
+        reply = await self._peers.call(leader.instance, TRANSFER, body, limit)
+        if not isinstance(reply, PeerFailure):
+            return decode_outcome(reply)
+        if reply.sent:
+            return Unknown(reply.reason)
+        return NotRun(NotRunReason.UNREACHABLE, reply.reason)
+
+    def _apply(self, job: Job, target: DomainId, outcome: Outcome) -> None:
+        record, now = job.record, self.clock.now()
+        if isinstance(outcome, Accepted):
+            log_event(LogEvent.JOB_TRANSFERRED, job=record.job_id, to=target)
+            self._jobs.settle(job, record.with_state(JobState.MOVED, finished_at=now))
+            return
+        if not isinstance(outcome, NotRun):
+            job.offered = True
+            return
+        final = outcome.reason in (NotRunReason.INFEASIBLE, NotRunReason.NO_CAPACITY)
+        if outcome.reason is NotRunReason.INFEASIBLE:
+            job.refused_by.add(target)
+        # After a lost reply only a leader that has read its records can refuse.
+        if final or not job.offered:
+            self._jobs.settle(job, record.with_state(JobState.QUEUED, moved_to=None))
+
+    async def _serve_transfer(self, body: Any) -> Any:
+        record = msgspec.convert(body, JobRecord)
+        if record.job_id in self._taking:
+            return encode_outcome(Unknown("the same transfer is in progress"))
+        self._taking.add(record.job_id)
+        try:
+            return encode_outcome(await self._take(record))
+        finally:
+            self._taking.discard(record.job_id)
+
+    async def _take(self, record: JobRecord) -> Outcome:
+        """Record a job of another domain; a repeated transfer is accepted again."""
+        if not self._leader.leads or not self._jobs.ready:
+            return NotRun(NotRunReason.NO_LEADER, "not the leader", RETRY_AFTER)
+        known = self._jobs.jobs.get(record.job_id)
+        if known is not None and known.record.transfers >= record.transfers:
+            stored = await wait_for(self.clock, known.saved, STORE_LIMIT, False)
+            return Accepted(record.job_id) if stored else Unknown("the job is not recorded yet")
+        if not self._document.document.is_in_service(self._cfg.failure_domain):
+            return NotRun(NotRunReason.NO_CAPACITY, "the failure domain is out of service")
+        if not self._fits(record):
+            return NotRun(NotRunReason.INFEASIBLE, "the gang never fits this failure domain")
+        taken = replace(
+            record.with_state(JobState.QUEUED, moved_to=None), failed_workers=(), attempt=None
+        )
+        return await self._jobs.take(taken, known)
+
+    def _fits(self, record: JobRecord) -> bool:
+        empty = [
+            replace(view, free=view.accelerators, state=WorkerState.HEALTHY)
+            for view in self._workers.views()
+            if view.state is not WorkerState.LEAVING
+        ]
+        return find_placement(record.spec, empty) is not None
--- a/chivefall/controllers/_job_router.py
+++ b/chivefall/controllers/_job_router.py
@@ -97,20 +97,14 @@
                 return reply.outcome
             if reply.moved_to is not None:
                 domain = reply.moved_to
+            elif not self._has_leader(domain):
+                domain = await self._locate(job_id) or domain
             await sleep(self.clock, WAIT_RETRY)
         return Accepted(job_id)
 
     async def status(self, job_id: JobId, now: float) -> JobRecord | None:
         """Return a job's record, or None if no leader knows it."""
-        record = await self._follow(job_id, self._status_at)
-        if record is not None:
-            return record
-        # The leader of the job's origin may be gone while the job runs elsewhere.
-        for domain in self._document.document.failure_domains:
-            record = await self._status_at(domain, job_id)
-            if record is not None and record.state is not JobState.MOVED:
-                return record
-        return None
+        return await self._follow(job_id, self._status_at)
 
     async def cancel(self, job_id: JobId) -> JobRecord | Unknown | None:
         """End a job wherever it is; None if no leader knows it."""
@@ -118,6 +112,8 @@
 
     async def _follow(self, job_id: JobId, ask) -> JobRecord | Unknown | None:
         domain, answer = domain_of_job(job_id), None
+        if not self._has_leader(domain):
+            domain = await self._locate(job_id) or domain
         for _ in range(MAX_MOVES):
             answer = await ask(domain, job_id)
             if not isinstance(answer, JobRecord) or answer.state is not JobState.MOVED:
@@ -125,6 +121,18 @@
             domain = answer.moved_to
         return answer
 
+    async def _locate(self, job_id: JobId) -> DomainId | None:
+        """Return the domain that holds a job whose origin has no leader now."""
+        for domain in self._document.document.failure_domains:
+            record = await self._status_at(domain, job_id)
+            if record is not None:
+                return domain if record.state is not JobState.MOVED else record.moved_to
+        return None
+
+    def _has_leader(self, domain: DomainId) -> bool:
+        now = self.clock.now()
+        return self._is_local(domain) or self._membership.leader_of(domain, now) is not None
+
     async def _wait_at(self, domain: DomainId, job_id: JobId, seconds: float) -> WaitReply:
         if self._is_local(domain):
             return await self._jobs.wait(job_id, seconds)
--- a/chivefall/controllers/_job_table.py
+++ b/chivefall/controllers/_job_table.py
@@ -65,6 +65,14 @@
         Workers that did not take part in the last start.
     not_before : float
         Time before which no start is tried again.
+    queued_at : float
+        Time since which the job waits here.
+    offered : bool
+        Whether the target of a transfer may hold the job although its reply is lost.
+    refused_by : set of DomainId
+        Failure domains whose leaders said that the job never fits there.
+    rejected : bool
+        Whether the policy said that the job never fits here.
     """
 
     __slots__ = (
@@ -76,7 +84,11 @@
         "dirty",
         "done",
         "not_before",
+        "offered",
+        "queued_at",
         "record",
+        "refused_by",
+        "rejected",
         "reports",
         "saved",
         "saving",
@@ -97,6 +109,11 @@
         self.confirmed = False
         self.avoid: set[WorkerId] = set()
         self.not_before = 0.0
+        self.queued_at = record.submitted_at
+        # A loaded record may have been offered by an earlier leader.
+        self.offered = record.state is JobState.TRANSFERRING
+        self.refused_by: set[DomainId] = set()
+        self.rejected = False
 
     def note(self, worker: WorkerId, report: TaskReport) -> None:
         """Store a share's report unless a later one is known."""
--- a/chivefall/controllers/_jobs.py
+++ b/chivefall/controllers/_jobs.py
@@ -14,6 +14,7 @@
 from chivefall.controllers._job_table import Job, WaitReply, final_outcome, workers_of
 from chivefall.controllers._lifecycle import RETRY_DELAY, JobLifecycle
 from chivefall.controllers._rounds import RoundTimer, view_of
+from chivefall.events import job_rejected
 from chivefall.model import (
     Accepted,
     Epoch,
@@ -50,6 +51,7 @@
 KEEP_FINAL = 86_400.0  # seconds for which callers can ask for a finished job
 CLEANUP_INTERVAL = 60.0
 DELETIONS_A_CLEANUP = 10  # the target's 3,200 jobs a day need 2.3 a minute
+RECORD_LIMIT = 2.0  # seconds in which a job taken over has to be recorded
 CANCEL_BOUND = 10.0  # seconds until a cancellation is answered with the present state
 
 
@@ -222,6 +224,7 @@
         for record, version in loaded:
             job = self.jobs[record.job_id] = Job(record, version)
             job.committed = job.confirmed = record.attempt is not None
+            job.queued_at = self.clock.now()
             if record.state.is_final:
                 job.done.set_result(final_outcome(record))
         self.ready = True
@@ -243,6 +246,45 @@
         """Run a scheduling round soon."""
         self._rounds.request()
 
+    def settle(self, job: Job, record: JobRecord) -> None:
+        """Store a job's changed record and tell its callers if it ended."""
+        self._lifecycle.settle(job, record)
+
+    def reject(self, job: Job, reason: str) -> None:
+        """End a job that no failure domain can run."""
+        now = self.clock.now()
+        self.settle(job, job.record.with_state(JobState.FAILED, error=reason, finished_at=now))
+
+    def checkpoint(self, job_id: JobId) -> None:
+        """Checkpoint a running job and queue it again."""
+        self._lifecycle.interrupt(self.jobs[job_id], checkpoint=True)
+
+    async def take(self, record: JobRecord, known: Job | None) -> Outcome:
+        """Record and queue a job of another failure domain.
+
+        Parameters
+        ----------
+        known : Job or None
+            The same job's record from before it moved away, which is replaced.
+        """
+        epoch = self._leader.epoch
+        if known is None:
+            version = await self.records.create(record)
+            if not isinstance(version, int):
+                return version
+            if self._leader.epoch != epoch:
+                return Unknown("the leader stepped down after it had recorded the job")
+            job = self.jobs[record.job_id] = Job(record, version)
+            job.saved.set_result(True)
+        else:
+            job = self.jobs[record.job_id] = Job(record, known.version)
+            if not await wait_for(self.clock, self.records.save(job), RECORD_LIMIT, False):
+                return Unknown("the job is not recorded yet")
+        job.queued_at = self.clock.now()
+        log_event(LogEvent.JOB_ACCEPTED, job=record.job_id, account=record.spec.account)
+        self._rounds.request()
+        return Accepted(record.job_id)
+
     def _may_start(self, now: float) -> bool:
         in_service = self._document.document.is_in_service(self._cfg.failure_domain)
         return self._leader.leads and in_service and self._document.is_fresh(now)
@@ -264,10 +306,8 @@
             return None
         plan = self._policy.plan(view, now)
         for job_id, reason in plan.rejections.items():
-            job = self.jobs[job_id]
-            self._lifecycle.settle(
-                job, job.record.with_state(JobState.FAILED, error=reason, finished_at=now)
-            )
+            self.jobs[job_id].rejected = True
+            self.fire(job_rejected(job_id, reason))
         for job_id in dict.fromkeys((*plan.preemptions, *plan.moves)):
             if self.jobs[job_id].record.state is JobState.RUNNING:
                 self._lifecycle.interrupt(self.jobs[job_id], checkpoint=True)
--- a/chivefall/controllers/_lifecycle.py
+++ b/chivefall/controllers/_lifecycle.py
@@ -132,6 +132,7 @@
             for name in workers_of(record):
                 self._workers.quarantine.record_success(name)
         job.record = record
+        job.queued_at = self._clock.now()
         self._jobs.records.save(job)
         if record.state.is_final:
             log_event(LogEvent.JOB_FINISHED, job=record.job_id, state=record.state.value)
--- a/chivefall/controllers/_rounds.py
+++ b/chivefall/controllers/_rounds.py
@@ -59,7 +59,7 @@
     queued, running = [], []
     for job in jobs:
         record = job.record
-        if record.state is JobState.QUEUED and not job.busy and job.not_before <= now:
+        if _can_start(job, now):
             avoid = tuple({*record.failed_workers, *job.avoid})
             queued.append(
                 QueuedJob(record.job_id, record.spec, record.submitted_at, record.progress, avoid)
@@ -83,6 +83,11 @@
     )
 
 
+def _can_start(job: Job, now: float) -> bool:
+    idle = job.record.state is JobState.QUEUED and not job.busy
+    return idle and not job.rejected and job.not_before <= now
+
+
 def _offered(view: WorkerView) -> WorkerView:
     """Return a worker on probation as healthy; only one job is started on it."""
     if view.state is WorkerState.PROBATION and view.free == view.accelerators:
--- a/chivefall/events.py
+++ b/chivefall/events.py
@@ -7,6 +7,7 @@
 __all__ = [
     "document_adopted",
     "instances_listed",
+    "job_rejected",
     "leadership_gained",
     "leadership_lost",
     "task_reported",
@@ -23,6 +24,10 @@
     """The platform's list was read; argument: tuple of Instance."""
 
 
+class job_rejected(Event):  # noqa: N801
+    """A job never fits the failure domain; arguments: JobId, reason."""
+
+
 class leadership_gained(Event):  # noqa: N801
     """The instance leads its failure domain; argument: Epoch."""
 
--- /dev/null
+++ b/tests/controllers/test_drain.py
@@ -0,0 +1,202 @@
+"""Moving a failure domain's work out and back."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+
+from chivefall.controllers._transfers import DomainRoom, Transferable, choose_targets
+from chivefall.model import (
+    AccountId,
+    Completed,
+    DomainId,
+    DomainState,
+    JobId,
+    JobRecord,
+    JobSpec,
+    JobState,
+)
+from chivefall.runtime import spawn
+from standins.cluster import Cluster
+
+HERE, THERE = "zarcero", "tarrazu"
+OUT, IN = DomainState.OUT_OF_SERVICE, DomainState.IN_SERVICE
+LONG = {"accelerators": 8, "payload": {"run_time": 60.0}}
+
+
+class TargetTest(unittest.TestCase):
+    def choose(self, *jobs: Transferable, rooms: tuple[tuple[str, int, int, int], ...]):
+        rooms = tuple(DomainRoom(DomainId(name), *rest) for name, *rest in rooms)
+        return choose_targets(jobs, rooms)
+
+    def job(self, size: int, **changes: object) -> Transferable:
+        spec = JobSpec(AccountId("farmers"), "sort", gang_size=size)
+        return Transferable(JobId(f"z.{size}"), spec, **changes)
+
+    def test_room_is_given_once(self) -> None:
+        """Guards against offering the same room to several jobs."""
+        chosen = self.choose(self.job(5), self.job(4), self.job(3), rooms=(("b", 8, 8, 0),))
+        self.assertEqual([job for job, _ in chosen], ["z.5", "z.3"])
+
+    def test_waiting_jobs_do_not_go_where_they_would_wait(self) -> None:
+        """Guards against jobs that are passed between full domains."""
+        rooms = (("b", 64, 64, 3), ("c", 64, 4, 0))
+        self.assertEqual(self.choose(self.job(8), rooms=rooms), [])
+        leaving = self.job(8, must_leave=True)
+        self.assertEqual(len(self.choose(leaving, rooms=rooms)), 1)
+        refused = replace(leaving, refused_by=frozenset(("b", "c")))
+        self.assertEqual(self.choose(refused, rooms=rooms), [])
+
+
+class DrainTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.cluster = Cluster((HERE, THERE), workers_per_domain=2)
+        self.cluster.advance(3)
+        self.source = self.cluster.leader(HERE)
+
+    def records(self, job_id: str) -> dict[str, JobRecord]:
+        """Return a job's record in each domain that has one."""
+        found = {d: self.cluster.leader(d).jobs.status(job_id) for d in (HERE, THERE)}
+        return {domain: record for domain, record in found.items() if record}
+
+    def domains_of(self, job_id: str) -> set[str]:
+        """Return the domains whose workers run a job."""
+        return {name.partition("-")[0] for name in self.cluster.running(job_id)}
+
+    def test_running_and_queued_jobs_leave_with_their_work_and_callers(self) -> None:
+        """Guards against lost work or answers when a domain goes out of service."""
+        ids = [self.cluster.submit(HERE, **LONG) for _ in range(3)]
+        self.cluster.advance(20)
+        deadline = self.cluster.clock.now() + 300
+        waiting = [spawn(self.source.job_router.wait(job_id, deadline)) for job_id in ids]
+        commits = len(self.cluster.workers.commands)
+        self.cluster.set_domain(HERE, OUT)
+        self.cluster.advance(15)
+        self.assertEqual({d for job_id in ids for d in self.domains_of(job_id)}, {THERE})
+        after = self.cluster.workers.commands[commits:]
+        self.assertFalse([name for name, what in after if what == "commit" and HERE in name])
+        self.assertIs(self.records(ids[0])[HERE].state, JobState.MOVED)
+        self.assertGreater(self.records(ids[0])[THERE].progress, 15.0)
+        status = self.cluster.run(self.source.job_router.status(ids[0], 0.0))
+        self.assertIs(status.state, JobState.RUNNING)
+        self.cluster.advance(120)
+        self.assertEqual({type(fut.result()) for fut in waiting}, {Completed})
+
+    def test_lost_reply_of_a_transfer_creates_one_job(self) -> None:
+        """Guards against a job that runs in two domains."""
+        operations = self.cluster.network.peers[self.cluster.leader(THERE).cfg.instance]._operations
+        serve = operations["transfer_job"]
+        link = frozenset((self.source.cfg.instance, self.cluster.leader(THERE).cfg.instance))
+
+        def serve_and_cut(body: object):
+            self.cluster.network.cut.add(link)
+            return serve(body)
+
+        operations["transfer_job"] = serve_and_cut
+        for _ in range(2):
+            self.cluster.submit(HERE, **LONG, idempotent=False)
+        job_id = self.cluster.submit(HERE, **LONG, idempotent=False)
+        self.cluster.set_domain(HERE, OUT)
+        self.cluster.advance(3)
+        operations["transfer_job"] = serve
+        self.cluster.advance(3)
+        self.cluster.network.cut.clear()
+        self.cluster.advance(10)
+        self.assertIs(self.records(job_id)[HERE].state, JobState.MOVED)
+        self.assertEqual(self.domains_of(job_id), {THERE})
+        self.assertEqual(len(self.cluster.running(job_id)), 1)
+
+    def test_crash_between_create_and_mark_repeats_the_transfer(self) -> None:
+        """Guards against a job that is lost or doubled with its leader."""
+        self.cluster = Cluster((HERE, THERE, "cartago"), workers_per_domain=2)
+        self.cluster.advance(3)
+        self.source = self.cluster.leader(HERE)
+        target = self.cluster.leader(THERE).cfg.instance
+        operations = self.cluster.network.peers[target]._operations
+        serve = operations["transfer_job"]
+
+        def serve_and_kill(body: object):
+            operations["transfer_job"] = serve
+            fut = serve(body)
+            self.cluster.kill(self.source.cfg.instance)
+            return fut
+
+        operations["transfer_job"] = serve_and_kill
+        for _ in range(2):
+            self.cluster.submit(HERE, **LONG, idempotent=False)
+        job_id = self.cluster.submit(HERE, **LONG, idempotent=False)
+        self.cluster.set_domain(HERE, OUT)
+        self.cluster.advance(25)
+        self.assertIs(self.records(job_id)[HERE].state, JobState.MOVED)
+        self.assertEqual(self.records(job_id)[THERE].transfers, 1)
+        self.assertIsNone(self.cluster.leader("cartago").jobs.status(job_id))
+        self.assertIsInstance(self.cluster.outcome(job_id, 120), Completed)
+        self.assertEqual(self.records(job_id)[THERE].attempts, 1)
+
+    def test_start_in_progress_is_not_committed(self) -> None:
+        """Guards against a start that was decided before the domain went out (G3)."""
+        reserve = self.cluster.workers.reserve
+
+        async def reserve_late(*args: object):
+            self.cluster.set_domain(HERE, OUT)
+            self.source.document.adopt(self.cluster.document)
+            return await reserve(*args)
+
+        self.cluster.workers.reserve = reserve_late
+        self.cluster.submit(HERE, **LONG)
+        self.cluster.advance(0.5)
+        self.assertNotIn("commit", {what for _, what in self.cluster.workers.commands})
+
+    def test_job_that_no_other_domain_takes_waits_with_its_checkpoint(self) -> None:
+        """Guards against losing a job because no other domain is in service."""
+        self.cluster.set_domain(THERE, OUT)
+        job_id = self.cluster.submit(HERE, **LONG)
+        self.cluster.advance(20)
+        self.cluster.set_domain(HERE, OUT)
+        self.cluster.advance(10)
+        record = self.records(job_id)[HERE]
+        self.assertIs(record.state, JobState.QUEUED)
+        self.assertGreater(record.progress, 15.0)
+        self.cluster.set_domain(HERE, IN)
+        self.cluster.advance(2)
+        self.assertEqual(self.domains_of(job_id), {HERE})
+
+    def test_running_non_idempotent_job_stays_until_its_end(self) -> None:
+        """Guards against a second run of a non-idempotent job by a drain (G6)."""
+        job_id = self.cluster.submit(HERE, **LONG, idempotent=False)
+        self.cluster.advance(1)
+        self.cluster.set_domain(HERE, OUT)
+        self.cluster.advance(30)
+        self.assertEqual(self.domains_of(job_id), {HERE})
+        self.assertIsInstance(self.cluster.outcome(job_id), Completed)
+
+    def test_waiting_jobs_come_back_in_batches(self) -> None:
+        """Guards against a returned domain that stays empty or is flooded."""
+        ids = [
+            self.cluster.submit(HERE, accelerators=1, payload={"run_time": 900.0})
+            for _ in range(32)
+        ]
+        self.cluster.set_domain(HERE, OUT)
+        self.cluster.advance(20)
+        moved = [job_id for job_id in ids if self.domains_of(job_id) == {THERE}]
+        self.assertEqual(len(moved), 16)
+        self.cluster.set_domain(HERE, IN)
+        counts = []
+        for _ in range(6):
+            before = sum(self.domains_of(job_id) == {HERE} for job_id in ids)
+            self.cluster.advance(5)
+            counts.append(sum(self.domains_of(job_id) == {HERE} for job_id in ids) - before)
+        self.assertEqual(sum(counts), 16)
+        self.assertLessEqual(max(counts), 8)
+        self.assertEqual([j for j in moved if self.domains_of(j) != {THERE}], [])
+
+    def test_job_that_only_fits_elsewhere_moves(self) -> None:
+        """Guards against a large job that waits where it can never run."""
+        instances = self.cluster.workers.instances
+        self.cluster.workers.instances = tuple(
+            item for item in instances if item.instance != f"{HERE}-w01"
+        )
+        self.cluster.advance(6)
+        job_id = self.cluster.submit(HERE, gang_size=2, accelerators=8)
+        self.cluster.advance(12)
+        self.assertEqual(self.domains_of(job_id), {THERE})
