Route service requests to endpoints with bounded retries

Cause: service requests were refused with UNKNOWN_SERVICE; nothing chose an endpoint or decided what may be repeated.

Change: routing decides purely (endpoint choice, health, retries, budgets); EndpointController owns the table from the platform's list, the outstanding requests, a queue of 64 waiting requests for each service and the retry budgets; the endpoints package holds the client interface and HTTP. A refusal with X-Not-Run or a connection that was never made is repeated elsewhere. A lost answer is Unknown for a request that must run once, and after a loss no later refusal becomes "not run". Retry-After pauses the endpoint, is never shortened and is passed on. A response without the attempt's own id is discarded with its connection. An endpoint that says X-Leaving gets nothing more before the list says so. Answers with 5xx eject an endpoint only while more than half of the service can serve, so that one caller's failing requests cannot stop the service. Stand-ins: an HTTP endpoint with faults, two in each domain of a deployment, and an in-process fake.

--- a/chivefall/api/_requests.py
+++ b/chivefall/api/_requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from http import HTTPStatus
 from typing import Any
 from urllib.parse import parse_qs
@@ -93,14 +94,15 @@
 def encode_reply(outcome: Outcome) -> HttpReply:
     """Return the HTTP reply for an outcome."""
     headers = {}
+    if isinstance(outcome, Completed | NotRun) and outcome.retry_after is not None:
+        # Rounded up: a caller must not come back before the time that was asked for.
+        headers["Retry-After"] = str(max(1, math.ceil(outcome.retry_after)))
     if isinstance(outcome, Completed):
         status = outcome.status
     elif isinstance(outcome, Accepted):
         status = HTTPStatus.ACCEPTED
     elif isinstance(outcome, NotRun):
         status = _STATUS_BY_REASON.get(outcome.reason, HTTPStatus.SERVICE_UNAVAILABLE)
-        if outcome.retry_after is not None:
-            headers["Retry-After"] = str(max(1, round(outcome.retry_after)))
     else:
         status = HTTPStatus.GATEWAY_TIMEOUT
     return json_reply(status, encode_outcome(outcome), headers)
--- a/chivefall/application.py
+++ b/chivefall/application.py
@@ -10,12 +10,14 @@
 from chivefall.api import HttpApi
 from chivefall.controllers import (
     DocumentController,
+    EndpointController,
     JobController,
     JobRouter,
     LeaderController,
     MembershipController,
     WorkerController,
 )
+from chivefall.endpoints import EndpointClient
 from chivefall.filters import AccountFilter, DispatchFilter, FilterChain
 from chivefall.net import Heartbeat, Peers
 from chivefall.registry import Registry
@@ -41,6 +43,7 @@
     store: Store
     workers: WorkerClient
     peers: Peers
+    endpoints: EndpointClient
 
 
 class Application(BaseComponent):
@@ -58,7 +61,7 @@
         self.chain = FilterChain(
             [
                 AccountFilter(lambda: self.document.document),
-                DispatchFilter(self.job_router),
+                DispatchFilter(self.job_router, self.endpoints),
             ],
             self.clock.now,
         )
@@ -77,6 +80,9 @@
         self.job_router = add(
             JobRouter(clock, cfg, peers, self.membership, self.document, self.leader, self.jobs)
         )
+        self.endpoints = add(
+            EndpointController(clock, cfg, connections.endpoints, self.document, self.metrics)
+        )
         for controller in self.registry:
             controller.register(self)
 
--- a/chivefall/controllers/__init__.py
+++ b/chivefall/controllers/__init__.py
@@ -4,6 +4,7 @@
 
 from chivefall.controllers._base import Controller
 from chivefall.controllers._document import DocumentController
+from chivefall.controllers._endpoints import EndpointController, ServiceRequest
 from chivefall.controllers._job_router import JobRouter
 from chivefall.controllers._jobs import JobController
 from chivefall.controllers._leader import LeaderController, LeaderState
@@ -13,10 +14,12 @@
 __all__ = [
     "Controller",
     "DocumentController",
+    "EndpointController",
     "JobController",
     "JobRouter",
     "LeaderController",
     "LeaderState",
     "MembershipController",
+    "ServiceRequest",
     "WorkerController",
 ]
--- a/chivefall/daemon.py
+++ b/chivefall/daemon.py
@@ -10,6 +10,7 @@
 
 from chivefall.application import Application, Connections
 from chivefall.config import Address
+from chivefall.endpoints import HttpEndpointClient
 from chivefall.net import HttpClient, HttpServer, NngPeers
 from chivefall.runtime import LoopClock
 from chivefall.store import HttpStore
@@ -56,6 +57,7 @@
             HttpStore(self.http, platform, timing.store_timeout),
             HttpWorkerClient(self.http, platform, timing.worker_timeout),
             self.peers,
+            HttpEndpointClient(self.http),
         )
 
     @handler("started", channel="*")
--- /dev/null
+++ b/chivefall/endpoints/__init__.py
@@ -0,0 +1,14 @@
+"""Client of the services' endpoints."""
+
+from __future__ import annotations
+
+from chivefall.endpoints._client import EndpointClient, EndpointRequest
+from chivefall.endpoints._http_client import HttpEndpointClient, echoes, interpret_response
+
+__all__ = [
+    "EndpointClient",
+    "EndpointRequest",
+    "HttpEndpointClient",
+    "echoes",
+    "interpret_response",
+]
--- /dev/null
+++ b/chivefall/endpoints/_http_client.py
@@ -0,0 +1,86 @@
+"""Endpoints over HTTP."""
+
+from __future__ import annotations
+
+import base64
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from chivefall.endpoints._client import EndpointClient, EndpointRequest
+from chivefall.net import HttpClient, HttpFailure, HttpResponse
+from chivefall.routing import AttemptEnd, AttemptResult, parse_retry_after
+
+if TYPE_CHECKING:
+    from chivefall.config import Address
+
+__all__ = ["HttpEndpointClient", "echoes", "interpret_response"]
+
+REQUEST_ID_HEADER = "X-Request-Id"
+
+
+class HttpEndpointClient(EndpointClient):
+    """Client of endpoints that answer ``POST /v1/requests``."""
+
+    def __init__(self, http: HttpClient) -> None:
+        self._http = http
+
+    async def call(
+        self, address: Address, request: EndpointRequest, timeout: float, now: float
+    ) -> AttemptResult:
+        """Send one attempt and return its end after at most ``timeout`` seconds."""
+        headers = {
+            REQUEST_ID_HEADER: request.request_id,
+            "X-Chivefall-Service": request.service,
+            "X-Chivefall-Account": request.account,
+            "Content-Type": "application/json",
+        }
+        reply = await self._http.request(
+            address,
+            "POST",
+            "/v1/requests",
+            msgspec.json.encode(request.body),
+            headers,
+            timeout,
+            repeatable=request.idempotent,
+            verify=lambda response: echoes(response, request),
+        )
+        if isinstance(reply, HttpFailure):
+            end = AttemptEnd.LOST if reply.sent else AttemptEnd.NOT_RUN
+            return AttemptResult(end, reply.reason)
+        return interpret_response(reply, now)
+
+
+def echoes(response: HttpResponse, request: EndpointRequest) -> bool:
+    """Return whether a response belongs to this attempt."""
+    return response.headers.get(REQUEST_ID_HEADER.lower()) == request.request_id
+
+
+def interpret_response(reply: HttpResponse, now: float) -> AttemptResult:
+    """Return the end of an attempt that got its own response."""
+    retry_after = parse_retry_after(reply.headers.get("retry-after"), now)
+    leaving = reply.headers.get("x-leaving") == "1"
+    not_run = reply.headers.get("x-not-run") == "1"
+    if reply.status == HTTPStatus.SERVICE_UNAVAILABLE and not_run:
+        return AttemptResult(
+            AttemptEnd.NOT_RUN,
+            "the endpoint refused the request",
+            retry_after=retry_after,
+            leaving=leaving,
+            overloaded=True,
+        )
+    return AttemptResult(
+        AttemptEnd.ANSWERED, "", _decode(reply), reply.status, retry_after, leaving
+    )
+
+
+def _decode(reply: HttpResponse) -> Any:
+    """Return the JSON value of an answer; other content is passed on in base 64."""
+    if not reply.body:
+        return None
+    try:
+        return msgspec.json.decode(reply.body)
+    except msgspec.DecodeError:
+        kind = reply.headers.get("content-type", "application/octet-stream")
+        return {"content_type": kind, "base64": base64.b64encode(reply.body).decode()}
--- a/chivefall/filters/_base.py
+++ b/chivefall/filters/_base.py
@@ -8,7 +8,7 @@
 from enum import Enum
 from typing import Any
 
-from chivefall.model import AccountId, IdempotencyKey, JobSpec, Outcome, ServiceId
+from chivefall.model import AccountId, IdempotencyKey, JobSpec, Outcome, ServiceId, Urgency
 
 __all__ = ["Filter", "FilterChain", "Proceed", "RequestContext", "RequestKind", "ServiceCall"]
 
@@ -58,6 +58,11 @@
     service: ServiceCall | None = None
     wait: bool = False
 
+    @property
+    def urgent(self) -> bool:
+        """Return whether the request has to start soon."""
+        return self.job is not None and self.job.urgency is Urgency.URGENT
+
 
 Proceed = Callable[[RequestContext], Awaitable[Outcome]]
 
--- a/chivefall/model/_outcomes.py
+++ b/chivefall/model/_outcomes.py
@@ -21,10 +21,13 @@
         JSON value that the endpoint or the gang returned.
     status : int
         HTTP status of an endpoint's answer; 200 for jobs.
+    retry_after : float or None
+        Seconds that the endpoint asks to wait, never shortened.
     """
 
     answer: Any
     status: int = 200
+    retry_after: float | None = None
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/chivefall/routing/__init__.py
@@ -0,0 +1,34 @@
+"""Decisions about service requests: endpoint selection, limits and retries."""
+
+from __future__ import annotations
+
+from chivefall.routing._buckets import RetryBudget, TokenBucket
+from chivefall.routing._choice import Fleet, choose_endpoint, next_available
+from chivefall.routing._endpoint import Endpoint
+from chivefall.routing._retries import (
+    AttemptEnd,
+    AttemptResult,
+    CallState,
+    Finish,
+    Retry,
+    next_step,
+    parse_retry_after,
+)
+from chivefall.routing._share import AdmissionShare
+
+__all__ = [
+    "AdmissionShare",
+    "AttemptEnd",
+    "AttemptResult",
+    "CallState",
+    "Endpoint",
+    "Finish",
+    "Fleet",
+    "Retry",
+    "RetryBudget",
+    "TokenBucket",
+    "choose_endpoint",
+    "next_available",
+    "next_step",
+    "parse_retry_after",
+]
--- a/chivefall/telemetry/_events.py
+++ b/chivefall/telemetry/_events.py
@@ -38,6 +38,8 @@
     JOB_START_FAILED = (5003, "A gang could not start and was released.")
     JOB_FINISHED = (5004, "A job reached a final state.")
     REQUEST_ANSWERED = (6001, "A request of a caller was answered.")
+    ENDPOINT_LEAVING = (6002, "An endpoint says that it is leaving.")
+    ENDPOINT_EJECTED = (6003, "An endpoint failed several times and gets no requests for a while.")
 
     def __init__(self, number: int, meaning: str) -> None:
         self.number = number
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from chivefall.application import Application, Connections
@@ -15,13 +16,18 @@
     DomainState,
     InstanceId,
     InstanceKind,
+    InstanceStatus,
     RackId,
     Revision,
+    Service,
+    ServiceId,
 )
 from chivefall.runtime import ManualClock, spawn
 from chivefall.store import ABSENT, DOCUMENT_KEY
 from chivefall.workers import Instance
+from standins.endpoint import EndpointState
 from standins.memory import MemoryNetwork, MemoryPeers, MemoryStore, MemoryWorkers
+from standins.memory_endpoints import MemoryEndpoints
 from standins.store import KeyValueState
 
 if TYPE_CHECKING:
@@ -56,6 +62,7 @@
         self.state = KeyValueState(self.clock)
         self.network = MemoryNetwork()
         self.workers = MemoryWorkers()
+        self.endpoints = MemoryEndpoints(self.clock)
         self.stores: dict[InstanceId, MemoryStore] = {}
         self.applications: dict[InstanceId, Application] = {}
         self.timing = timing or Timing()
@@ -81,6 +88,40 @@
                 self.clock,
             )
 
+    def add_endpoints(self, domain: str, count: int, service: str = "booking") -> None:
+        """Add endpoints of a service to the platform's list."""
+        for index in range(1, count + 1):
+            name = f"{domain}-e{index}"
+            address = f"127.1.{len(self.endpoints.states) + 1}.1:80"
+            self.endpoints.states[address] = EndpointState(name, self.clock)
+            self.workers.instances += (
+                Instance(
+                    InstanceId(name),
+                    InstanceKind.ENDPOINT,
+                    DomainId(domain),
+                    address,
+                    service=ServiceId(service),
+                ),
+            )
+
+    def list_entries(self) -> None:
+        """Add the entry instances to the platform's list."""
+        self.workers.instances += tuple(
+            Instance(name, InstanceKind.ENTRY, app.cfg.failure_domain, app.cfg.peer_listen)
+            for name, app in self.applications.items()
+        )
+
+    def endpoint(self, name: str) -> EndpointState:
+        """Return an endpoint by its name."""
+        return next(state for state in self.endpoints.states.values() if state.name == name)
+
+    def set_endpoint_status(self, name: str, status: InstanceStatus) -> None:
+        """Change an endpoint's status in the platform's list."""
+        self.workers.instances = tuple(
+            replace(item, status=status) if item.instance == name else item
+            for item in self.workers.instances
+        )
+
     def start(self, name: InstanceId, domain: DomainId) -> Application:
         """Start an instance; an earlier one of that name is replaced."""
         cfg = Settings(
@@ -94,7 +135,9 @@
         )
         store = MemoryStore(self.state, self.clock)
         peers = MemoryPeers(name, self.network, self.clock)
-        application = Application(cfg, Connections(self.clock, store, self.workers, peers))
+        application = Application(
+            cfg, Connections(self.clock, store, self.workers, peers, self.endpoints)
+        )
         self.stores[name] = store
         self.applications[name] = application
         application.start_controllers()
@@ -155,4 +198,5 @@
         Revision(1),
         accounts,
         failure_domains={DomainId(domain): DomainState.IN_SERVICE for domain in domains},
+        services={ServiceId("booking"): Service(AccountId("farmers"), timeout=5.0)},
     )
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -23,6 +23,7 @@
 STOP_TIMEOUT = 10.0
 READY_TIMEOUT = 30.0
 POLL_INTERVAL = 0.1
+ENDPOINTS_PER_DOMAIN = 2
 
 
 def call(
@@ -67,10 +68,12 @@
         self._chivefall = chivefall
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         entries = size.entry_instances_per_domain * len(size.failure_domains)
-        ports = _free_ports(1 + size.workers + 2 * entries)
+        endpoints = ENDPOINTS_PER_DOMAIN * len(size.failure_domains)
+        ports = _free_ports(1 + size.workers + 2 * entries + endpoints)
         self.store = f"{HOST}:{ports[0]}"
         self.workers = self._worker_instances(ports[1 : 1 + size.workers])
         self.entries = self._entry_settings(ports[1 + size.workers :])
+        self.endpoints = self._endpoint_instances(ports[-endpoints:])
 
     def _worker_instances(self, ports: list[int]) -> list[dict[str, Any]]:
         size = self.size
@@ -91,6 +94,21 @@
             )
         return instances
 
+    def _endpoint_instances(self, ports: list[int]) -> list[dict[str, Any]]:
+        size = self.size
+        return [
+            {
+                "instance": f"{domain}-e{index // len(size.failure_domains) + 1}",
+                "kind": "endpoint",
+                "failure_domain": domain,
+                "address": f"{HOST}:{port}",
+                "service": size.service,
+                "slots": size.slots,
+            }
+            for index, port in enumerate(ports)
+            for domain in [size.failure_domains[index % len(size.failure_domains)]]
+        ]
+
     def _entry_settings(self, ports: list[int]) -> dict[str, dict[str, Any]]:
         size = self.size
         settings: dict[str, dict[str, Any]] = {}
@@ -122,7 +140,7 @@
             }
             for name, item in self.entries.items()
         ]
-        return self.workers + entries
+        return self.workers + self.endpoints + entries
 
     def document(self) -> dict[str, Any]:
         """Return the default document of this deployment."""
@@ -150,6 +168,8 @@
         )
         for worker in self.workers:
             self.start_worker(worker)
+        for endpoint in self.endpoints:
+            self.start_endpoint(endpoint)
         self._wait_for_store()
         for name in self.entries:
             self.start_entry(name)
@@ -166,6 +186,17 @@
             ],
         )
 
+    def start_endpoint(self, endpoint: dict[str, Any]) -> None:
+        """Start one stand-in endpoint."""
+        self._spawn(
+            endpoint["instance"],
+            [
+                *(sys.executable, "-m", "standins.endpoint"),
+                *("--name", endpoint["instance"], "--listen", endpoint["address"]),
+                *("--slots", str(endpoint["slots"])),
+            ],
+        )
+
     def start_entry(self, name: str) -> None:
         """Start one entry instance."""
         path = self.directory / f"{name}.json"
--- /dev/null
+++ b/tests/routing/test_choice.py
@@ -0,0 +1,96 @@
+"""Choice of endpoints."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+from typing import Any
+
+from chivefall.model import DomainId, EndpointId, ServiceId
+from chivefall.routing import Endpoint, Fleet, choose_endpoint, next_available
+
+NOW = 100.0
+OWN = DomainId("zarcero")
+FLEET = Fleet(OWN, entries=6, domain_entries=2)
+
+
+def endpoint(name: str, domain: str = "zarcero", **changes: Any) -> Endpoint:
+    """Return an endpoint with 8 slots."""
+    return Endpoint(EndpointId(name), ServiceId("s"), DomainId(domain), "h:1", **changes)
+
+
+def chosen(endpoints: list[Endpoint], fleet: Fleet = FLEET, **options: Any) -> set[str]:
+    """Return the names that are chosen over several draws."""
+    picks = [choose_endpoint(endpoints, fleet, NOW, Random(seed), **options) for seed in range(20)]
+    return {item.endpoint for item in picks if item is not None}
+
+
+class ChooseTest(unittest.TestCase):
+    def test_least_outstanding_relative_to_slots(self) -> None:
+        """Guards against equal load on unequal endpoints."""
+        small, large = endpoint("a", slots=4, outstanding=1), endpoint("b", slots=16, outstanding=2)
+        self.assertEqual(chosen([small, large]), {"b"})
+
+    def test_equal_loads_are_drawn(self) -> None:
+        """Guards against all instances meeting at the first endpoint of the list."""
+        self.assertEqual(chosen([endpoint("a"), endpoint("b")]), {"a", "b"})
+
+    def test_own_domain_first_and_spill_over(self) -> None:
+        """Guards against latency between domains, and against a queue beside idle endpoints."""
+        own, other = endpoint("a", outstanding=3), endpoint("b", "tarrazu")
+        self.assertEqual(chosen([own, other]), {"a"})
+        own.outstanding = 4  # 8 slots shared by 2 instances
+        self.assertEqual(chosen([own, other]), {"b"})
+
+    def test_share_of_connections(self) -> None:
+        """Guards against more than 64 connections from all instances together."""
+        self.assertEqual(FLEET.connection_share, 10)
+        self.assertEqual(chosen([endpoint("a", outstanding=9)]), {"a"})
+        self.assertEqual(chosen([endpoint("a", outstanding=10)]), set())
+        for entries in range(1, 65):
+            self.assertLessEqual(entries * Fleet(OWN, entries).connection_share, 64)
+
+    def test_skips_endpoints_that_may_not_get_work(self) -> None:
+        """Guards against work for leaving, paused, ejected or used endpoints (G7)."""
+        unusable = [
+            endpoint("a", listed_leaving=True),
+            endpoint("b", leaving_until=NOW + 1),
+            endpoint("c", paused_until=NOW + 1),
+            endpoint("d", ejected_until=NOW + 1),
+            endpoint("e"),
+        ]
+        self.assertEqual(chosen(unusable, avoid={EndpointId("e")}), set())
+        self.assertEqual(next_available(unusable, FLEET, NOW, {EndpointId("e")}), NOW + 1)
+
+    def test_domain_out_of_service_serves_only_alone(self) -> None:
+        """Guards against requests to a domain that operators took out of service (G3)."""
+        fleet = Fleet(OWN, 6, 2, in_service=lambda domain: domain != OWN)
+        own, other = endpoint("a"), endpoint("b", "tarrazu", paused_until=NOW + 1)
+        self.assertEqual(chosen([own, other], fleet), set())
+        other.listed_leaving = True
+        self.assertEqual(chosen([own, other], fleet), {"a"})
+
+
+class HealthTest(unittest.TestCase):
+    def test_ejection_and_probe(self) -> None:
+        """Guards against requests to a dead endpoint, and against never trying it again."""
+        item = endpoint("a")
+        for _ in range(3):
+            self.assertTrue(item.is_available(NOW, 10))
+            item.note_failure(NOW)
+        self.assertFalse(item.is_available(NOW + 0.9, 10))
+        self.assertTrue(item.is_available(NOW + 1, 10))
+        item.outstanding = 1
+        self.assertFalse(item.is_available(NOW + 1, 10), "one probe at a time")
+        item.note_failure(NOW + 1)
+        self.assertFalse(item.is_available(NOW + 2.9, 10), "the period doubles")
+        item.note_success()
+        self.assertTrue(item.is_available(NOW + 3, 10))
+
+    def test_pause_is_never_shortened(self) -> None:
+        """Guards against a short Retry-After that replaces a longer one."""
+        item = endpoint("a")
+        item.note_pause(NOW, 60)
+        item.note_pause(NOW, 1)
+        item.note_success()
+        self.assertFalse(item.is_available(NOW + 59, 10))
