Add the request filters and bound what the HTTP interface accepts

Cause: the chain had only the account and dispatch filters.

Change: filters for shutdown, feasibility (bounds that name the key, quota, and a hook for the policy's check of shapes), admission (a token bucket for each account with an exact Retry-After, and a share of 512 requests in progress with an eighth kept for urgent jobs) and deadline. Buckets of accounts that left the document are dropped. A caller who waits for a job gets its id when the instance drains or the job's leader changes.

Share: an account may hold an equal part, and more while that leaves as much room as it holds. A fixed part for each account wastes idle room; no bound lets one burst take all 448 places that are not for urgent jobs.

--- a/chivefall/api/_http_api.py
+++ b/chivefall/api/_http_api.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from typing import TYPE_CHECKING
+from urllib.parse import unquote
 
 import msgspec
 
@@ -25,6 +27,8 @@
 
 __all__ = ["HttpApi"]
 
+Operation = Callable[[], Awaitable[HttpReply]]
+
 
 class HttpApi:
     """Routes HTTP requests to the filter chain and the controllers."""
@@ -48,28 +52,51 @@
         return spawn(self._serve(req), on_error=_log_error)
 
     async def _serve(self, req: HttpRequest) -> HttpReply:
-        parts = tuple(part for part in req.path.split("/") if part)
-        now = self._clock.now()
+        operations = self._operations(req)
+        if not operations:
+            return json_reply(HTTPStatus.NOT_FOUND, {"error": f"no such resource: {req.path}"})
+        method = "GET" if req.method == "HEAD" else req.method
+        if method not in operations:
+            allowed = ", ".join(sorted(operations))
+            return json_reply(
+                HTTPStatus.METHOD_NOT_ALLOWED,
+                {"error": f"{req.path} does not support {req.method}; send {allowed}"},
+                {"Allow": allowed},
+            )
         try:
-            match (req.method, *parts):
-                case ("POST", "v1", "jobs"):
-                    return await self._run(decode_job_request(req, now))
-                case ("GET", "v1", "jobs", job_id):
-                    return await self._job_status(JobId(job_id), now)
-                case ("POST", "v1", "services", service, "requests"):
-                    return await self._run(decode_service_request(req, ServiceId(service), now))
-                case ("GET", "v1", "document"):
-                    return json_reply(HTTPStatus.OK, msgspec.to_builtins(self._document.document))
-                case ("GET", "healthz"):
-                    return json_reply(HTTPStatus.OK, {"status": "ok"})
-                case ("GET", "metrics"):
-                    content, kind = self._metrics.render()
-                    return HttpReply(HTTPStatus.OK, content, content_type=kind)
+            return await operations[method]()
         except MessageError as exc:
             return encode_reply(NotRun(NotRunReason.BAD_REQUEST, str(exc)))
-        return json_reply(
-            HTTPStatus.NOT_FOUND, {"error": f"no such resource: {req.method} {req.path}"}
-        )
+
+    def _operations(self, req: HttpRequest) -> dict[str, Operation]:
+        """Return the operations of a resource by method; none if there is no such resource."""
+        parts = tuple(unquote(part) for part in req.path.split("/") if part)
+        now = self._clock.now()
+        match parts:
+            case ("v1", "jobs"):
+                return {"POST": lambda: self._run(decode_job_request(req, now))}
+            case ("v1", "jobs", job_id):
+                return {"GET": lambda: self._job_status(JobId(job_id), now)}
+            case ("v1", "services", service, "requests"):
+                name = ServiceId(service)
+                return {"POST": lambda: self._run(decode_service_request(req, name, now))}
+            case ("v1", "document"):
+                return {"GET": self._get_document}
+            case ("healthz",):
+                return {"GET": self._get_health}
+            case ("metrics",):
+                return {"GET": self._get_metrics}
+        return {}
+
+    async def _get_document(self) -> HttpReply:
+        return json_reply(HTTPStatus.OK, msgspec.to_builtins(self._document.document))
+
+    async def _get_health(self) -> HttpReply:
+        return json_reply(HTTPStatus.OK, {"status": "ok"})
+
+    async def _get_metrics(self) -> HttpReply:
+        content, kind = self._metrics.render()
+        return HttpReply(HTTPStatus.OK, content, content_type=kind)
 
     async def _run(self, ctx: RequestContext) -> HttpReply:
         outcome = await self._chain.run(ctx)
--- a/chivefall/api/_requests.py
+++ b/chivefall/api/_requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import math
 from http import HTTPStatus
 from typing import Any
@@ -28,9 +29,11 @@
 
 ACCOUNT_HEADER = "x-chivefall-account"
 KEY_HEADER = "idempotency-key"
+IDEMPOTENT_HEADER = "x-chivefall-idempotent"
 TIMEOUT_HEADER = "x-chivefall-timeout"
 DEFAULT_TIMEOUT = 30.0
 MAX_TIMEOUT = 3600.0
+MAX_KEY_LENGTH = 256
 
 _STATUS_BY_REASON = {
     NotRunReason.BAD_REQUEST: HTTPStatus.BAD_REQUEST,
@@ -53,6 +56,7 @@
     raw = _decode_json(req.body)
     if not isinstance(raw, dict):
         raise MessageError("the body is not a JSON object", "send the job as an object")
+    _reject_unknown_keys(raw)
     account = _account(req)
     try:
         spec = msgspec.convert({**raw, "account": account}, JobSpec)
@@ -79,14 +83,19 @@
     MessageError
         If a header or the body is not valid; the message names it.
     """
-    idempotent = req.headers.get("x-chivefall-idempotent", "0") == "1"
+    idempotent = req.headers.get(IDEMPOTENT_HEADER, "0")
+    if idempotent not in ("0", "1"):
+        raise MessageError(
+            f"X-Chivefall-Idempotent {idempotent!r} is not valid",
+            "send 1 if the request may run more than once, else 0",
+        )
     return RequestContext(
         RequestKind.SERVICE,
         _account(req),
         now,
         now + _timeout(req),
         _idempotency_key(req),
-        idempotent,
+        idempotent == "1",
         service=ServiceCall(service, _decode_json(req.body)),
     )
 
@@ -116,10 +125,37 @@
 def _decode_json(body: bytes) -> Any:
     try:
         return msgspec.json.decode(body) if body else None
-    except msgspec.DecodeError as exc:
+    except msgspec.ValidationError as exc:
+        key = _key_of_infinite(json.loads(body), "$")
+        raise MessageError(f"{key} is out of range", "send a finite number") from exc
+    except (msgspec.DecodeError, RecursionError) as exc:
         raise MessageError(f"the body is not JSON: {exc}", "correct the syntax") from exc
 
 
+def _key_of_infinite(value: Any, path: str) -> str | None:
+    """Return the path of the first number beyond the range of floats, or None.
+
+    msgspec refuses such a number without a usable path.
+    """
+    if isinstance(value, float) and math.isinf(value):
+        return path
+    items = value.items() if isinstance(value, dict) else ()
+    if isinstance(value, list):
+        items = enumerate(value)
+    found = (_key_of_infinite(item, f"{path}.{key}") for key, item in items)
+    return next((key for key in found if key is not None), None)
+
+
+def _reject_unknown_keys(raw: dict[str, Any]) -> None:
+    """Refuse misspelt keys, which would otherwise fall back to their defaults."""
+    known = set(JobSpec.__dataclass_fields__) - {"account"}
+    for key in raw:
+        if key not in known:
+            raise MessageError(
+                f"unknown key {key[:80]!r} in the job", f"use one of {', '.join(sorted(known))}"
+            )
+
+
 def _account(req: HttpRequest) -> AccountId:
     account = req.headers.get(ACCOUNT_HEADER)
     if not account:
@@ -129,7 +165,11 @@
 
 def _idempotency_key(req: HttpRequest) -> IdempotencyKey | None:
     key = req.headers.get(KEY_HEADER)
-    return IdempotencyKey(key) if key else None
+    if key is not None and not 0 < len(key) <= MAX_KEY_LENGTH:
+        raise MessageError(
+            f"Idempotency-Key has {len(key)} characters", f"send 1 to {MAX_KEY_LENGTH}"
+        )
+    return None if key is None else IdempotencyKey(key)
 
 
 def _timeout(req: HttpRequest) -> float:
--- a/chivefall/application.py
+++ b/chivefall/application.py
@@ -18,7 +18,15 @@
     WorkerController,
 )
 from chivefall.endpoints import EndpointClient
-from chivefall.filters import AccountFilter, DispatchFilter, FilterChain
+from chivefall.filters import (
+    AccountFilter,
+    AdmissionFilter,
+    DeadlineFilter,
+    DispatchFilter,
+    FeasibilityFilter,
+    FilterChain,
+    ShutdownFilter,
+)
 from chivefall.net import Heartbeat, Peers
 from chivefall.registry import Registry
 from chivefall.runtime import Clock
@@ -55,13 +63,20 @@
         super().__init__()
         self.cfg = cfg
         self.clock = connections.clock
+        self.draining = False
         self.metrics = Metrics()
         self.registry = Registry()
         self._add_controllers(connections)
+        self._deadline = DeadlineFilter(self.clock)
+        self._dispatch = DispatchFilter(self.job_router, self.endpoints)
         self.chain = FilterChain(
             [
+                ShutdownFilter(lambda: self.draining),
                 AccountFilter(lambda: self.document.document),
-                DispatchFilter(self.job_router, self.endpoints),
+                FeasibilityFilter(lambda: self.document.document),
+                AdmissionFilter(lambda: self.document.document),
+                self._deadline,
+                self._dispatch,
             ],
             self.clock.now,
         )
@@ -91,10 +106,31 @@
         for controller in self.registry:
             controller.start()
 
+    def begin_drain(self) -> None:
+        """Refuse new requests; whoever waits for a job gets its id, since the job runs on."""
+        self.draining = True
+        self._dispatch.stop_waiting()
+
+    def end_requests(self) -> None:
+        """Answer the requests that are still in progress with Unknown."""
+        self._deadline.end_all()
+
+    def hand_over(self) -> bool:
+        """Start no more work and return whether all records of started work are written.
+
+        The leader lease is kept until then, so that the next leader reads
+        complete records.
+        """
+        for controller in (self.endpoints, self.job_router, self.jobs):
+            if not controller.is_stopped:
+                controller.stop()
+        return not self.jobs.tasks_in_progress
+
     def stop_controllers(self) -> None:
         """Stop all controllers in reverse order."""
         for controller in reversed(self.registry):
-            controller.stop()
+            if not controller.is_stopped:
+                controller.stop()
 
     def _other_leader_heard(self, now: float) -> bool:
         return self.membership.leader_of(self.cfg.failure_domain, now) is not None
--- a/chivefall/controllers/_base.py
+++ b/chivefall/controllers/_base.py
@@ -23,6 +23,12 @@
         super().__init__()
         self.clock = clock
         self._stopped = False
+        self.tasks_in_progress = 0
+
+    @property
+    def is_stopped(self) -> bool:
+        """Return whether the periodic work has ended."""
+        return self._stopped
 
     @abstractmethod
     def start(self) -> None:
@@ -34,7 +40,10 @@
 
     def run_task(self, coro: Coroutine[Future[Any], None, Any]) -> Future[Any]:
         """Run a coroutine and log an error that leaves it."""
-        return spawn(coro, on_error=self._log_error)
+        self.tasks_in_progress += 1
+        fut = spawn(coro, on_error=self._log_error)
+        fut.add_done_callback(self._count_done)
+        return fut
 
     def every(self, interval: float, action: Callable[[float], None]) -> None:
         """Call ``action`` with the present time now and at each interval until the stop."""
@@ -47,5 +56,8 @@
 
         turn()
 
+    def _count_done(self, _: Future[Any]) -> None:
+        self.tasks_in_progress -= 1
+
     def _log_error(self, exc: BaseException) -> None:
         log_event(LogEvent.UNHANDLED_ERROR, controller=type(self).__name__, error=repr(exc))
--- /dev/null
+++ b/chivefall/filters/_admission.py
@@ -0,0 +1,72 @@
+"""Limits the rate of each account and the requests in progress."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from chivefall.filters._base import Filter, Proceed, RequestContext
+from chivefall.model import AccountId, Document, NotRun, NotRunReason, Outcome, Revision
+from chivefall.routing import AdmissionShare, TokenBucket
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ["AdmissionFilter"]
+
+RETRY_AFTER = 1.0  # seconds after which a place among the requests in progress may be free
+
+
+class AdmissionFilter(Filter):
+    """Admits requests within the account's rate and its share of the instance."""
+
+    def __init__(
+        self, document: Callable[[], Document], share: AdmissionShare | None = None
+    ) -> None:
+        self._document = document
+        self._share = share or AdmissionShare()
+        self._buckets: dict[AccountId, TokenBucket] = {}
+        self._revision = Revision(-1)
+
+    async def handle(self, ctx: RequestContext, proceed: Proceed, now: float) -> Outcome:
+        """Pass requests within the limits on."""
+        document = self._document()
+        self._adopt(document, now)
+        if not self._share.admits(ctx.account, len(document.accounts), ctx.urgent):
+            return NotRun(
+                NotRunReason.OVERLOADED,
+                "too many requests are in progress; repeat later or at another instance",
+                RETRY_AFTER,
+            )
+        wait = self._bucket(ctx.account, document, now).take(now)
+        if wait:
+            return NotRun(
+                NotRunReason.RATE_LIMITED,
+                f"client account {ctx.account!r} exceeds its requests_per_second; send fewer",
+                # Without a rate no repeat can succeed.
+                None if wait == float("inf") else wait,
+            )
+        self._share.enter(ctx.account)
+        try:
+            return await proceed(ctx)
+        finally:
+            self._share.leave(ctx.account)
+
+    def _bucket(self, name: AccountId, document: Document, now: float) -> TokenBucket:
+        bucket = self._buckets.get(name)
+        if bucket is None:
+            limits = document.accounts[name]
+            bucket = TokenBucket.full(limits.requests_per_second, limits.burst, now)
+            self._buckets[name] = bucket
+        return bucket
+
+    def _adopt(self, document: Document, now: float) -> None:
+        """Apply the limits of a new revision and forget accounts that left it."""
+        if document.revision == self._revision:
+            return
+        self._revision = document.revision
+        for name, bucket in list(self._buckets.items()):
+            limits = document.accounts.get(name)
+            if limits is None:
+                del self._buckets[name]
+            else:
+                bucket.set_limits(limits.requests_per_second, limits.burst, now)
--- a/chivefall/filters/_dispatch.py
+++ b/chivefall/filters/_dispatch.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from chivefall.controllers import EndpointController, JobRouter, ServiceRequest
 from chivefall.filters._base import Filter, Proceed, RequestContext, RequestKind
-from chivefall.model import NotRun, NotRunReason, Outcome
+from chivefall.filters._early_end import EarlyEnds
+from chivefall.model import Accepted, NotRun, NotRunReason, Outcome, Unknown
+from chivefall.runtime import spawn
 
 __all__ = ["DispatchFilter"]
 
@@ -15,12 +19,17 @@
     def __init__(self, jobs: JobRouter, endpoints: EndpointController) -> None:
         self._jobs = jobs
         self._endpoints = endpoints
+        self._waits = EarlyEnds()
+        self._may_wait = True
 
     async def handle(self, ctx: RequestContext, proceed: Proceed, now: float) -> Outcome:
         """Return the outcome of the controller; never proceeds."""
         del proceed
         if ctx.kind is RequestKind.JOB and ctx.job is not None:
-            return await self._jobs.submit(ctx.job, ctx.wait, ctx.deadline, now)
+            outcome = await self._jobs.submit(ctx.job, False, ctx.deadline, now)
+            if ctx.wait and self._may_wait and isinstance(outcome, Accepted):
+                return await self._wait(outcome, ctx.deadline)
+            return outcome
         if ctx.kind is RequestKind.SERVICE and ctx.service is not None:
             call = ctx.service
             return await self._endpoints.call(
@@ -29,3 +38,17 @@
         return NotRun(
             NotRunReason.BAD_REQUEST, "the request names neither a job nor a service; send one"
         )
+
+    def stop_waiting(self) -> None:
+        """Answer everyone who waits for a job with the job's id; the jobs run on."""
+        self._may_wait = False
+        self._waits.end_all()
+
+    async def _wait(self, accepted: Accepted, deadline: float) -> Outcome:
+        fut: Any = spawn(self._jobs.wait(accepted.job_id, deadline))
+        outcome = await self._waits.watch(fut, accepted)
+        if not isinstance(outcome, Unknown):
+            return outcome
+        # The wait may have ended because the job's leader changed while the job runs on.
+        record = await self._jobs.status(accepted.job_id, self._jobs.clock.now())
+        return outcome if record is not None and record.state.is_final else accepted
--- /dev/null
+++ b/chivefall/filters/_feasibility.py
@@ -0,0 +1,74 @@
+"""Refuses jobs that can never run."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from chivefall.filters._base import Filter, Proceed, RequestContext
+from chivefall.model import Account, Document, JobSpec, NotRun, NotRunReason, Outcome
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ["FeasibilityFilter", "find_bad_value"]
+
+MAX_GANG_SIZE = 64
+MAX_MEMBER_ACCELERATORS = 64
+MAX_COMMAND_LENGTH = 256
+
+
+class FeasibilityFilter(Filter):
+    """Checks a job's values, its account's quota and the shapes of the region.
+
+    Parameters
+    ----------
+    find_obstacle : callable
+        Returns why no worker shape can ever hold the job, or None.
+    """
+
+    def __init__(
+        self,
+        document: Callable[[], Document],
+        find_obstacle: Callable[[JobSpec], str | None] = lambda _: None,
+    ) -> None:
+        self._document = document
+        self._find_obstacle = find_obstacle
+
+    async def handle(self, ctx: RequestContext, proceed: Proceed, now: float) -> Outcome:
+        """Pass jobs that may run and all requests to services on."""
+        del now
+        if ctx.job is not None:
+            problem = find_bad_value(ctx.job)
+            if problem is not None:
+                return NotRun(NotRunReason.BAD_REQUEST, problem)
+            account = self._document().accounts[ctx.account]
+            obstacle = _exceeds_quota(ctx.job, account) or self._find_obstacle(ctx.job)
+            if obstacle is not None:
+                return NotRun(NotRunReason.INFEASIBLE, obstacle)
+        return await proceed(ctx)
+
+
+def find_bad_value(spec: JobSpec) -> str | None:
+    """Return the key of a job's value that is out of bounds and its remedy, or None."""
+    if not 1 <= len(spec.command) <= MAX_COMMAND_LENGTH:
+        return f"command has {len(spec.command)} characters; send 1 to {MAX_COMMAND_LENGTH}"
+    if not 1 <= spec.gang_size <= MAX_GANG_SIZE:
+        return f"gang_size {spec.gang_size} is out of bounds; send 1 to {MAX_GANG_SIZE}"
+    if not 0 <= spec.accelerators <= MAX_MEMBER_ACCELERATORS:
+        return (
+            f"accelerators {spec.accelerators} is out of bounds; "
+            f"send 0 to {MAX_MEMBER_ACCELERATORS} for each member"
+        )
+    if not (math.isfinite(spec.run_time) and spec.run_time >= 0):
+        return f"run_time {spec.run_time} is out of bounds; send a finite number of seconds from 0"
+    return None
+
+
+def _exceeds_quota(spec: JobSpec, account: Account) -> str | None:
+    if spec.total_accelerators <= account.max_accelerators:
+        return None
+    return (
+        f"gang_size times accelerators is {spec.total_accelerators}, but the account's "
+        f"max_accelerators is {account.max_accelerators}; send a smaller gang or raise the quota"
+    )
--- /dev/null
+++ b/chivefall/filters/_shutdown.py
@@ -0,0 +1,33 @@
+"""Refuses requests once the instance is shutting down."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from chivefall.filters._base import Filter, Proceed, RequestContext
+from chivefall.model import NotRun, NotRunReason, Outcome
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ["ShutdownFilter"]
+
+RETRY_AFTER = 1.0  # seconds; other instances answer at once
+
+
+class ShutdownFilter(Filter):
+    """Passes nothing on after the drain began."""
+
+    def __init__(self, is_draining: Callable[[], bool]) -> None:
+        self._is_draining = is_draining
+
+    async def handle(self, ctx: RequestContext, proceed: Proceed, now: float) -> Outcome:
+        """Pass requests on until the drain begins."""
+        del now
+        if self._is_draining():
+            return NotRun(
+                NotRunReason.SHUTTING_DOWN,
+                "this instance is shutting down; connect again to reach another one",
+                RETRY_AFTER,
+            )
+        return await proceed(ctx)
