Drain requests and hand the work over before a process ends

Cause: on SIGTERM the process waited only for requests without a reply, not for replies that were not sent yet, reset connections in the listen queue, cut callers who wait for long jobs at the end of the grace period, gave up the leader lease while records were being written, and ignored a second signal.

Change: the daemon stops listening after taking what the kernel accepted, answers new requests on open connections with SHUTTING_DOWN, answers waits for jobs with the job's id, waits until all replies are sent, then until the records of started work are written, and only then gives up the lease. Requests that are still open 4 s before the end of the grace period get Unknown. A second signal ends at once.

--- a/chivefall/daemon.py
+++ b/chivefall/daemon.py
@@ -25,6 +25,8 @@
 __all__ = ["Daemon"]
 
 DRAIN_CHECK_INTERVAL = 0.1  # seconds between checks for requests in progress
+HAND_OVER_SECONDS = 4.0  # part of the grace period that is kept for records and the lease
+RELEASE_SECONDS = 1.5  # part of the grace period that is kept for the lease
 
 
 class Daemon(BaseComponent):
@@ -36,6 +38,7 @@
         super().__init__()
         self.cfg = cfg
         self._stopping = False
+        self._limit = 0.0
         EPoll().register(self)
         self.clock = LoopClock()
         self.clock.source.register(self)
@@ -67,19 +70,46 @@
 
     @handler("signal", channel="*")
     def _on_signal(self, signo: int, _frame: FrameType | None) -> None:
-        if signo in (signals.SIGTERM, signals.SIGINT) and not self._stopping:
-            self._stopping = True
-            log_event(LogEvent.PROCESS_STOPPING, signal=signals.Signals(signo).name)
-            self.server.stop_listening()
-            self._drain(self.clock.now() + self.cfg.timing.shutdown_grace)
-
-    def _drain(self, limit: float) -> None:
-        """Stop once all requests in progress are answered or the limit passes."""
-        if self.server.requests_in_progress and self.clock.now() < limit:
-            self.clock.call_later(DRAIN_CHECK_INTERVAL, lambda: self._drain(limit))
+        if signo not in (signals.SIGTERM, signals.SIGINT):
+            return
+        log_event(LogEvent.PROCESS_STOPPING, signal=signals.Signals(signo).name)
+        if self._stopping:
+            self._end()
+            return
+        self._stopping = True
+        self._limit = self.clock.now() + self.cfg.timing.shutdown_grace
+        self.server.stop_listening()
+        self.application.begin_drain()
+        self.clock.call_later(DRAIN_CHECK_INTERVAL, self._drain)
+
+    def _drain(self) -> None:
+        """Wait until every request in progress is answered and its answer is sent."""
+        if not self.server.is_quiet and self._before_limit(HAND_OVER_SECONDS):
+            self.clock.call_later(DRAIN_CHECK_INTERVAL, self._drain)
+            return
+        self.application.end_requests()
+        self._hand_over()
+
+    def _hand_over(self) -> None:
+        """Give the leader lease up once the records of all started work are written."""
+        if not self.application.hand_over() and self._before_limit(RELEASE_SECONDS):
+            self.clock.call_later(DRAIN_CHECK_INTERVAL, self._hand_over)
             return
         self.application.stop_controllers()
-        self.clock.call_later(DRAIN_CHECK_INTERVAL, self._end)
+        self._release()
+
+    def _release(self) -> None:
+        """End once the lease is given up and the last answers are sent."""
+        busy = self.application.leader.tasks_in_progress or not self.server.is_quiet
+        if busy and self._before_limit(0.0):
+            self.clock.call_later(DRAIN_CHECK_INTERVAL, self._release)
+            return
+        self._end()
+
+    def _before_limit(self, reserve: float) -> bool:
+        """Return whether the grace period lasts for more than ``reserve`` seconds."""
+        grace = self.cfg.timing.shutdown_grace
+        return self.clock.now() < self._limit - min(reserve, grace / 4)
 
     def _end(self) -> None:
         self.http.close_all()
