Probe an endpoint with one request after a pause

Cause: a benchmark of six endpoints that refuse everything with Retry-After 2 showed that all waiting requests met an endpoint at the end of each pause.

Change: after a pause an endpoint gets one request at a time until it answers. The new benchmark measures the pause and the choice of endpoints.

--- /dev/null
+++ b/benchmarks/bench_routing.py
@@ -0,0 +1,130 @@
+"""Routing of service requests: what a pause and the choice of endpoints are worth.
+
+Counts in virtual time, the same on every run.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import unittest
+from random import Random
+from typing import TYPE_CHECKING
+from unittest import mock
+
+from chivefall.controllers import ServiceRequest
+from chivefall.model import AccountId, Completed, DomainId, EndpointId, ServiceId
+from chivefall.routing import Endpoint, Fleet, choose_endpoint
+from chivefall.runtime import spawn
+from standins.cluster import Cluster
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+SERVICE = ServiceId("booking")
+STEPS = 400  # of 0.05 s
+
+
+def overloaded(endpoints: int) -> tuple[int, int]:
+    """Return requests sent to overloaded endpoints and requests that completed in 20 s.
+
+    Six instances get 20 requests a second each; some endpoints refuse all of them
+    with a Retry-After of 2 s.
+    """
+    cluster = Cluster(workers_per_domain=0)
+    for domain in ("zarcero", "tarrazu", "cartago"):
+        cluster.add_endpoints(domain, 2)
+    cluster.list_entries()
+    cluster.advance(6)
+    states = list(cluster.endpoints.states.values())
+    for state in states[:endpoints]:
+        state.faults.refuse, state.faults.retry_after = -1, "2"
+    futs = []
+    for _ in range(STEPS):
+        for app in cluster.applications.values():
+            deadline = cluster.clock.now() + 1.0
+            req = ServiceRequest(SERVICE, AccountId("farmers"), None, True, deadline)
+            futs.append(spawn(app.endpoints.call(req)))
+        cluster.advance(0.05)
+    cluster.advance(5)
+    completed = sum(isinstance(fut.result(), Completed) for fut in futs)
+    return sum(len(state.received) for state in states[:endpoints]), completed
+
+
+class PauseBenchmark(unittest.TestCase):
+    def test_requests_sent_to_an_overloaded_endpoint(self) -> None:
+        """Guards against a pause that no longer spares an overloaded endpoint."""
+        for count in (1, 6):
+            with_pause, done = overloaded(count)
+            with mock.patch.object(Endpoint, "note_pause"):
+                without, done_without = overloaded(count)
+            print(
+                f"{count} of 6 endpoints overloaded, {6 * STEPS} requests: {with_pause} refusals "
+                f"and {done} completed with the pause, {without} and {done_without} without"
+            )
+            self.assertLessEqual(with_pause, without / 5)
+            self.assertGreaterEqual(done, done_without)
+
+
+def exact(endpoints: list[Endpoint], rng: Random) -> Endpoint:
+    """Choose the least loaded endpoint."""
+    return choose_endpoint(endpoints, Fleet(DomainId("d")), 0.0, rng)
+
+
+def two_choices(endpoints: list[Endpoint], rng: Random) -> Endpoint:
+    """Choose the less loaded of two random endpoints."""
+    return exact(rng.sample(endpoints, 2), rng)
+
+
+def any_endpoint(endpoints: list[Endpoint], rng: Random) -> Endpoint:
+    """Choose a random endpoint."""
+    return rng.choice(endpoints)
+
+
+def share_that_waits(
+    choose: Callable[[list[Endpoint], Random], Endpoint], instances: int, load: float
+) -> float:
+    """Return the share of requests that find no free slot at their endpoint.
+
+    Each instance knows only its own outstanding requests. Run times are
+    exponential with a mean of 1 s; six endpoints have 8 slots each.
+    """
+    rng, now, waited, count = Random(7), 0.0, 0, 20_000
+    names = [EndpointId(str(index)) for index in range(6)]
+    views = [
+        {name: Endpoint(name, SERVICE, DomainId("d"), "h:1") for name in names}
+        for _ in range(instances)
+    ]
+    running = dict.fromkeys(names, 0)
+    free_at = {name: [0.0] * 8 for name in names}
+    ends: list[tuple[float, int, Endpoint]] = []
+    numbers = itertools.count()
+    for _ in range(count):
+        now += rng.expovariate(48 * load)
+        while ends and ends[0][0] <= now:
+            endpoint = heapq.heappop(ends)[2]
+            endpoint.outstanding -= 1
+            running[endpoint.endpoint] -= 1
+        endpoint = choose(list(rng.choice(views).values()), rng)
+        waited += running[endpoint.endpoint] >= 8
+        endpoint.outstanding += 1
+        running[endpoint.endpoint] += 1
+        slots = free_at[endpoint.endpoint]
+        end = max(now, heapq.heappop(slots)) + rng.expovariate(1.0)
+        heapq.heappush(slots, end)
+        heapq.heappush(ends, (end, next(numbers), endpoint))
+    return waited / count
+
+
+class ChoiceBenchmark(unittest.TestCase):
+    def test_share_of_requests_that_wait(self) -> None:
+        """Guards against a choice that leaves slots idle beside waiting requests."""
+        for instances, load in ((1, 0.7), (6, 0.5), (6, 0.7), (6, 0.85)):
+            shares = {
+                choose.__name__: share_that_waits(choose, instances, load)
+                for choose in (exact, two_choices, any_endpoint)
+            }
+            text = ", ".join(f"{name} {share:.2%}" for name, share in shares.items())
+            print(f"{instances} instances, load {load:.0%}: requests that wait: {text}")
+            self.assertLessEqual(shares["exact"], shares["two_choices"])
+            self.assertLess(shares["exact"], shares["any_endpoint"])
--- a/chivefall/controllers/_endpoints.py
+++ b/chivefall/controllers/_endpoints.py
@@ -182,7 +182,8 @@
         if result.retry_after is not None:
             endpoint.note_pause(now, result.retry_after)
         if not result.is_failure:
-            endpoint.note_success()
+            if result.retry_after is None:
+                endpoint.note_success()
             return
         answered = result.end is AttemptEnd.ANSWERED
         endpoint.note_failure(now, not answered or self._most_serve(endpoint.service, now))
--- a/chivefall/routing/_endpoint.py
+++ b/chivefall/routing/_endpoint.py
@@ -25,6 +25,8 @@
         Requests of this instance that the endpoint has not answered.
     failures : int
         Consecutive attempts without a usable answer.
+    recovering : bool
+        Whether the endpoint asked for a pause and has not answered since.
     paused_until, ejected_until, leaving_until : float
         Seconds since the epoch.
     """
@@ -38,6 +40,7 @@
     outstanding: int = 0
     failures: int = 0
     ejections: int = 0
+    recovering: bool = False
     paused_until: float = NEVER
     ejected_until: float = NEVER
     leaving_until: float = NEVER
@@ -54,11 +57,14 @@
         """Return whether a request may be sent now with ``limit`` requests outstanding."""
         if not self.can_serve(now) or now < self.paused_until:
             return False
-        # After an ejection a single request probes the endpoint.
-        return self.outstanding < (1 if self.failures >= EJECT_AFTER else limit)
+        # After an ejection or a pause a single request probes the endpoint; without this the
+        # whole queue would meet it at the end of each pause.
+        probing = self.recovering or self.failures >= EJECT_AFTER
+        return self.outstanding < (1 if probing else limit)
 
     def note_success(self) -> None:
         """Record an answer."""
+        self.recovering = False
         self.failures = 0
         self.ejections = 0
 
@@ -74,6 +80,7 @@
 
     def note_pause(self, now: float, retry_after: float) -> None:
         """Send nothing for the time that the endpoint asked for; never shortens a pause."""
+        self.recovering = True
         self.paused_until = max(self.paused_until, now + retry_after)
 
     def note_leaving(self, now: float) -> None:
--- a/tests/routing/test_choice.py
+++ b/tests/routing/test_choice.py
@@ -94,3 +94,14 @@
         item.note_pause(NOW, 1)
         item.note_success()
         self.assertFalse(item.is_available(NOW + 59, 10))
+
+    def test_one_request_probes_after_a_pause(self) -> None:
+        """Guards against a whole queue that meets an endpoint at the end of its pause."""
+        item = endpoint("a", outstanding=1)
+        item.note_pause(NOW, 1)
+        self.assertFalse(item.is_available(NOW + 1, 10))
+        item.outstanding = 0
+        self.assertTrue(item.is_available(NOW + 1, 10))
+        item.note_success()
+        item.outstanding = 9
+        self.assertTrue(item.is_available(NOW + 1, 10))
