Leave nothing behind of callers that end early

Cause: circuits recreates the buffer of a closed socket when a write or close event for it is still queued, and keeps a socket in its list of pending closes when the connection is closed otherwise, so memory grew with such callers. A third signal would have closed the peers' sockets twice.

Change: drop write and close events of closed sockets, forget their buffers and pending closes on disconnect, end the process once.

A first form of the leak test passed without the clean-ups, because its answers fitted into the socket's buffer; it now uses 8 MB.

--- a/chivefall/daemon.py
+++ b/chivefall/daemon.py
@@ -38,6 +38,7 @@
         super().__init__()
         self.cfg = cfg
         self._stopping = False
+        self._ended = False
         self._limit = 0.0
         EPoll().register(self)
         self.clock = LoopClock()
@@ -112,6 +113,9 @@
         return self.clock.now() < self._limit - min(reserve, grace / 4)
 
     def _end(self) -> None:
+        if self._ended:
+            return
+        self._ended = True
         self.http.close_all()
         self.peers.close()
         log_event(LogEvent.PROCESS_STOPPED, instance=self.cfg.instance)
--- a/chivefall/net/_http_server.py
+++ b/chivefall/net/_http_server.py
@@ -146,6 +146,8 @@
         self._conns.pop(sock, None)
         # circuits recreates the buffer if the socket was writable when it was closed.
         self._server.server._buffers.pop(sock, None)
+        if sock in self._server.server._closeq:
+            self._server.server._closeq.remove(sock)
 
     @handler("_read", priority=10)
     def _keep_half_closed(self, event, sock: socket.socket) -> None:
@@ -176,11 +178,10 @@
             conn.paused = True
             self._server.server._poller.removeReader(sock)
 
-    @handler("write", priority=10)
-    def _skip_closed(self, event, sock: socket.socket, data: bytes) -> None:
-        """Drop output to a connection that the caller closed meanwhile."""
-        del data
-        if sock.fileno() < 0:
+    @handler("write", "close", priority=10)
+    def _skip_closed(self, event, sock: socket.socket | None = None, *_: object) -> None:
+        """Drop output to a closed connection, for which circuits would keep a buffer for ever."""
+        if sock is not None and sock.fileno() < 0:
             event.stop()
 
     def _advance(self, conn: CallerConnection) -> None:
@@ -270,10 +271,7 @@
 
     def _close(self, conn: CallerConnection) -> None:
         self._conns.pop(conn.sock, None)
-        tcp = self._server.server
-        if conn.sock in tcp._closeq:
-            tcp._closeq.remove(conn.sock)
-        tcp._close(conn.sock)
+        self._server.server._close(conn.sock)
 
     def _has_output(self, sock: socket.socket) -> bool:
         return bool(self._server.server._buffers.get(sock))
--- a/tests/api/test_http_api.py
+++ b/tests/api/test_http_api.py
@@ -115,6 +115,22 @@
         self.cluster.advance(0.5)
         self.assertEqual(fut.result().status, 202)
 
+    def test_wait_at_a_peer_while_the_leader_shuts_down(self) -> None:
+        """Guards against an unknown outcome for a job that is recorded and runs on (G8)."""
+        cluster = Cluster(("zarcero",), entries_per_domain=2)
+        cluster.advance(6)
+        leader = cluster.leader("zarcero")
+        (peer,) = [app for app in cluster.applications.values() if app is not leader]
+        body = b'{"command": "sort", "payload": {"run_time": 60.0}}'
+        fut = peer.api.serve(HttpRequest("POST", "/v1/jobs", "wait=1", HEADERS, body))
+        cluster.advance(2)
+        self.assertFalse(fut.done())
+        leader.begin_drain()
+        self.assertTrue(leader.hand_over())
+        leader.stop_controllers()
+        cluster.advance(0.5)
+        self.assertEqual(fut.result().status, 202)
+
     def test_lease_is_kept_until_records_are_written(self) -> None:
         """Guards against a next leader that reads records while this one still writes."""
         store = self.cluster.stores["zarcero-1"]
--- a/tests/net/test_http_server.py
+++ b/tests/net/test_http_server.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import itertools
 import socket
+import struct
 import unittest
 
+from circuits.net.events import close
+
 from chivefall.config import Address
 from chivefall.net import HttpReply, HttpRequest, HttpServer
 from chivefall.runtime import Future
@@ -206,6 +210,46 @@
         self.wait_open(1)
         self.assertEqual(self.open[0][0].headers["idempotency-key"], r"a\x41\n")
 
+    def test_nothing_is_left_of_closed_connections(self) -> None:
+        """Guards against memory that grows with each caller that leaves early."""
+        reset = struct.pack("ii", 1, 0)  # without a linger time a close is a reset
+        large = HttpReply(200, b"x" * 8_000_000)
+        cases = itertools.product((False, True), (False, True), ("close", "keep-alive"))
+        for number, (resets, starts, connection) in enumerate(cases):
+            caller = self.caller(get("/a", f"Connection: {connection}"))
+            self.wait_open(number + 1)
+            if starts:
+                self.open[-1][1].set_result(large)
+                self.loop.settle()
+            if resets:
+                caller.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
+            caller.sock.close()
+            if not starts:
+                self.open[-1][1].set_result(large)
+            (sock,) = self.server._conns
+            self.loop.run_until(lambda: not self.server._conns)
+            # A close may be in the event queue behind the caller's own.
+            self.loop.fire(close(sock), "web")
+            self.loop.settle()
+        tcp, poller = self.server._server.server, self.server._server.server._poller
+        left = [self.server._conns, tcp._buffers, tcp._closeq, tcp._clients]
+        self.assertEqual([len(item) for item in left], [0, 0, 0, 0])
+        # The poller keeps its own pipe and the listening socket.
+        self.assertEqual((len(poller._read), len(poller._write)), (2, 0))
+
+    def test_caller_that_does_not_read_its_answer(self) -> None:
+        """Guards against answers that are kept in memory for ever."""
+        self.caller(get("/a", "Connection: close"))
+        self.wait_open(1)
+        self.open[0][1].set_result(HttpReply(200, b"x" * 8_000_000))
+        self.loop.settle()
+        self.assertFalse(self.server.is_quiet)
+        for _ in range(62):
+            self.loop.advance(1)
+        tcp = self.server._server.server
+        self.assertEqual([len(item) for item in (tcp._buffers, tcp._closeq)], [0, 0])
+        self.assertTrue(self.server.is_quiet)
+
     def test_stop_listening_answers_all_that_connected(self) -> None:
         """Guards against resetting callers that wait in the listen queue (G8)."""
         callers = [self.caller(get("/now")) for _ in range(5)]
