--- a/chivefall/api/_document_api.py
+++ b/chivefall/api/_document_api.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from chivefall.api._requests import json_reply
+from chivefall.api._requests import Operation, json_reply
 from chivefall.document import (
     ChangeAccepted,
     ChangeConflict,
@@ -61,44 +61,45 @@
         self._clock = clock
         self._document = document
 
-    async def serve(self, req: HttpRequest, *parts: str) -> HttpReply:
-        """Return the reply to a request below ``/v1``.
+    def operations(self, req: HttpRequest, *parts: str) -> dict[str, Operation]:
+        """Return the operations of a resource below ``/v1`` by method.
 
         Parameters
         ----------
         parts : str
-            Method and path below ``/v1``.
+            Path below ``/v1``.
         """
-        try:
-            reply = await self._route(req, parts)
-        except DocumentError as exc:
-            return encode_change_reply(ChangeInvalid(exc.problem, exc.remedy))
-        except MessageError as exc:
-            return json_reply(HTTPStatus.BAD_REQUEST, {"error": str(exc)})
-        return reply or json_reply(
-            HTTPStatus.NOT_FOUND, {"error": f"no such resource: {req.method} {req.path}"}
-        )
+        return {
+            method: lambda act=act: _answer_errors(act)
+            for method, act in self._resource(req, parts).items()
+        }
 
-    async def _route(self, req: HttpRequest, parts: tuple[str, ...]) -> HttpReply | None:
+    def _resource(self, req: HttpRequest, parts: tuple[str, ...]) -> dict[str, Operation]:
         match parts:
-            case ("GET", "document"):
-                return self._reply(msgspec.to_builtins(self._document.document))
-            case ("GET", "document", "sections", name):
-                return self._read_section(_section(name))
-            case ("GET", "document", "history"):
-                return await self._read_history(_limit(req))
-            case ("PUT", "document"):
-                return await self._change(req, DocumentEdit(parse_document(req.body)))
-            case ("PUT", "document", "sections", name):
-                section = _section(name)
-                content = parse_section(section, req.body)
-                return await self._change(req, SectionEdit(section, content))
-            case ("POST", "failure-domains", domain, ("in" | "out") as state):
+            case ("document",):
+                return {"GET": self._read_document, "PUT": lambda: self._change_document(req)}
+            case ("document", "sections", name):
+                return {
+                    "GET": lambda: self._read_section(_section(name)),
+                    "PUT": lambda: self._change_section(req, _section(name)),
+                }
+            case ("document", "history"):
+                return {"GET": lambda: self._read_history(_limit(req))}
+            case ("failure-domains", domain, ("in" | "out") as state):
                 edit = DomainEdit(DomainId(domain), _DOMAIN_STATES[state])
-                return await self._change(req, edit, self._document.revision)
-        return None
+                return {"POST": lambda: self._change(req, edit, self._document.revision)}
+        return {}
+
+    async def _read_document(self) -> HttpReply:
+        return self._reply(msgspec.to_builtins(self._document.document))
+
+    async def _change_document(self, req: HttpRequest) -> HttpReply:
+        return await self._change(req, DocumentEdit(parse_document(req.body)))
 
-    def _read_section(self, section: Section) -> HttpReply:
+    async def _change_section(self, req: HttpRequest, section: Section) -> HttpReply:
+        return await self._change(req, SectionEdit(section, parse_section(section, req.body)))
+
+    async def _read_section(self, section: Section) -> HttpReply:
         document = self._document.document
         content = msgspec.to_builtins(document.section(section))
         return self._reply(
@@ -143,6 +144,16 @@
         return json_reply(HTTPStatus.OK, body, headers)
 
 
+async def _answer_errors(act: Operation) -> HttpReply:
+    """Return an operation's reply, or one that tells what is wrong with the request."""
+    try:
+        return await act()
+    except DocumentError as exc:
+        return encode_change_reply(ChangeInvalid(exc.problem, exc.remedy))
+    except MessageError as exc:
+        return json_reply(HTTPStatus.BAD_REQUEST, {"error": str(exc)})
+
+
 def encode_change_reply(outcome: ChangeOutcome) -> HttpReply:
     """Return the HTTP reply for the outcome of a change."""
     tag, status = _TAGS[type(outcome)]
--- a/chivefall/application.py
+++ b/chivefall/application.py
@@ -12,13 +12,23 @@
 from chivefall.controllers import (
     DocumentController,
     DrainController,
+    EndpointController,
     JobController,
     JobRouter,
     LeaderController,
     MembershipController,
     WorkerController,
 )
-from chivefall.filters import AccountFilter, DispatchFilter, FilterChain
+from chivefall.endpoints import EndpointClient
+from chivefall.filters import (
+    AccountFilter,
+    AdmissionFilter,
+    DeadlineFilter,
+    DispatchFilter,
+    FeasibilityFilter,
+    FilterChain,
+    ShutdownFilter,
+)
 from chivefall.model import Epoch, JobState
 from chivefall.net import Heartbeat, Peers
 from chivefall.registry import Registry
@@ -42,6 +52,7 @@
     store: Store
     workers: WorkerClient
     peers: Peers
+    endpoints: EndpointClient
 
 
 class Application(BaseComponent):
@@ -53,13 +64,20 @@
         super().__init__()
         self.cfg = cfg
         self.clock = connections.clock
+        self.draining = False
         self.metrics = Metrics()
         self.registry = Registry()
         self._add_controllers(connections)
+        self._deadline = DeadlineFilter(self.clock)
+        self._dispatch = DispatchFilter(self.job_router, self.endpoints)
         self.chain = FilterChain(
             [
+                ShutdownFilter(lambda: self.draining),
                 AccountFilter(lambda: self.document.document),
-                DispatchFilter(self.job_router),
+                FeasibilityFilter(lambda: self.document.document),
+                AdmissionFilter(lambda: self.document.document),
+                self._deadline,
+                self._dispatch,
             ],
             self.clock.now,
         )
@@ -95,6 +113,9 @@
                 self.workers,
             )
         )
+        self.endpoints = add(
+            EndpointController(clock, cfg, connections.endpoints, self.document, self.metrics)
+        )
         for controller in self.registry:
             controller.register(self)
 
@@ -103,10 +124,31 @@
         for controller in self.registry:
             controller.start()
 
+    def begin_drain(self) -> None:
+        """Refuse new requests; whoever waits for a job gets its id, since the job runs on."""
+        self.draining = True
+        self._dispatch.stop_waiting()
+
+    def end_requests(self) -> None:
+        """Answer the requests that are still in progress with Unknown."""
+        self._deadline.end_all()
+
+    def hand_over(self) -> bool:
+        """Start no more work and return whether all records of started work are written.
+
+        The leader lease is kept until then, so that the next leader reads
+        complete records.
+        """
+        for controller in (self.endpoints, self.job_router, self.jobs):
+            if not controller.is_stopped:
+                controller.stop()
+        return not self.jobs.tasks_in_progress
+
     def stop_controllers(self) -> None:
         """Stop all controllers in reverse order."""
         for controller in reversed(self.registry):
-            controller.stop()
+            if not controller.is_stopped:
+                controller.stop()
 
     def _heard_epoch(self, now: float) -> Epoch:
         peer = self.membership.leader_of(self.cfg.failure_domain, now)
--- a/chivefall/controllers/__init__.py
+++ b/chivefall/controllers/__init__.py
@@ -5,6 +5,7 @@
 from chivefall.controllers._base import Controller
 from chivefall.controllers._document import DocumentController
 from chivefall.controllers._drain import DrainController
+from chivefall.controllers._endpoints import EndpointController, ServiceRequest
 from chivefall.controllers._job_router import JobRouter
 from chivefall.controllers._jobs import JobController
 from chivefall.controllers._leader import LeaderController, LeaderState
@@ -15,10 +16,12 @@
     "Controller",
     "DocumentController",
     "DrainController",
+    "EndpointController",
     "JobController",
     "JobRouter",
     "LeaderController",
     "LeaderState",
     "MembershipController",
+    "ServiceRequest",
     "WorkerController",
 ]
--- a/chivefall/telemetry/_events.py
+++ b/chivefall/telemetry/_events.py
@@ -49,6 +49,8 @@
     RECORDS_LOADED = (5009, "A new leader has read the job records.")
     UNKNOWN_TASK_STOPPED = (5010, "A task that no job record names was stopped.")
     REQUEST_ANSWERED = (6001, "A request of a caller was answered.")
+    ENDPOINT_LEAVING = (6002, "An endpoint says that it is leaving.")
+    ENDPOINT_EJECTED = (6003, "An endpoint failed several times and gets no requests for a while.")
 
     def __init__(self, number: int, meaning: str) -> None:
         self.number = number
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -17,17 +17,21 @@
     DomainState,
     InstanceId,
     InstanceKind,
+    InstanceStatus,
     JobId,
     JobSpec,
     Outcome,
     RackId,
     Revision,
+    Service,
+    ServiceId,
     TaskState,
     domain_of_job,
 )
 from chivefall.runtime import ManualClock, spawn
 from chivefall.store import ABSENT, DOCUMENT_KEY
 from chivefall.workers import Instance
+from standins.endpoint import EndpointState
 from standins.memory import (
     Gate,
     GatedWorkers,
@@ -37,6 +41,7 @@
     MemoryStore,
     MemoryWorkers,
 )
+from standins.memory_endpoints import MemoryEndpoints
 from standins.store import KeyValueState
 
 if TYPE_CHECKING:
@@ -73,6 +78,7 @@
         self.state = KeyValueState(self.clock)
         self.network = MemoryNetwork()
         self.workers = MemoryWorkers()
+        self.endpoints = MemoryEndpoints(self.clock)
         self.stores: dict[InstanceId, MemoryStore] = {}
         self.applications: dict[InstanceId, Application] = {}
         self.store_down = False
@@ -106,6 +112,40 @@
                 self.clock,
             )
 
+    def add_endpoints(self, domain: str, count: int, service: str = "booking") -> None:
+        """Add endpoints of a service to the platform's list."""
+        for index in range(1, count + 1):
+            name = f"{domain}-e{index}"
+            address = f"127.1.{len(self.endpoints.states) + 1}.1:80"
+            self.endpoints.states[address] = EndpointState(name, self.clock)
+            self.workers.instances += (
+                Instance(
+                    InstanceId(name),
+                    InstanceKind.ENDPOINT,
+                    DomainId(domain),
+                    address,
+                    service=ServiceId(service),
+                ),
+            )
+
+    def list_entries(self) -> None:
+        """Add the entry instances to the platform's list."""
+        self.workers.instances += tuple(
+            Instance(name, InstanceKind.ENTRY, app.cfg.failure_domain, app.cfg.peer_listen)
+            for name, app in self.applications.items()
+        )
+
+    def endpoint(self, name: str) -> EndpointState:
+        """Return an endpoint by its name."""
+        return next(state for state in self.endpoints.states.values() if state.name == name)
+
+    def set_endpoint_status(self, name: str, status: InstanceStatus) -> None:
+        """Change an endpoint's status in the platform's list."""
+        self.workers.instances = tuple(
+            replace(item, status=status) if item.instance == name else item
+            for item in self.workers.instances
+        )
+
     def start(self, name: InstanceId, domain: DomainId) -> Application:
         """Start an instance; an earlier one of that name is replaced."""
         cfg = Settings(
@@ -124,7 +164,7 @@
         store.down = self.store_down
         peers = MemoryPeers(name, self.network, clock, gate)
         client = self.clients[name] = GatedWorkers(self.workers, gate)
-        application = Application(cfg, Connections(clock, store, client, peers))
+        application = Application(cfg, Connections(clock, store, client, peers, self.endpoints))
         self.stores[name] = store
         self.applications[name] = application
         application.start_controllers()
@@ -256,4 +296,5 @@
         Revision(1),
         accounts,
         failure_domains={DomainId(domain): DomainState.IN_SERVICE for domain in domains},
+        services={ServiceId("booking"): Service(AccountId("farmers"), timeout=5.0)},
     )
--- a/tests/store/test_http_store.py
+++ b/tests/store/test_http_store.py
@@ -26,7 +26,7 @@
     Unavailable,
 )
 from chivefall.store._http_store import _lease_outcome, _write_outcome
-from standins.deployment import free_ports, call, wait_until
+from standins.deployment import call, free_ports, wait_until
 
 STORE_TIMEOUT = 0.3
 SCENARIO_LIMIT = 15.0
