--- a/tests/controllers/test_document.py
+++ b/tests/controllers/test_document.py
@@ -220,6 +220,11 @@
         self.assertIsInstance(first.result(), ChangeUnknown)
         self.assertEqual(self.stored().last_change.change_id, first.result().change_id)
         self.assertFalse(any(app.document.is_fresh(0) for app in self.apps.values()))
+        self.apps[FIRST].stop_controllers()
+        self.cluster.settle()
+        self.cluster.kill(FIRST)
+        self.cluster.advance(10)
+        self.assertFalse(any(app.document.is_fresh(0) for app in self.apps.values()))
         for store in self.cluster.stores.values():
             store.down = False
         self.cluster.advance(3)
