--- a/tests/controllers/test_document.py
+++ b/tests/controllers/test_document.py
@@ -113,6 +113,11 @@
         self.assertEqual(sum(counter.values()), 180)
         self.assertEqual(set(counter), leaders)
         self.assertTrue(all(app.document.is_fresh(0) for app in self.apps.values()))
+        counter.clear()
+        for store in self.cluster.stores.values():
+            store.down = True
+        self.cluster.advance(20)
+        self.assertLessEqual(sum(counter.values()), 6 * 20, "one read a second and instance")
 
     def test_instance_without_peers_reads_the_store_itself(self) -> None:
         """Guards against an instance that depends on peers for its confirmation."""
