--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -62,7 +62,7 @@
     ----------
     stores : dict
         The store client of each instance, with its faults.
-    store_down : bool
+    store_down_at_start : bool
         Whether the store is down for instances that are started.
     """
 
@@ -81,7 +81,7 @@
         self.endpoints = MemoryEndpoints(self.clock)
         self.stores: dict[InstanceId, MemoryStore] = {}
         self.applications: dict[InstanceId, Application] = {}
-        self.store_down = False
+        self.store_down_at_start = False
         self.gates: dict[InstanceId, Gate] = {}
         self.clients: dict[InstanceId, GatedWorkers] = {}
         self.timing = timing or Timing()
@@ -161,7 +161,7 @@
         gate = self.gates[name] = Gate()
         clock = InstanceClock(self.clock, gate)
         store = MemoryStore(self.state, clock, gate=gate)
-        store.down = self.store_down
+        store.down = self.store_down_at_start
         peers = MemoryPeers(name, self.network, clock, gate)
         client = self.clients[name] = GatedWorkers(self.workers, gate)
         application = Application(cfg, Connections(clock, store, client, peers, self.endpoints))
