Bound the cost of a scheduling round

Change: Room keeps racks by free room and a search stops at the first that fits; VictimIndex skips groups whose lower bound is worse than the best found; a round reclaims at most 8 shapes for normal jobs; shapes without victims and refusals are remembered; packing checks undo their changes instead of copying the room.

--- a/chivefall/scheduling/_defragment.py
+++ b/chivefall/scheduling/_defragment.py
@@ -4,7 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from chivefall.scheduling._reclaim import RESTART_SECONDS, Reclaim, choose_victims
+from chivefall.scheduling._reclaim import Reclaim, choose_victims
+from chivefall.scheduling._victim_index import RESTART_SECONDS, VictimIndex
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -36,7 +37,7 @@
     if wait < MIN_WAIT or room.total() < spec.total_accelerators:
         return None
     small = [job for job in candidates if job.spec.total_accelerators < spec.total_accelerators]
-    choice = choose_victims(spec, room, small, now)
+    choice = choose_victims(spec, room, VictimIndex(small, now))
     if choice is None:
         return None
     saved = spec.total_accelerators * (wait - RESTART_SECONDS)
--- a/chivefall/scheduling/_guarantee_policy.py
+++ b/chivefall/scheduling/_guarantee_policy.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from chivefall.model import Urgency
+from chivefall.model import Adjacency, Urgency
 from chivefall.scheduling._cluster import Plan, SchedulingPolicy
 from chivefall.scheduling._defragment import choose_moves
 from chivefall.scheduling._estimator import RunTimeEstimator
@@ -18,14 +18,16 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from chivefall.model import JobId, JobSpec, WorkerId
+    from chivefall.model import Account, AccountId, JobId, JobSpec, WorkerId
     from chivefall.scheduling._cluster import ClusterView, QueuedJob, RunningJob, WorkerView
     from chivefall.scheduling._reservation import Reservation
     from chivefall.scheduling._room import Room
 
 __all__ = ["GuaranteePolicy"]
 
+Shape = tuple[str, int, int, Adjacency]
 ORDER_MEMORY = 10.0  # seconds after which a checkpoint that did not happen is ordered again
+MAX_RECLAIMS = 8  # in one round; the checkpoints that they cause bring the next round
 MOVE_PAUSE = 600.0  # seconds during which a moved job is not moved again
 
 
@@ -46,6 +48,8 @@
         self._starts = StartHistory()
         self._moved: dict[JobId, float] = {}
         self._seen: dict[WorkerId, WorkerView] = {}
+        self._accounts: dict[AccountId, Account] = {}
+        self._reasons: dict[Shape, str | None] = {}
 
     def observe_finished(self, spec: JobSpec, seconds: float) -> None:
         """Learn from the whole run time of a finished job."""
@@ -70,8 +74,15 @@
 
     def _rejections(self, view: ClusterView) -> dict[JobId, str]:
         """Return the jobs that can never run; a worker that is gone may return."""
-        self._seen.update((worker.worker, worker) for worker in view.workers)
-        reasons: dict[tuple, str | None] = {}
+        for worker in view.workers:
+            known = self._seen.get(worker.worker)
+            if known is None or known.accelerators != worker.accelerators:
+                self._seen[worker.worker] = worker
+                self._reasons.clear()
+        if self._accounts != view.accounts:
+            self._accounts = view.accounts
+            self._reasons.clear()
+        reasons = self._reasons
         rejections = {}
         for job in view.queued:
             spec = job.spec
@@ -128,15 +139,35 @@
         return self._reclaim(current, job, covered=covered)
 
     def _reclaim(self, current: Round, job: QueuedJob, *, covered: bool) -> bool:
-        victims = current.borrowers()
-        if not covered:
-            victims = [item for item in victims if item.spec.urgency is not Urgency.URGENT]
-        ready = [item for item in victims if item.checkpointable]
-        choice = choose_victims(job.spec, current.future, ready, current.now)
-        if choice is None and len(ready) < len(victims):
+        spec = job.spec
+        if current.reclaims >= MAX_RECLAIMS and spec.urgency is not Urgency.URGENT:
+            return True
+        shape = (
+            covered,
+            spec.gang_size,
+            spec.accelerators,
+            spec.adjacency,
+            current.ledger.displacements,
+        )
+        if shape in current.unreclaimable:
+            return False
+
+        def allowed(item: RunningJob) -> bool:
+            return (covered or item.spec.urgency is not Urgency.URGENT) and (
+                not current.ledger.is_protected(item)
+            )
+
+        choice = choose_victims(
+            spec,
+            current.future,
+            current.victims,
+            lambda item: item.checkpointable and allowed(item),
+        )
+        if choice is None:
             # Jobs that still start can be checkpointed soon; their place is held until then.
-            choice = choose_victims(job.spec, current.future, victims, current.now)
+            choice = choose_victims(spec, current.future, current.victims, allowed)
         if choice is None:
+            current.unreclaimable.add(shape)
             return False
         current.preempt(choice.victims)
         current.hold(job, choice.placement)
--- a/chivefall/scheduling/_guarantees.py
+++ b/chivefall/scheduling/_guarantees.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from chivefall.model import AccountId, Guarantee, JobId
+    from chivefall.model import AccountId, Guarantee, JobId, Placement
     from chivefall.scheduling._cluster import QueuedJob, RunningJob
 
 __all__ = ["GuaranteeLedger", "unplaced_shapes"]
@@ -32,6 +32,7 @@
         self._cost = cost
         self.accelerators = sum(g.gangs * g.gang_size * g.accelerators for g in guarantees)
         self.protected: set[JobId] = set()
+        self.displacements = 0
         self._gangs: list[tuple[JobSpec, list[WorkerId]]] = []
         self._workers: list[WorkerView] = []
         self._claims: dict[JobId, tuple[Rank, JobSpec]] = {}
@@ -94,12 +95,14 @@
             self._claims[job.job_id] = (rank, spec)
             return True
         if any(self._claims[other][0] > rank for other in self.protected):
+            before = (self._room, self.protected)
             self._claims[job.job_id] = (rank, spec)
             self._fill()
             if job.job_id in self.protected:
+                self.displacements += 1
                 return True
             del self._claims[job.job_id]
-            self._fill()
+            self._room, self.protected = before
         self._refused.add(shape)
         return False
 
@@ -146,6 +149,11 @@
         share = self._shares.get(job.spec.account)
         return share is not None and share.admit(job)
 
+    @property
+    def displacements(self) -> int:
+        """Return how often a queued job displaced running ones from their guarantee."""
+        return sum(share.displacements for share in self._shares.values())
+
     def is_protected(self, job: RunningJob) -> bool:
         """Return whether a running job is inside its own account's guarantee."""
         share = self._shares.get(job.spec.account)
@@ -162,14 +170,32 @@
         return sorted(shapes, key=lambda spec: -spec.total_accelerators)
 
 
-def unplaced_shapes(shapes: Iterable[JobSpec], room: Room) -> int:
-    """Return the accelerators of the shapes that do not fit a room together."""
-    rest = room.copy()
+def unplaced_shapes(shapes: Iterable[JobSpec], room: Room, taken: Placement | None = None) -> int:
+    """Return the accelerators of the shapes that do not fit a room together.
+
+    Parameters
+    ----------
+    room : Room
+        Unchanged afterwards; changing it back costs less than a copy.
+    taken : Placement or None
+        A place that is not available.
+    """
+    saved: dict[WorkerId, int] = {}
     missing = 0
+
+    def take(placement: Placement) -> None:
+        for member in placement:
+            if member.worker in room.free:
+                saved.setdefault(member.worker, room.free[member.worker])
+        room.take(placement)
+
+    if taken is not None:
+        take(taken)
     for spec in shapes:
-        placement = rest.place(spec)
+        placement = room.place(spec)
         if placement is None:
             missing += spec.total_accelerators
         else:
-            rest.take(placement)
+            take(placement)
+    room.restore(saved)
     return missing
--- a/chivefall/scheduling/_reclaim.py
+++ b/chivefall/scheduling/_reclaim.py
@@ -2,24 +2,21 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from chivefall.model import Adjacency, Placement, Urgency
+from chivefall.model import Placement
 from chivefall.scheduling._cluster import RunningJob
+from chivefall.scheduling._victim_index import lost_work
 
 if TYPE_CHECKING:
-    from collections.abc import Hashable, Iterable, Sequence
+    from collections.abc import Callable
 
-    from chivefall.model import JobSpec, RackId, WorkerId
+    from chivefall.model import JobSpec, WorkerId
     from chivefall.scheduling._room import Room
+    from chivefall.scheduling._victim_index import VictimIndex
 
-__all__ = ["Reclaim", "choose_victims", "lost_work"]
-
-RESTART_SECONDS = 5.0  # checkpoint, queueing and restore of a preempted job
-LOST_FRACTION = 0.02  # part of the run time that a failed checkpoint loses on average
-URGENT_WEIGHT = 10.0  # an urgent borrower is preempted only if that spares this much normal work
+__all__ = ["Reclaim", "choose_victims"]
 
 
 @dataclass(frozen=True)
@@ -37,15 +34,11 @@
     lost: float
 
 
-def lost_work(job: RunningJob, now: float) -> float:
-    """Return the expected accelerator-seconds that preempting a job costs."""
-    elapsed = max(0.0, now - job.started_at) if job.started_at > 0 else 0.0
-    weight = URGENT_WEIGHT if job.spec.urgency is Urgency.URGENT else 1.0
-    return weight * job.spec.total_accelerators * (RESTART_SECONDS + LOST_FRACTION * elapsed)
-
-
 def choose_victims(
-    spec: JobSpec, room: Room, candidates: Sequence[RunningJob], now: float
+    spec: JobSpec,
+    room: Room,
+    index: VictimIndex,
+    allowed: Callable[[RunningJob], bool] = lambda _: True,
 ) -> Reclaim | None:
     """Return the cheapest jobs whose preemption makes room for a gang.
 
@@ -56,50 +49,33 @@
     ----------
     room : Room
         Room that is free or about to be free; not changed.
-    candidates : sequence of RunningJob
-        Jobs that may be preempted.
+    allowed : callable
+        Whether a job of the index may be preempted for this gang.
     """
-    best: tuple[float, int, tuple[RunningJob, ...], RackId | None] | None = None
-    for rack, names, jobs in _groups(spec, room, candidates):
-        frees = {name: max(0, room.free[name]) for name in names}
-        room.cost.examined += len(names) + len(jobs)
-        for order in _orders(jobs, frees, now):
-            victims = _fewest(spec, frees, order, now)
-            if victims is None:
+    best: tuple[float, int] | None = None
+    victims: tuple[RunningJob, ...] = ()
+    rack = None
+    for group in index.groups(spec, room):
+        if best is not None and group.bound > best[0] + 1:
+            break
+        jobs = [job for job in index.present(group) if allowed(job)]
+        frees = {name: max(0, room.free[name]) for name in group.workers}
+        room.cost.examined += len(frees) + len(jobs)
+        for order in _orders(jobs, frees, index.now):
+            chosen = _fewest(spec, frees, order, index.now)
+            if chosen is None:
                 break
             # Rounded, so that the number of jobs decides between almost equal losses.
-            lost = float(round(sum(lost_work(job, now) for job in victims)))
-            if best is None or (lost, len(victims)) < best[:2]:
-                best = (lost, len(victims), victims, rack)
+            lost = float(round(sum(lost_work(job, index.now) for job in chosen)))
+            if best is None or (lost, len(chosen)) < best:
+                best, victims, rack = (lost, len(chosen)), chosen, group.rack
     if best is None:
         return None
-    lost, _, victims, rack = best
     after = room.copy()
     for job in victims:
         after.give(job.placement)
     placement = after.place(spec, racks=None if rack is None else [rack])
-    return None if placement is None else Reclaim(victims, placement, lost)
-
-
-def _groups(
-    spec: JobSpec, room: Room, candidates: Sequence[RunningJob]
-) -> Iterable[tuple[RackId | None, list[WorkerId], list[RunningJob]]]:
-    """Yield the groups that may hold the gang with the jobs that run there."""
-    if spec.adjacency is Adjacency.DOMAIN:
-        yield None, list(room.free), list(candidates)
-        return
-    per_worker = spec.adjacency is Adjacency.WORKER
-    groups: dict[Hashable, dict[str, RunningJob]] = defaultdict(dict)
-    for job in candidates:
-        for member in job.placement:
-            if member.worker in room.free:
-                group = member.worker if per_worker else room.rack_of[member.worker]
-                groups[group][job.job_id] = job
-    for group, jobs in groups.items():
-        if per_worker:
-            yield room.rack_of[group], [group], list(jobs.values())
-        else:
-            yield group, room.racks[group], list(jobs.values())
+    return None if placement is None else Reclaim(victims, placement, best[0])
 
 
 def _orders(
--- a/chivefall/scheduling/_reservation.py
+++ b/chivefall/scheduling/_reservation.py
@@ -73,9 +73,11 @@
     if placement is not None:
         at = now + CHECKPOINT_SECONDS
         return Reservation(job.job_id, placement, at, at)
-    ends = [(estimator.remaining(other, now), other) for other in running]
+    ends = [
+        (estimator.remaining(other, now), other) for other in running if other.spec.accelerators
+    ]
     for seconds, other in sorted(ends, key=lambda item: item[0]):
-        touched = {member.rack for member in other.placement if member.worker in after.free}
+        touched = {member.rack for member in other.placement} & after.racks.keys()
         after.give(other.placement)
         if not touched or not _may_fit(spec, after, touched):
             continue
--- a/chivefall/scheduling/_room.py
+++ b/chivefall/scheduling/_room.py
@@ -10,7 +10,7 @@
 from chivefall.model import Adjacency, GangMember, Placement, WorkerState
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Collection, Iterable, Iterator
 
     from chivefall.model import JobSpec, RackId, WorkerId
     from chivefall.scheduling._cluster import RunningJob, WorkerView
@@ -18,6 +18,9 @@
 __all__ = ["Room", "SearchCost", "count_tasks"]
 
 
+MAX_RACKS_COMPARED = 16  # racks in which a single worker with little free room is looked for
+
+
 def count_tasks(running: Iterable[RunningJob]) -> Counter[WorkerId]:
     """Return the number of gang members on each worker."""
     return Counter(member.worker for job in running for member in job.placement)
@@ -33,13 +36,16 @@
 class Room:
     """Accelerators that may be given to jobs.
 
-    The figures of a rack are cached until room in that rack changes, so that a
-    search looks at each rack once and at the workers of the chosen rack only.
+    Racks are kept by their free room, so that a search begins with the fullest
+    rack that may hold the gang and ends with the first that does. The figures of a
+    rack are cached until its room changes.
 
     Attributes
     ----------
     free : dict
         Free accelerators of each usable worker.
+    racks : dict
+        The usable workers with accelerators by rack.
     cost : SearchCost
         Cost of all searches in this room and its copies.
     """
@@ -57,9 +63,13 @@
         self.probation: set[WorkerId] = set()
         self.cost = cost or SearchCost()
         self._cache: dict[RackId, dict[tuple[int, int], int]] = {}
+        self._levels: dict[int, dict[RackId, None]] = {}
+        self._level_of: dict[RackId, int] = {}
+        self._changed: dict[RackId, None] = {}
         self._failed: set[tuple[int, int, Adjacency]] = set()
         for worker in workers:
             self._add(worker)
+        self._changed = dict.fromkeys(self.racks)
 
     def _add(self, worker: WorkerView) -> None:
         name = worker.worker
@@ -72,7 +82,8 @@
             return
         self.free[name] = worker.free
         self.rack_of[name] = worker.rack
-        self.racks.setdefault(worker.rack, []).append(name)
+        if worker.accelerators > 0:
+            self.racks.setdefault(worker.rack, []).append(name)
 
     def copy(self, names: Collection[WorkerId] | None = None) -> Room:
         """Return an independent copy, of some workers only if names are given."""
@@ -82,11 +93,19 @@
         if names is not None:
             other.free = {name: free for name, free in self.free.items() if name in names}
             other.racks = {}
+            equipped = {name for items in self.racks.values() for name in items}
             for name in other.free:
-                other.racks.setdefault(self.rack_of[name], []).append(name)
+                if name in equipped:
+                    other.racks.setdefault(self.rack_of[name], []).append(name)
         other.rack_of = self.rack_of
-        other.tasks = Counter(self.tasks)
+        other.tasks = self.tasks.copy()
         other.probation = set(self.probation)
+        other._changed = dict.fromkeys(other.racks)
+        if names is None:
+            self._sort_racks()
+            other._levels = {level: dict(racks) for level, racks in self._levels.items()}
+            other._level_of = dict(self._level_of)
+            other._changed = {}
         return other
 
     def take(self, members: Iterable[GangMember]) -> None:
@@ -97,7 +116,7 @@
                 continue
             self.tasks[name] += 1
             self.free[name] -= member.accelerators
-            self._cache.pop(self.rack_of[name], None)
+            self._touch(name)
         for name in {member.worker for member in members} & self.probation:
             self.free[name] = -1
 
@@ -106,7 +125,12 @@
         for member in members:
             if member.worker in self.free and member.worker not in self.probation:
                 self.free[member.worker] += member.accelerators
-                self._cache.pop(self.rack_of[member.worker], None)
+                self._touch(member.worker)
+        self._failed.clear()
+
+    def restore(self, frees: dict[WorkerId, int]) -> None:
+        """Set free accelerators back to earlier figures."""
+        self._set(frees)
         self._failed.clear()
 
     def hold(self, members: Iterable[GangMember]) -> None:
@@ -115,16 +139,18 @@
             free = self.free.get(member.worker, 0)
             if free > 0:
                 self.free[member.worker] = max(0, free - member.accelerators)
-                self._cache.pop(self.rack_of[member.worker], None)
+                self._touch(member.worker)
 
     def total(self) -> int:
         """Return all free accelerators."""
         return sum(free for free in self.free.values() if free > 0)
 
+    def free_in(self, rack: RackId) -> int:
+        """Return the free accelerators of a rack."""
+        return self._cached(rack, (0, 0))
+
     def fits(self, spec: JobSpec, rack: RackId) -> bool:
         """Return whether a rack holds the whole gang."""
-        if spec.accelerators == 0:
-            return any(self.free[name] >= 0 for name in self.racks[rack])
         if spec.adjacency is Adjacency.WORKER:
             return self._tightest(rack, spec.total_accelerators) > 0
         return self._slots(rack, spec.accelerators) >= spec.gang_size
@@ -152,7 +178,7 @@
             placement = self._place_without(spec, avoided, racks)
             if placement is not None:
                 return placement
-        placement = self._place(spec, self.racks if racks is None else racks)
+        placement = self._place(spec, racks)
         if placement is None and racks is None:
             self._failed.add(shape)
         return placement
@@ -169,34 +195,74 @@
     ) -> Placement | None:
         saved = {name: self.free[name] for name in names}
         self._set(dict.fromkeys(names, -1))
-        placement = self._place(spec, self.racks if racks is None else racks)
+        placement = self._place(spec, racks)
         self._set(saved)
         return placement
 
     def _set(self, values: dict[WorkerId, int]) -> None:
         for name, free in values.items():
             self.free[name] = free
-            self._cache.pop(self.rack_of[name], None)
+            self._touch(name)
 
-    def _place(self, spec: JobSpec, racks: Collection[RackId]) -> Placement | None:
+    def _place(self, spec: JobSpec, racks: Collection[RackId] | None) -> Placement | None:
         if spec.accelerators == 0:
-            return self._place_processors(spec, racks)
-        self.cost.examined += len(racks)
+            return self._place_processors(spec)
         if spec.adjacency is Adjacency.DOMAIN:
-            if sum(self._slots(rack, spec.accelerators) for rack in racks) < spec.gang_size:
-                return None
-            order = sorted(racks, key=self._rack_free)
-            return self._fill(spec, [name for rack in order for name in self._by_free(rack)])
-        fitting = [rack for rack in racks if self.fits(spec, rack)]
-        if not fitting:
+            return self._place_anywhere(spec)
+        best, best_room = None, 0
+        for tried, rack in enumerate(self._from_fullest(spec, racks)):
+            if best is not None and tried >= MAX_RACKS_COMPARED:
+                break
+            if not self.fits(spec, rack):
+                continue
+            if spec.adjacency is Adjacency.RACK:
+                return self._fill(spec, self._by_free(rack))
+            room = self._tightest(rack, spec.total_accelerators)
+            if best is None or room < best_room:
+                best, best_room = rack, room
+            if room == spec.total_accelerators:
+                break
+        if best is None:
             return None
-        if spec.adjacency is Adjacency.WORKER:
-            need = spec.total_accelerators
-            best = min(fitting, key=lambda r: (self._tightest(r, need), self._rack_free(r)))
-            names = [name for name in self._by_free(best) if self.free[name] >= need]
-            return self._fill(spec, names[:1])
-        best = min(fitting, key=self._rack_free)
-        return self._fill(spec, self._by_free(best))
+        names = [name for name in self._by_free(best) if self.free[name] == best_room]
+        return self._fill(spec, names[:1])
+
+    def _place_anywhere(self, spec: JobSpec) -> Placement | None:
+        names: list[WorkerId] = []
+        slots = 0
+        for rack in self._from_fullest(spec, None):
+            slots += self._slots(rack, spec.accelerators)
+            names += self._by_free(rack)
+            if slots >= spec.gang_size:
+                return self._fill(spec, names)
+        return None
+
+    def _from_fullest(self, spec: JobSpec, racks: Collection[RackId] | None) -> Iterator[RackId]:
+        """Yield the racks with enough free room, those with the least first."""
+        need = spec.accelerators if spec.adjacency is Adjacency.DOMAIN else spec.total_accelerators
+        self._sort_racks()
+        for level in sorted(level for level in self._levels if level >= need):
+            for rack in list(self._levels[level]):
+                if racks is None or rack in racks:
+                    self.cost.examined += 1
+                    yield rack
+
+    def _touch(self, name: WorkerId) -> None:
+        rack = self.rack_of[name]
+        self._cache.pop(rack, None)
+        if rack in self.racks:
+            self._changed[rack] = None
+
+    def _sort_racks(self) -> None:
+        for rack in self._changed:
+            level = self.free_in(rack)
+            old = self._level_of.get(rack)
+            if old != level:
+                if old is not None:
+                    del self._levels[old][rack]
+                self._levels.setdefault(level, {})[rack] = None
+                self._level_of[rack] = level
+        self._changed = {}
 
     def _fill(self, spec: JobSpec, names: Iterable[WorkerId]) -> Placement | None:
         members: list[GangMember] = []
@@ -209,9 +275,9 @@
                 return Placement(tuple(members))
         return None
 
-    def _place_processors(self, spec: JobSpec, racks: Collection[RackId]) -> Placement | None:
+    def _place_processors(self, spec: JobSpec) -> Placement | None:
         """Return the least loaded workers for work without accelerators."""
-        usable = [name for rack in racks for name in self.racks[rack] if self.free[name] >= 0]
+        usable = [name for name, free in self.free.items() if free >= 0]
         self.cost.examined += len(usable)
         if not usable:
             return None
@@ -232,9 +298,6 @@
         self.cost.examined += len(self.racks[rack])
         return sorted(self.racks[rack], key=self.free.__getitem__)
 
-    def _rack_free(self, rack: RackId) -> int:
-        return self._cached(rack, (0, 0))
-
     def _slots(self, rack: RackId, accelerators: int) -> int:
         return self._cached(rack, (1, accelerators))
 
--- a/chivefall/scheduling/_round.py
+++ b/chivefall/scheduling/_round.py
@@ -9,11 +9,12 @@
 from chivefall.scheduling._cluster import Plan
 from chivefall.scheduling._guarantees import GuaranteeLedger, unplaced_shapes
 from chivefall.scheduling._room import Room, count_tasks
+from chivefall.scheduling._victim_index import VictimIndex
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable
 
-    from chivefall.model import AccountId, JobId, JobSpec, Placement, RackId
+    from chivefall.model import AccountId, Adjacency, JobId, JobSpec, Placement, RackId
     from chivefall.scheduling._cluster import ClusterView, QueuedJob, RunningJob
 
 __all__ = ["Round"]
@@ -31,6 +32,11 @@
         Room that is free now and not held for another job.
     future : Room
         The same with the room of jobs whose checkpoint is under way.
+    reclaims : int
+        Jobs for which others were preempted.
+    unreclaimable : set
+        Shapes for which no victims were found, and the number of jobs displaced from their
+        guarantee until then; without more of these, victims only get fewer.
     stuck : callable
         Whether jobs like a given one cannot be checkpointed in time.
     """
@@ -58,6 +64,8 @@
             self.usage[job.spec.account] += job.spec.total_accelerators
         self.starts: list[tuple[JobId, Placement]] = []
         self.preemptions: list[JobId] = []
+        self.reclaims = 0
+        self.unreclaimable: set[tuple[bool, int, int, Adjacency, int]] = set()
         self.moves: list[JobId] = []
 
     def plan(self, rejections: dict[JobId, str]) -> Plan:
@@ -87,6 +95,7 @@
 
         Jobs that cannot be checkpointed yet are asked in a later round.
         """
+        self.reclaims += 1
         self.preemptions += [job.job_id for job in jobs if job.checkpointable]
         self._release(jobs)
 
@@ -99,7 +108,13 @@
         """Return when a running job was started."""
         return next(job.started_at for job in self.view.running if job.job_id == job_id)
 
+    @cached_property
+    def victims(self) -> VictimIndex:
+        """Return the jobs that may be preempted unless a guarantee protects them."""
+        return VictimIndex((job for job in self.staying if job.spec.accelerators > 0), self.now)
+
     def _release(self, jobs: Iterable[RunningJob]) -> None:
+        self.victims.remove(jobs)
         names = set()
         for job in jobs:
             self.future.give(job.placement)
@@ -166,9 +181,7 @@
         )
 
     def _missing(self, shapes: list[JobSpec], placement: Placement) -> int:
-        after = self.reclaimable.copy()
-        after.take(placement)
-        return unplaced_shapes(shapes, after)
+        return unplaced_shapes(shapes, self.reclaimable, placement)
 
     def _other_racks(self, spec: JobSpec, placement: Placement) -> list[RackId]:
         used = {member.rack for member in placement}
--- /dev/null
+++ b/chivefall/scheduling/_victim_index.py
@@ -0,0 +1,105 @@
+"""Running jobs that may have to make room, by rack and worker."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter, defaultdict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from chivefall.model import Adjacency, RackId, Urgency, WorkerId
+from chivefall.scheduling._cluster import RunningJob
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from chivefall.model import JobId, JobSpec
+    from chivefall.scheduling._room import Room
+
+__all__ = ["Group", "VictimIndex", "lost_work"]
+
+RESTART_SECONDS = 5.0  # checkpoint, queueing and restore of a preempted job
+LOST_FRACTION = 0.02  # part of the run time that a failed checkpoint loses on average
+URGENT_WEIGHT = 10.0  # an urgent borrower is preempted only if that spares this much normal work
+
+
+def lost_work(job: RunningJob, now: float) -> float:
+    """Return the expected accelerator-seconds that preempting a job costs."""
+    elapsed = max(0.0, now - job.started_at) if job.started_at > 0 else 0.0
+    weight = URGENT_WEIGHT if job.spec.urgency is Urgency.URGENT else 1.0
+    return weight * job.spec.total_accelerators * (RESTART_SECONDS + LOST_FRACTION * elapsed)
+
+
+@dataclass(frozen=True)
+class Group:
+    """Workers that may hold a gang together, and the jobs that run there.
+
+    Attributes
+    ----------
+    bound : float
+        Accelerator-seconds that making room here costs at least.
+    rack : RackId or None
+        Rack of the workers; None for the whole domain.
+    """
+
+    bound: float
+    rack: RackId | None
+    workers: tuple[WorkerId, ...]
+    jobs: list[RunningJob]
+
+
+class VictimIndex:
+    """Candidates of one round.
+
+    The lowest price of a group bounds what room in it costs, so that a search
+    looks closely only at the groups that may be the cheapest.
+    """
+
+    def __init__(self, candidates: Iterable[RunningJob], now: float) -> None:
+        self.now = now
+        self._all = list(candidates)
+        self._jobs: dict[str, list[RunningJob]] = defaultdict(list)
+        self._price: dict[str, float] = {}
+        self._gone: set[JobId] = set()
+        for job in self._all:
+            self._add(job)
+
+    def _add(self, job: RunningJob) -> None:
+        useful: Counter[str] = Counter()
+        for member in job.placement:
+            useful[member.rack] += member.accelerators
+            useful[_worker_key(member.worker)] += member.accelerators
+        lost = lost_work(job, self.now)
+        for group, count in useful.items():
+            self._jobs[group].append(job)
+            self._price[group] = min(self._price.get(group, math.inf), lost / max(1, count))
+
+    def remove(self, jobs: Iterable[RunningJob]) -> None:
+        """Leave out jobs that were told to leave."""
+        self._gone.update(job.job_id for job in jobs)
+
+    def present(self, group: Group) -> list[RunningJob]:
+        """Return the jobs of a group that were not told to leave."""
+        return [job for job in group.jobs if job.job_id not in self._gone]
+
+    def groups(self, spec: JobSpec, room: Room) -> list[Group]:
+        """Return the groups that may hold a gang, those with the lowest bound first."""
+        if spec.adjacency is Adjacency.DOMAIN:
+            return [Group(0.0, None, tuple(room.free), self._all)]
+        groups = []
+        for rack, names in room.racks.items():
+            if spec.adjacency is Adjacency.WORKER:
+                units = [(_worker_key(name), (name,), room.free[name]) for name in names]
+            else:
+                units = [(rack, tuple(names), room.free_in(rack))]
+            for key, members, free in units:
+                if key in self._price:
+                    lacking = spec.total_accelerators - max(0, free)
+                    groups.append(Group(lacking * self._price[key], rack, members, self._jobs[key]))
+        room.cost.examined += len(groups)
+        return sorted(groups, key=lambda group: group.bound)
+
+
+def _worker_key(name: WorkerId) -> str:
+    """Return a key that differs from every rack's."""
+    return f"worker {name}"
