Order a leaving domain's jobs by the work at risk

Cause: urgent jobs went first, so that the few seconds until the domain is switched off went to small jobs while gangs lost their work. Change: drain_order ranks by accelerator-seconds since the last checkpoint, with a weight of 4 for guaranteed and urgent work; only jobs with at most 2 s left wait.

--- a/chivefall/scheduling/_drain.py
+++ b/chivefall/scheduling/_drain.py
@@ -16,7 +16,8 @@
 
 __all__ = ["drain_order"]
 
-NEARLY_FINISHED = 10.0  # seconds; such a job ends sooner than a transfer pays
+NEARLY_FINISHED = 2.0  # seconds; such a job ends sooner than a transfer pays
+ENTITLED_WEIGHT = 4.0  # value of guaranteed and urgent work against borrowed work
 
 
 def drain_order(
@@ -27,21 +28,19 @@
 ) -> tuple[RunningJob, ...]:
     """Return the running jobs in the order of their checkpoint and transfer.
 
-    Urgent jobs go first, then jobs inside their account's guarantee, then
-    borrowers, and those with the most accelerators first, because they have the
-    most work at risk. Jobs that are about to end go last, so that they may end
-    here. Jobs whose checkpoint is under way are left out.
+    The jobs with the most work since their last checkpoint go first, because a
+    domain may be switched off before the last one has left; guaranteed and urgent
+    work counts several times. Jobs that are about to end go last, so that they may
+    end here. Jobs whose checkpoint is under way are left out.
     """
     jobs = [job for job in running if not job.checkpointing]
     ledger = GuaranteeLedger(guarantees, jobs)
 
-    def rank(job: RunningJob) -> tuple[bool, bool, bool, int, str]:
-        return (
-            job.checkpointable and estimator.remaining(job, now) <= NEARLY_FINISHED,
-            job.spec.urgency is not Urgency.URGENT,
-            not ledger.is_protected(job),
-            -job.spec.total_accelerators,
-            job.job_id,
-        )
+    def rank(job: RunningJob) -> tuple[bool, float, str]:
+        entitled = job.spec.urgency is Urgency.URGENT or ledger.is_protected(job)
+        elapsed = max(0.0, now - job.started_at) if job.started_at > 0 else 0.0
+        at_risk = job.spec.total_accelerators * elapsed
+        ending = job.checkpointable and estimator.remaining(job, now) <= NEARLY_FINISHED
+        return (ending, -at_risk * (ENTITLED_WEIGHT if entitled else 1.0), job.job_id)
 
     return tuple(sorted(jobs, key=rank))
