--- a/tests/document/faults.py
+++ b/tests/document/faults.py
@@ -25,7 +25,7 @@
         self.held: dict[InstanceId, list[Any]] = {}
         self.advance(4)
 
-    def store_down_at_start(self, group: Iterable[InstanceId], down: bool = True) -> None:
+    def store_down(self, group: Iterable[InstanceId], down: bool = True) -> None:
         """Cut instances off from the store."""
         for name in group:
             self.stores[name].down = down
--- a/tests/document/test_fuzz.py
+++ b/tests/document/test_fuzz.py
@@ -105,7 +105,7 @@
 
     @rule(group=groups | st.just(set(NAMES)), down=st.booleans())
     def set_store(self, group: set[InstanceId], down: bool) -> None:
-        self.cluster.store_down_at_start(group, down)
+        self.cluster.store_down(group, down)
 
     @rule(group=groups, delay=st.sampled_from([0.0, 0.02, 0.6]))
     def delay_store(self, group: set[InstanceId], delay: float) -> None:
--- a/tests/document/test_fuzz_out_of_service.py
+++ b/tests/document/test_fuzz_out_of_service.py
@@ -37,7 +37,7 @@
 def meet_fate(region: FaultyRegion, name: InstanceId, fate: str, down: bool) -> None:
     """Let the instance that took the change meet its fate."""
     if fate == "loses the store":
-        region.store_down_at_start({name})
+        region.store_down({name})
     elif fate == "is cut off":
         region.cut({name})
     elif fate == "restarts":
@@ -56,9 +56,7 @@
     )
     @given(
         faults=st.lists(
-            st.tuples(
-                st.sampled_from(["store_down_at_start", "cut", "silence", "hold"]), moments, groups
-            ),
+            st.tuples(st.sampled_from(["store_down", "cut", "silence", "hold"]), moments, groups),
             max_size=5,
         ),
         outage=st.one_of(st.none(), moments),
@@ -74,7 +72,7 @@
         """Guards against starting tasks in a domain that operators took out of service."""
         region = FaultyRegion()
         if outage is not None:
-            faults = [*faults, ("store_down_at_start", outage, set(NAMES))]
+            faults = [*faults, ("store_down", outage, set(NAMES))]
         faults = sorted(faults, key=lambda fault: fault[1])
         moment = -6.0
         for kind, at, group in [fault for fault in faults if fault[1] <= 0]:
