--- a/chivefall/controllers/_drain.py
+++ b/chivefall/controllers/_drain.py
@@ -242,7 +242,9 @@
         known = self._jobs.jobs.get(record.job_id)
         if known is not None and known.record.transfers >= record.transfers:
             stored = await wait_for(self.clock, known.saved, STORE_LIMIT, False)
-            return Accepted(record.job_id) if stored else Unknown("the job is not recorded yet")
+            # A leader whose lease ended may know what its successor does not.
+            certain = stored and self._leader.lease_is_valid(self.clock.now())
+            return Accepted(record.job_id) if certain else Unknown("the job is not recorded yet")
         if not self._document.document.is_in_service(self._cfg.failure_domain):
             return NotRun(NotRunReason.NO_CAPACITY, "the failure domain is out of service")
         if not self._fits(record):
--- a/chivefall/controllers/_job_records.py
+++ b/chivefall/controllers/_job_records.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from chivefall.model import JobRecord, NotRun, NotRunReason, Outcome, Unknown
+from chivefall.model import Accepted, JobRecord, NotRun, NotRunReason, Outcome, Unknown
 from chivefall.runtime import Future, sleep
 from chivefall.store import (
     ABSENT,
@@ -29,7 +29,7 @@
     from collections.abc import Callable
 
     from chivefall.controllers._job_table import Job
-    from chivefall.model import DomainId
+    from chivefall.model import DomainId, JobId
     from chivefall.runtime import Clock
 
 __all__ = ["MAX_RECORD_BYTES", "JobRecords", "encode_record"]
@@ -105,6 +105,18 @@
             return outcome.version
         return NotRun(NotRunReason.STORE_UNAVAILABLE, "the job cannot be recorded", RETRY_AFTER)
 
+    async def withdraw(self, job_id: JobId, version: Version) -> Outcome:
+        """Delete a record that was created after this leader's lease had ended.
+
+        Its successor may have read the records before and would not see it.
+        """
+        outcome = await self._store.delete(job_key(self._domain, job_id), version)
+        if isinstance(outcome, Stored):
+            return NotRun(NotRunReason.NO_LEADER, "the leader's lease ended", RETRY_AFTER)
+        if isinstance(outcome, Conflict) and outcome.current is not None:
+            return Accepted(job_id)  # the next leader has changed it already
+        return Unknown(f"the leader's lease ended while it recorded job {job_id}")
+
     async def load(self) -> list[tuple[JobRecord, Version]] | None:
         """Read all records of the domain in parts; None if the store does not answer."""
         loaded = []
--- a/chivefall/controllers/_jobs.py
+++ b/chivefall/controllers/_jobs.py
@@ -109,9 +109,10 @@
             detail = f"the job has {len(data)} bytes; send at most {MAX_RECORD_BYTES}"
             return NotRun(NotRunReason.BAD_REQUEST, detail)
         created = await self.records.create(record)
+        if isinstance(created, int) and not self._leader.lease_is_valid(self.clock.now()):
+            return await self.records.withdraw(job_id, created)
         if self._leader.epoch != epoch:
-            # The next leader reads the record if there is one.
-            return Accepted(job_id) if isinstance(created, int) else created
+            return created
         if not isinstance(created, int) and not (spec.idempotent and wait):
             return created
         job = self.jobs[job_id] = Job(record, created if isinstance(created, int) else ABSENT)
@@ -272,7 +273,7 @@
             version = await self.records.create(record)
             if not isinstance(version, int):
                 return version
-            if self._leader.epoch != epoch:
+            if self._leader.epoch != epoch or not self._leader.lease_is_valid(self.clock.now()):
                 return Unknown("the leader stepped down after it had recorded the job")
             job = self.jobs[record.job_id] = Job(record, version)
             job.saved.set_result(True)
@@ -296,9 +297,8 @@
         self._cancel_requested(now)
         leaving = self._workers.leaving()
         for job in list(self.jobs.values()):
-            if job.record.state is JobState.RUNNING and leaving.intersection(
-                workers_of(job.record)
-            ):
+            movable = job.record.state is JobState.RUNNING and job.record.spec.idempotent
+            if movable and leaving.intersection(workers_of(job.record)):
                 self._lifecycle.interrupt(job, checkpoint=True)
         view = view_of(self._cfg, self._document.document, self._workers, self.jobs.values(), now)
         waiting = any(job.record.state is JobState.QUEUED for job in self.jobs.values())
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -73,6 +73,8 @@
         self.workers = MemoryWorkers()
         self.stores: dict[InstanceId, MemoryStore] = {}
         self.applications: dict[InstanceId, Application] = {}
+        self._domains: dict[InstanceId, str] = {}
+        self._cut_domains: set[str] = set()
         self.gates: dict[InstanceId, Gate] = {}
         self.clients: dict[InstanceId, GatedWorkers] = {}
         self.timing = timing or Timing()
@@ -116,6 +118,9 @@
         client = self.clients[name] = GatedWorkers(self.workers, gate)
         application = Application(cfg, Connections(clock, store, client, peers))
         self.stores[name] = store
+        self._domains[name] = domain
+        if domain in self._cut_domains:
+            self.cut_domain(domain)
         self.applications[name] = application
         application.start_controllers()
         self.settle()
@@ -140,20 +145,25 @@
     def cut_domain(self, domain: str) -> None:
         """Cut a failure domain off from the other domains and from the store."""
         inside = self._entries(domain)
+        self._cut_domains.add(domain)
         for name in inside:
-            self.stores[name].down = True
-            for other in set(self.applications) - inside:
+            if name in self.stores:
+                self.stores[name].down = True
+            for other in set(self._domains) - inside:
                 self.network.cut.add(frozenset((name, other)))
 
     def join_domain(self, domain: str) -> None:
         """End a cut of a failure domain."""
         inside = self._entries(domain)
-        for name in inside:
+        self._cut_domains.discard(domain)
+        for name in inside & set(self.stores):
             self.stores[name].down = False
         self.network.cut = {pair for pair in self.network.cut if not pair & inside}
+        for other in self._cut_domains:
+            self.cut_domain(other)
 
     def _entries(self, domain: str) -> set[InstanceId]:
-        return {n for n, app in self.applications.items() if app.cfg.failure_domain == domain}
+        return {name for name, own in self._domains.items() if own == domain}
 
     def put_document(self, document: Document) -> None:
         """Store the next revision of the document."""
--- a/tests/controllers/test_takeover.py
+++ b/tests/controllers/test_takeover.py
@@ -6,7 +6,7 @@
 from math import inf
 from typing import TYPE_CHECKING
 
-from chivefall.model import AccountId, Completed, InstanceId, JobSpec, Outcome
+from chivefall.model import AccountId, Completed, InstanceId, JobSpec, NotRunReason, Outcome
 from chivefall.runtime import Future, spawn
 from chivefall.store import job_key
 from standins.cluster import Cluster
@@ -122,6 +122,18 @@
         self.assertFalse(self.old.leader.leads)
         self.assertEqual(self.cluster.running(job_id), attempts)
 
+    def test_leader_without_a_lease_accepts_no_job(self) -> None:
+        """Guards against a record that the next leader has not read."""
+        self.cluster.stores[self.name].down = True
+        others = set(self.cluster.applications) - {self.name}
+        self.cluster.network.cut |= {frozenset((self.name, other)) for other in others}
+        self.cluster.advance(12)
+        self.cluster.stores[self.name].down = False
+        self.assertTrue(self.old.leader.leads)
+        refused = self.cluster.run(self.old.jobs.submit(JobSpec(AccountId("farmers"), "sort")))
+        self.assertIs(refused.reason, NotRunReason.NO_LEADER)
+        self.assertFalse([key for key, _ in self.cluster.state.list("jobs/")])
+
     def test_worker_with_a_higher_epoch_ends_a_leadership(self) -> None:
         """Guards against a leader without a store that does not notice its successor."""
         self.cluster.stores[self.name].down = True
