Separate the takeover from the job controller

No change of behaviour; the 43 tests of jobs, takeover and drain pass. Conclusion: none beyond the layout.

--- a/chivefall/controllers/_jobs.py
+++ b/chivefall/controllers/_jobs.py
@@ -11,9 +11,10 @@
 
 from chivefall.controllers._base import Controller
 from chivefall.controllers._job_records import MAX_RECORD_BYTES, JobRecords, encode_record
-from chivefall.controllers._job_table import Job, WaitReply, final_outcome, workers_of
+from chivefall.controllers._job_table import Job, WaitReply, workers_of
 from chivefall.controllers._lifecycle import RETRY_DELAY, JobLifecycle
 from chivefall.controllers._rounds import RoundTimer, view_of
+from chivefall.controllers._takeover import Takeover
 from chivefall.events import job_rejected
 from chivefall.model import (
     Accepted,
@@ -29,7 +30,7 @@
     WorkerId,
     WorkerState,
 )
-from chivefall.runtime import sleep, wait_for
+from chivefall.runtime import wait_for
 from chivefall.store import ABSENT, Store
 from chivefall.telemetry import LogEvent, log_event
 
@@ -46,8 +47,6 @@
 __all__ = ["JobController"]
 
 RETRY_AFTER = 2.0  # seconds a caller should wait when the leader cannot take a job
-TAKEOVER_BOUND = 10.0  # seconds to wait for the workers' reports after a change of leader
-LOAD_RETRY = 0.5  # seconds between attempts to read the records
 KEEP_FINAL = 86_400.0  # seconds for which callers can ask for a finished job
 CLEANUP_INTERVAL = 60.0
 DELETIONS_A_CLEANUP = 10  # the target's 3,200 jobs a day need 2.3 a minute
@@ -79,6 +78,7 @@
         self.records = JobRecords(clock, store, cfg.failure_domain, self.run_task, leader.step_down)
         self._rounds = RoundTimer(clock, self._round)
         self._lifecycle = JobLifecycle(self, clock, cfg, workers, self._may_start)
+        self._takeover = Takeover(self, clock, leader, workers, self._lifecycle)
 
     def start(self) -> None:
         """Begin to delete old records; rounds run when something changes."""
@@ -166,7 +166,7 @@
     @handler("leadership_gained")
     def _on_leadership_gained(self, epoch: Epoch) -> None:
         self.ready = False
-        self.run_task(self._take_over(epoch))
+        self.run_task(self._takeover.run(epoch))
 
     @handler("leadership_lost")
     def _on_leadership_lost(self, _reason: str) -> None:
@@ -189,21 +189,7 @@
             job.note(worker, report)
             self._lifecycle.check(job)
         else:
-            self._stop_unknown(worker, report)
-
-    def _match_tasks(self) -> None:
-        """Give the jobs the reports of their shares and stop all other tasks."""
-        for (name, _), task in self._workers.tasks().items():
-            job = self.jobs.get(task.job_id)
-            if job is not None and job.record.attempt == task.attempt:
-                job.note(name, task)
-            else:
-                self._stop_unknown(name, task)
-
-    def _stop_unknown(self, worker: WorkerId, report: TaskReport) -> None:
-        if self._workers.holds(worker, report.attempt):
-            log_event(LogEvent.UNKNOWN_TASK_STOPPED, attempt=report.attempt, worker=worker)
-            self.run_task(self._workers.stop_task(worker, report.attempt))
+            self._takeover.stop_unknown(worker, report)
 
     @handler("worker_lost")
     def _on_worker_lost(self, worker: WorkerId) -> None:
@@ -211,34 +197,6 @@
             if worker in workers_of(job.record):
                 self._lifecycle.check(job)
 
-    async def _take_over(self, epoch: Epoch) -> None:
-        """Load the records, then adopt or release each attempt by the workers' reports."""
-        while (loaded := await self.records.load()) is None:
-            await sleep(self.clock, LOAD_RETRY)
-            if self._leader.epoch != epoch:
-                return
-        until = self.clock.now() + TAKEOVER_BOUND
-        while not self._workers.all_reported and self.clock.now() < until:
-            await sleep(self.clock, LOAD_RETRY)
-        if self._leader.epoch != epoch:
-            return
-        for record, version in loaded:
-            job = self.jobs[record.job_id] = Job(record, version)
-            job.committed = job.confirmed = record.attempt is not None
-            job.queued_at = self.clock.now()
-            if record.state.is_final:
-                job.done.set_result(final_outcome(record))
-        self.ready = True
-        log_event(LogEvent.RECORDS_LOADED, records=len(loaded), epoch=epoch)
-        self._match_tasks()
-        for job in list(self.jobs.values()):
-            if job.record.state in (JobState.STARTING, JobState.CHECKPOINTING):
-                self._lifecycle.adopt(job)
-            else:
-                self._lifecycle.check(job)
-        self._workers.forget_finished()
-        self._rounds.request()
-
     def owns(self, job: Job) -> bool:
         """Return whether this instance still decides about a job."""
         return self._leader.leads and self.jobs.get(job.record.job_id) is job
--- /dev/null
+++ b/chivefall/controllers/_takeover.py
@@ -0,0 +1,85 @@
+"""What a new leader does with the records and the workers' reports."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from chivefall.controllers._job_table import Job, final_outcome
+from chivefall.model import JobState
+from chivefall.runtime import sleep
+from chivefall.telemetry import LogEvent, log_event
+
+if TYPE_CHECKING:
+    from chivefall.controllers._jobs import JobController
+    from chivefall.controllers._leader import LeaderController
+    from chivefall.controllers._lifecycle import JobLifecycle
+    from chivefall.controllers._workers import WorkerController
+    from chivefall.model import Epoch, WorkerId
+    from chivefall.runtime import Clock
+    from chivefall.workers import TaskReport
+
+__all__ = ["Takeover"]
+
+TAKEOVER_BOUND = 10.0  # seconds to wait for the workers' reports after a change of leader
+LOAD_RETRY = 0.5  # seconds between attempts to read the records
+
+
+class Takeover:
+    """Loads the records and matches them with the tasks at the workers."""
+
+    def __init__(
+        self,
+        jobs: JobController,
+        clock: Clock,
+        leader: LeaderController,
+        workers: WorkerController,
+        lifecycle: JobLifecycle,
+    ) -> None:
+        self._jobs = jobs
+        self._clock = clock
+        self._leader = leader
+        self._workers = workers
+        self._lifecycle = lifecycle
+
+    async def run(self, epoch: Epoch) -> None:
+        """Load the records, then adopt or release each attempt by the workers' reports."""
+        while (loaded := await self._jobs.records.load()) is None:
+            await sleep(self._clock, LOAD_RETRY)
+            if self._leader.epoch != epoch:
+                return
+        until = self._clock.now() + TAKEOVER_BOUND
+        while not self._workers.all_reported and self._clock.now() < until:
+            await sleep(self._clock, LOAD_RETRY)
+        if self._leader.epoch != epoch:
+            return
+        for record, version in loaded:
+            job = self._jobs.jobs[record.job_id] = Job(record, version)
+            job.committed = job.confirmed = record.attempt is not None
+            job.queued_at = self._clock.now()
+            if record.state.is_final:
+                job.done.set_result(final_outcome(record))
+        self._jobs.ready = True
+        log_event(LogEvent.RECORDS_LOADED, records=len(loaded), epoch=epoch)
+        self._match_tasks()
+        for job in list(self._jobs.jobs.values()):
+            if job.record.state in (JobState.STARTING, JobState.CHECKPOINTING):
+                self._lifecycle.adopt(job)
+            else:
+                self._lifecycle.check(job)
+        self._workers.forget_finished()
+        self._jobs.request_round()
+
+    def _match_tasks(self) -> None:
+        """Give the jobs the reports of their shares and stop all other tasks."""
+        for (name, _), task in self._workers.tasks().items():
+            job = self._jobs.jobs.get(task.job_id)
+            if job is not None and job.record.attempt == task.attempt:
+                job.note(name, task)
+            else:
+                self.stop_unknown(name, task)
+
+    def stop_unknown(self, worker: WorkerId, report: TaskReport) -> None:
+        """Stop a live task that no job record names."""
+        if self._workers.holds(worker, report.attempt):
+            log_event(LogEvent.UNKNOWN_TASK_STOPPED, attempt=report.attempt, worker=worker)
+            self._jobs.run_task(self._workers.stop_task(worker, report.attempt))
