Test transfers of rejected, moved and uncertain jobs

Cause: removing these by hand made no test fail: the offer of rejected jobs to other domains, the search for a moved job whose origin has no leader, the valid lease for a repeated transfer, and the exception of non-idempotent jobs on leaving workers. The record before the first command of an attempt was only tested by accident.

No change of the code.

--- a/tests/controllers/test_drain.py
+++ b/tests/controllers/test_drain.py
@@ -11,12 +11,14 @@
     Completed,
     DomainId,
     DomainState,
+    InstanceId,
     JobId,
     JobRecord,
     JobSpec,
     JobState,
 )
 from chivefall.runtime import spawn
+from chivefall.scheduling import ClusterView, Plan, SchedulingPolicy
 from standins.cluster import Cluster
 
 HERE, THERE = "zarcero", "tarrazu"
@@ -48,6 +50,14 @@
         self.assertEqual(self.choose(refused, rooms=rooms), [])
 
 
+class RejectingPolicy(SchedulingPolicy):
+    """Says of every job that it never fits."""
+
+    def plan(self, view: ClusterView, now: float) -> Plan:
+        """Return a rejection of each queued job."""
+        return Plan(rejections={job.job_id: "too large" for job in view.queued})
+
+
 class DrainTest(unittest.TestCase):
     def setUp(self) -> None:
         self.cluster = Cluster((HERE, THERE), workers_per_domain=2)
@@ -190,6 +200,27 @@
         self.assertLessEqual(max(counts), 8)
         self.assertEqual([j for j in moved if self.domains_of(j) != {THERE}], [])
 
+    def test_rejected_job_is_offered_to_the_other_domains_first(self) -> None:
+        """Guards against ending a job that fits another domain."""
+        self.source.jobs._policy = RejectingPolicy()
+        job_id = self.cluster.submit(HERE, **LONG)
+        self.cluster.advance(1)
+        self.assertEqual(self.domains_of(job_id), {THERE})
+
+    def test_moved_job_is_found_while_its_origin_has_no_leader(self) -> None:
+        """Guards against Accepted or Unknown for a job that runs elsewhere."""
+        job_id = self.cluster.submit(HERE, **LONG)
+        self.cluster.advance(10)
+        self.cluster.set_domain(HERE, OUT)
+        self.cluster.advance(10)
+        for index in (1, 2):
+            self.cluster.kill(InstanceId(f"{HERE}-{index}"))
+        self.cluster.advance(5)
+        router = self.cluster.leader(THERE).job_router
+        now = self.cluster.clock.now()
+        self.assertIs(self.cluster.run(router.status(job_id, now)).state, JobState.RUNNING)
+        self.assertIsInstance(self.cluster.run(router.wait(job_id, now + 90), 100), Completed)
+
     def test_job_that_only_fits_elsewhere_moves(self) -> None:
         """Guards against a large job that waits where it can never run."""
         instances = self.cluster.workers.instances
--- a/tests/controllers/test_jobs.py
+++ b/tests/controllers/test_jobs.py
@@ -109,6 +109,16 @@
         self.cluster.advance(2)
         self.assertIs(self.stored(job_id).state, JobState.SUCCEEDED)
 
+    def test_attempt_is_recorded_before_its_first_command(self) -> None:
+        """Guards against an attempt that the next leader would not know (G6)."""
+        job_id = self.cluster.submit(DOMAIN, idempotent=False)
+        self.store.delay = 0.5
+        self.cluster.advance(0.3)
+        self.assertIs(self.jobs.status(job_id).state, JobState.STARTING)
+        self.assertNotIn("reserve", {what for _, what in self.cluster.workers.commands})
+        self.cluster.advance(1)
+        self.assertTrue(self.cluster.running(job_id))
+
     def test_lost_reply_of_a_later_write_is_no_conflict(self) -> None:
         """Guards against a leader that steps down because of its own write."""
         job_id = self.cluster.submit(DOMAIN, payload={"run_time": 3.0})
--- a/tests/controllers/test_takeover.py
+++ b/tests/controllers/test_takeover.py
@@ -6,7 +6,18 @@
 from math import inf
 from typing import TYPE_CHECKING
 
-from chivefall.model import AccountId, Completed, InstanceId, JobSpec, NotRunReason, Outcome
+from chivefall.model import (
+    Accepted,
+    AccountId,
+    Completed,
+    InstanceId,
+    JobId,
+    JobRecord,
+    JobSpec,
+    NotRunReason,
+    Outcome,
+    Unknown,
+)
 from chivefall.runtime import Future, spawn
 from chivefall.store import job_key
 from standins.cluster import Cluster
@@ -133,6 +144,18 @@
         refused = self.cluster.run(self.old.jobs.submit(JobSpec(AccountId("farmers"), "sort")))
         self.assertIs(refused.reason, NotRunReason.NO_LEADER)
         self.assertFalse([key for key, _ in self.cluster.state.list("jobs/")])
+        moved = JobRecord(JobId(f"{OTHER}.1"), JobSpec(AccountId("farmers"), "sort"), transfers=1)
+        self.assertIsInstance(self.cluster.run(self.old.jobs.take(moved, None)), Unknown)
+        self.assertNotIn(moved.job_id, self.old.jobs.jobs)
+
+    def test_repeated_transfer_needs_a_valid_lease(self) -> None:
+        """Guards against a confirmation by a leader whose successor may not know the job."""
+        spec = JobSpec(AccountId("farmers"), "sort", run_time=500.0)
+        moved = JobRecord(JobId(f"{OTHER}.2"), spec, transfers=1)
+        for _ in range(2):
+            self.assertIsInstance(self.cluster.run(self.old.drain._take(moved)), Accepted)
+        self.old.leader.lease_is_valid = lambda _now: False
+        self.assertIsInstance(self.cluster.run(self.old.drain._take(moved)), Unknown)
 
     def test_worker_with_a_higher_epoch_ends_a_leadership(self) -> None:
         """Guards against a leader without a store that does not notice its successor."""
--- a/tests/controllers/test_workers.py
+++ b/tests/controllers/test_workers.py
@@ -139,6 +139,17 @@
         self.cluster.advance(6)
         self.assertIs(self.state_of(name), WorkerState.HEALTHY)
 
+    def test_leaving_worker_keeps_its_non_idempotent_job(self) -> None:
+        """Guards against an unknown end of a job that its worker may still finish (G6)."""
+        payload = {"run_time": 20.0}
+        job_id = self.cluster.submit(DOMAIN, accelerators=8, payload=payload, idempotent=False)
+        self.cluster.advance(1)
+        before = self.cluster.running(job_id)
+        self.change_list(next(iter(before)), status=InstanceStatus.LEAVING)
+        self.cluster.advance(10)
+        self.assertEqual(self.cluster.running(job_id), before)
+        self.assertIsInstance(self.cluster.outcome(job_id), Completed)
+
     def test_unlisted_worker_is_forgotten_once_its_lease_ended(self) -> None:
         """Guards against forgetting a worker that may still run a share."""
         job_id = self.cluster.submit(DOMAIN, accelerators=8, payload={"run_time": 600.0})
