Count only reports of the present leadership at a takeover

Cause: found by a trial of the fuzzing with 250 examples. circuits calls the handlers of leadership_gained in no fixed order, so an instance that led again could take the workers' reports of its earlier leadership for new ones, adopt a gang that had ended, and keep its job RUNNING for ever.

Change: a report counts only under the epoch that is asked for.

Conclusion: a job of a leader that loses and regains its lease ends.

--- a/chivefall/controllers/_takeover.py
+++ b/chivefall/controllers/_takeover.py
@@ -48,7 +48,7 @@
             if self._leader.epoch != epoch:
                 return
         until = self._clock.now() + TAKEOVER_BOUND
-        while not self._workers.all_reported and self._clock.now() < until:
+        while not self._workers.all_reported(epoch) and self._clock.now() < until:
             await sleep(self._clock, LOAD_RETRY)
         if self._leader.epoch != epoch:
             return
--- a/chivefall/controllers/_workers.py
+++ b/chivefall/controllers/_workers.py
@@ -90,11 +90,15 @@
             return WorkerState.LEAVING
         return self.quarantine.state(name, now)
 
-    @property
-    def all_reported(self) -> bool:
-        """Return whether every worker reported its tasks to this leader or is lost."""
+    def all_reported(self, epoch: Epoch) -> bool:
+        """Return whether every worker reported its tasks under an epoch or is lost.
+
+        Reports of an earlier leadership of this instance do not count: circuits
+        calls the handlers of an event in no fixed order, so they may still be here.
+        """
         return bool(self._workers) and all(
-            worker.reported or worker.lost for worker in self._workers.values()
+            worker.held_epoch == epoch and (worker.reported or worker.lost)
+            for worker in self._workers.values()
         )
 
     def lost(self) -> set[WorkerId]:
--- a/tests/controllers/test_jobs_fuzz.py
+++ b/tests/controllers/test_jobs_fuzz.py
@@ -201,9 +201,9 @@
         for domain in DOMAINS:
             self.cluster.join_domain(domain)
             self.change_domain(domain, False)
-        for entry in list(self.frozen):
+        for entry in sorted(self.frozen):
             self.freeze_or_thaw(entry)
-        for entry in set(ENTRIES) - set(self.cluster.applications):
+        for entry in sorted(set(ENTRIES) - set(self.cluster.applications)):
             self.kill_or_restart(entry)
         self.cluster.workers.unreachable.clear()
         self.cluster.workers.lose_reply_of.clear()
--- a/tests/controllers/test_takeover.py
+++ b/tests/controllers/test_takeover.py
@@ -10,6 +10,7 @@
     Accepted,
     AccountId,
     Completed,
+    Epoch,
     InstanceId,
     JobId,
     JobRecord,
@@ -166,6 +167,12 @@
         self.assertFalse(self.old.leader.leads)
         self.assertIsNot(self.cluster.leader(DOMAIN), None)
 
+    def test_reports_of_an_earlier_leadership_do_not_count(self) -> None:
+        """Guards against adopting a gang that ended before the instance led again."""
+        epoch = self.old.leader.epoch
+        self.assertTrue(self.old.workers.all_reported(epoch))
+        self.assertFalse(self.old.workers.all_reported(Epoch(epoch + 1)))
+
     def test_domain_without_workers_gets_a_leader(self) -> None:
         """Guards against a takeover that waits for reports without a bound."""
         cluster = Cluster((DOMAIN,), workers_per_domain=0)
