Count jobs placed in the same round in reservations

Cause: a benchmark with an endless stream of small jobs showed that a gang of 64 got no reservation whenever another job started in the same round, because that job's end was not counted; the gang waited for 3,406 s, until the stream ended.

--- a/benchmarks/_workloads.py
+++ b/benchmarks/_workloads.py
@@ -8,12 +8,12 @@
 
 from benchmarks._loop import NORMAL, URGENT, Job, Workload
 from chivefall.model import Account, AccountId, Adjacency, Guarantee, JobId, JobSpec
-from chivefall.scheduling import Plan, Room, RunTimeEstimator, SchedulingPolicy
+from chivefall.scheduling import Plan, Room, RunningJob, RunTimeEstimator, SchedulingPolicy
 from chivefall.scheduling._reservation import reserve
 from standins.sizes import ASSESSOR, BOOKING, DeploymentSize
 
 if TYPE_CHECKING:
-    from chivefall.scheduling import ClusterView, RunningJob
+    from chivefall.scheduling import ClusterView
 
 __all__ = ["EasyPolicy", "assessor", "booking"]
 
@@ -156,7 +156,7 @@
         """Return the starts of one round."""
         if view.draining:
             return Plan()
-        room, starts, head = Room(view.workers), [], None
+        room, starts, placed, head = Room(view.workers), [], [], None
         inside, extra = room, room
         key = {job.job_id: (job.spec.urgency is NORMAL, job.submitted_at) for job in view.queued}
         for job in sorted(view.queued, key=lambda item: key[item.job_id]):
@@ -165,11 +165,12 @@
                 placement = inside.place(job.spec)
             if placement is not None:
                 starts.append((job.job_id, placement))
+                placed.append(RunningJob(job.job_id, job.spec, placement, now))
                 inside.take(placement)
                 if extra is not inside:
                     extra.take(placement)
             elif head is None:
-                head = reserve(job, inside, view.running, _Declared(), now)
+                head = reserve(job, inside, [*view.running, *placed], _Declared(), now)
                 extra = inside.copy()
                 if head is not None:
                     extra.hold(head.placement)
--- a/chivefall/scheduling/_guarantee_policy.py
+++ b/chivefall/scheduling/_guarantee_policy.py
@@ -194,7 +194,7 @@
                     outside.take(placement)
             elif self.reservation is None and job.spec.accelerators > 0:
                 self.reservation = reserve(
-                    job, current.future, current.staying, self.estimator, current.now
+                    job, current.future, current.occupants, self.estimator, current.now
                 )
                 outside = self._keep(current, job)
 
@@ -211,7 +211,7 @@
             current.start(job, placement)
             return None
         self.reservation = renew(
-            old, job, current.future, current.staying, self.estimator, current.now
+            old, job, current.future, current.occupants, self.estimator, current.now
         )
         return self._keep(current, job)
 
--- a/chivefall/scheduling/_round.py
+++ b/chivefall/scheduling/_round.py
@@ -6,7 +6,7 @@
 from functools import cached_property
 from typing import TYPE_CHECKING
 
-from chivefall.scheduling._cluster import Plan
+from chivefall.scheduling._cluster import Plan, RunningJob
 from chivefall.scheduling._guarantees import GuaranteeLedger, unplaced_shapes
 from chivefall.scheduling._room import Room, count_tasks
 from chivefall.scheduling._victim_index import VictimIndex
@@ -15,7 +15,7 @@
     from collections.abc import Callable, Collection, Iterable
 
     from chivefall.model import AccountId, Adjacency, JobId, JobSpec, Placement, RackId
-    from chivefall.scheduling._cluster import ClusterView, QueuedJob, RunningJob
+    from chivefall.scheduling._cluster import ClusterView, QueuedJob
 
 __all__ = ["Round"]
 
@@ -32,6 +32,8 @@
         Room that is free now and not held for another job.
     future : Room
         The same with the room of jobs whose checkpoint is under way.
+    placed : list of RunningJob
+        Jobs that start in this round or for which a place is held.
     reclaims : int
         Jobs for which others were preempted.
     unreclaimable : set
@@ -63,6 +65,7 @@
         for job in view.running:
             self.usage[job.spec.account] += job.spec.total_accelerators
         self.starts: list[tuple[JobId, Placement]] = []
+        self.placed: list[RunningJob] = []
         self.preemptions: list[JobId] = []
         self.reclaims = 0
         self.unreclaimable: set[tuple[bool, int, int, Adjacency, int]] = set()
@@ -83,12 +86,22 @@
         self.future.take(placement)
         self.usage[job.spec.account] += job.spec.total_accelerators
         self.starts.append((job.job_id, placement))
+        self._note(job, placement)
 
     def hold(self, job: QueuedJob, placement: Placement) -> None:
         """Keep a place for a job until the jobs that leave it are gone."""
         self.room.hold(placement)
         self.future.take(placement)
         self.usage[job.spec.account] += job.spec.total_accelerators
+        self._note(job, placement)
+
+    def _note(self, job: QueuedJob, placement: Placement) -> None:
+        self.placed.append(RunningJob(job.job_id, job.spec, placement, self.now, False, job.done))
+
+    @property
+    def occupants(self) -> list[RunningJob]:
+        """Return the jobs whose end will make room, with those that were placed in this round."""
+        return [*self.staying, *self.placed]
 
     def preempt(self, jobs: Iterable[RunningJob]) -> None:
         """Checkpoint jobs and count their room as about to be free.
--- a/tests/scheduling/test_reservations.py
+++ b/tests/scheduling/test_reservations.py
@@ -88,6 +88,12 @@
         result = round_of(self.policy, ["a1", "a2", "a3"], [], [self.head])
         self.assertEqual(starts(result), ["head"])
 
+    def test_reservation_counts_jobs_started_in_the_same_round(self) -> None:
+        """Guards against a gang that gets no reservation because another job just started."""
+        urgent = queued("urgent", spec("captains", 2, urgency=URGENT), 101.0)
+        self.assertEqual(self.round(urgent), ["urgent"])
+        self.assertEqual(self.policy.reservation.job_id, "head")
+
     def test_reservation_is_dropped_with_its_job(self) -> None:
         """Guards against room that is kept for a cancelled job."""
         self.round()
