Log the lapse of a leader lease once

Cause: in a deployment with an outage of 9 s each leader logged leadership_lapsed twice, again when the renewal said that the lease had expired. Change: the event is logged only when the state changes. Conclusion: none beyond the log.

--- a/chivefall/controllers/_leader.py
+++ b/chivefall/controllers/_leader.py
@@ -131,7 +131,7 @@
     def _turn(self, now: float) -> None:
         heard = self._heard_epoch(now)
         self.note_epoch(heard)
-        if self._state is LeaderState.LEADER and now >= self._valid_until:
+        if now >= self._valid_until:
             self._lapse()
         if self._busy:
             return
@@ -144,8 +144,9 @@
             self._begin(self._acquire())
 
     def _lapse(self) -> None:
-        self._state = LeaderState.LAPSED
-        log_event(LogEvent.LEADERSHIP_LAPSED, epoch=self.epoch)
+        if self._state is LeaderState.LEADER:
+            self._state = LeaderState.LAPSED
+            log_event(LogEvent.LEADERSHIP_LAPSED, epoch=self.epoch)
 
     def _begin(self, coro) -> None:
         self._busy = True
