Claim idempotency keys before dispatch

Cause: requests with the same key ran as often as they were sent. Change: IdempotencyFilter claims the key through ClaimController before dispatch, stores the outcome and gives it to repeats.

--- a/chivefall/application.py
+++ b/chivefall/application.py
@@ -9,6 +9,7 @@
 
 from chivefall.api import HttpApi
 from chivefall.controllers import (
+    ClaimController,
     DocumentController,
     JobController,
     JobRouter,
@@ -16,7 +17,7 @@
     MembershipController,
     WorkerController,
 )
-from chivefall.filters import AccountFilter, DispatchFilter, FilterChain
+from chivefall.filters import AccountFilter, DispatchFilter, FilterChain, IdempotencyFilter
 from chivefall.model import Epoch
 from chivefall.net import Heartbeat, Peers
 from chivefall.registry import Registry
@@ -59,6 +60,7 @@
         self.chain = FilterChain(
             [
                 AccountFilter(lambda: self.document.document),
+                IdempotencyFilter(self.clock, self.claims, self.job_router.wait),
                 DispatchFilter(self.job_router),
             ],
             self.clock.now,
@@ -71,6 +73,7 @@
         self.document = add(DocumentController(clock, store, cfg.timing))
         self.membership = add(MembershipController(clock, cfg, peers, self._describe))
         self.leader = add(LeaderController(clock, cfg, store, self._heard_epoch))
+        self.claims = add(ClaimController(clock, cfg, store, self._swept_share))
         self.workers = add(WorkerController(clock, cfg, connections.workers, self.leader))
         self.jobs = add(
             JobController(clock, cfg, store, FifoPolicy(), self.document, self.leader, self.workers)
@@ -95,6 +98,13 @@
         peer = self.membership.leader_of(self.cfg.failure_domain, now)
         return Epoch(0) if peer is None else peer.leader_epoch
 
+    def _swept_share(self) -> tuple[int, int] | None:
+        """Return this leader's share of the sweep of claims, or None for others."""
+        domains = sorted(self.document.document.failure_domains)
+        if not self.leader.leads or self.cfg.failure_domain not in domains:
+            return None
+        return domains.index(self.cfg.failure_domain), len(domains)
+
     def _describe(self, now: float) -> Heartbeat:
         """Return this instance's heartbeat."""
         leads = self.leader.leads
--- a/chivefall/controllers/__init__.py
+++ b/chivefall/controllers/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from chivefall.controllers._base import Controller
+from chivefall.controllers._claims import ClaimController, ClaimRequest, Held, Unclaimed
 from chivefall.controllers._document import DocumentController
 from chivefall.controllers._job_router import JobRouter
 from chivefall.controllers._jobs import JobController
@@ -11,12 +12,16 @@
 from chivefall.controllers._workers import WorkerController
 
 __all__ = [
+    "ClaimController",
+    "ClaimRequest",
     "Controller",
     "DocumentController",
+    "Held",
     "JobController",
     "JobRouter",
     "LeaderController",
     "LeaderState",
     "MembershipController",
+    "Unclaimed",
     "WorkerController",
 ]
--- a/chivefall/filters/__init__.py
+++ b/chivefall/filters/__init__.py
@@ -12,12 +12,14 @@
     ServiceCall,
 )
 from chivefall.filters._dispatch import DispatchFilter
+from chivefall.filters._idempotency import IdempotencyFilter
 
 __all__ = [
     "AccountFilter",
     "DispatchFilter",
     "Filter",
     "FilterChain",
+    "IdempotencyFilter",
     "Proceed",
     "RequestContext",
     "RequestKind",
--- /dev/null
+++ b/chivefall/filters/_idempotency.py
@@ -0,0 +1,102 @@
+"""Runs the requests of one idempotency key at most once."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from hashlib import blake2b
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from chivefall.controllers import ClaimRequest, Held, Unclaimed
+from chivefall.filters._base import Filter, Proceed, RequestContext, RequestKind
+from chivefall.model import Accepted, JobId, NotRun, NotRunReason, Outcome, Unknown
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from chivefall.controllers import ClaimController
+    from chivefall.runtime import Clock
+
+__all__ = ["IdempotencyFilter", "request_digest"]
+
+DIGEST_BYTES = 16
+RETRY_AFTER = 5.0  # seconds after which the store may record a claim again
+
+
+class IdempotencyFilter(Filter):
+    """Claims the idempotency key before dispatch and records the outcome.
+
+    Parameters
+    ----------
+    wait_job : callable
+        Waits for the final state of an accepted job until a deadline.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        claims: ClaimController,
+        wait_job: Callable[[JobId, float], Awaitable[Outcome]],
+    ) -> None:
+        self._clock = clock
+        self._claims = claims
+        self._wait_job = wait_job
+
+    async def handle(self, ctx: RequestContext, proceed: Proceed, now: float) -> Outcome:
+        """Pass the request on if it holds the claim or needs none."""
+        del now
+        if ctx.idempotency_key is None:
+            return await proceed(ctx)
+        result = await self._claims.claim(
+            ClaimRequest(
+                ctx.account, ctx.idempotency_key, request_digest(ctx), ctx.idempotent, ctx.deadline
+            )
+        )
+        if isinstance(result, Held):
+            return await self._run(ctx, proceed, result)
+        if not isinstance(result, Unclaimed):
+            return await self._finish(ctx, result.outcome)
+        if ctx.idempotent:
+            return await proceed(ctx)
+        return NotRun(
+            NotRunReason.STORE_UNAVAILABLE,
+            f"this request was not sent, as its claim cannot be recorded ({result.reason}); an "
+            "earlier one with the same key may have run, so repeat with the same key",
+            RETRY_AFTER,
+        )
+
+    async def _run(self, ctx: RequestContext, proceed: Proceed, held: Held) -> Outcome:
+        if self._clock.now() >= ctx.deadline:
+            # The process may have been paused; a late dispatch could outlive the claim.
+            await self._claims.settle(held, None, ctx.deadline)
+            return NotRun(
+                NotRunReason.DEADLINE_EXCEEDED, "the claim was recorded after the deadline", 0.0
+            )
+        # A job is recorded first and waited for afterwards, so that a repeat learns its id.
+        sent = replace(ctx, wait=False) if ctx.kind is RequestKind.JOB else ctx
+        try:
+            outcome = await proceed(sent)
+        except Exception:
+            await self._settle(ctx, held, Unknown("an internal error ended the request"))
+            raise
+        await self._settle(ctx, held, outcome)
+        return await self._finish(ctx, outcome)
+
+    async def _settle(self, ctx: RequestContext, held: Held, outcome: Outcome) -> None:
+        may_run_again = isinstance(outcome, NotRun) or (
+            ctx.idempotent and isinstance(outcome, Unknown)
+        )
+        await self._claims.settle(held, None if may_run_again else outcome, ctx.deadline)
+
+    async def _finish(self, ctx: RequestContext, outcome: Outcome) -> Outcome:
+        if ctx.wait and isinstance(outcome, Accepted):
+            return await self._wait_job(outcome.job_id, ctx.deadline)
+        return outcome
+
+
+def request_digest(ctx: RequestContext) -> str:
+    """Return a digest of what the request asks for, without how long it waits."""
+    content = (ctx.kind, ctx.idempotent, ctx.job, ctx.service)
+    encoded = msgspec.json.encode(content, order="deterministic")
+    return blake2b(encoded, digest_size=DIGEST_BYTES).hexdigest()
--- a/chivefall/store/__init__.py
+++ b/chivefall/store/__init__.py
@@ -2,11 +2,28 @@
 
 from __future__ import annotations
 
+from chivefall.store._claims import (
+    CLAIM_LIFETIME,
+    Answer,
+    Await,
+    ClaimDecision,
+    ClaimRecord,
+    ClaimState,
+    Hold,
+    TakeOver,
+    decide_claim,
+    decode_claim,
+    encode_claim,
+    is_expired,
+    with_outcome,
+)
 from chivefall.store._http_store import HttpStore
 from chivefall.store._keys import (
+    CLAIMS_SHARDS,
     DOCUMENT_KEY,
     HISTORY_PREFIX,
     claim_key,
+    claims_prefix,
     history_key,
     job_key,
     jobs_prefix,
@@ -37,13 +54,21 @@
 
 __all__ = [
     "ABSENT",
+    "CLAIMS_SHARDS",
+    "CLAIM_LIFETIME",
     "DOCUMENT_KEY",
     "HISTORY_PREFIX",
+    "Answer",
+    "Await",
     "Changed",
+    "ClaimDecision",
+    "ClaimRecord",
+    "ClaimState",
     "Conflict",
     "Entry",
     "Found",
     "Granted",
+    "Hold",
     "HttpStore",
     "LeaseExpired",
     "LeaseId",
@@ -53,6 +78,7 @@
     "ReadOutcome",
     "Store",
     "Stored",
+    "TakeOver",
     "Unavailable",
     "Unchanged",
     "Unmodified",
@@ -60,8 +86,14 @@
     "WatchOutcome",
     "WriteOutcome",
     "claim_key",
+    "claims_prefix",
+    "decide_claim",
+    "decode_claim",
+    "encode_claim",
     "history_key",
+    "is_expired",
     "job_key",
     "jobs_prefix",
     "leader_key",
+    "with_outcome",
 ]
--- a/chivefall/store/_keys.py
+++ b/chivefall/store/_keys.py
@@ -9,9 +9,11 @@
     from chivefall.model import AccountId, DomainId, IdempotencyKey, JobId, Revision
 
 __all__ = [
+    "CLAIMS_SHARDS",
     "DOCUMENT_KEY",
     "HISTORY_PREFIX",
     "claim_key",
+    "claims_prefix",
     "history_key",
     "job_key",
     "jobs_prefix",
@@ -21,6 +23,8 @@
 DOCUMENT_KEY = "document"
 HISTORY_PREFIX = "history/"
 KEY_DIGEST_BYTES = 16
+CLAIMS_SHARDS = 4096
+"""Parts of the claims that are listed one at a time, by the first three hex digits."""
 
 
 def history_key(revision: Revision) -> str:
@@ -50,3 +54,8 @@
     """
     digest = blake2b(f"{account}\0{key}".encode(), digest_size=KEY_DIGEST_BYTES)
     return f"claims/{digest.hexdigest()}"
+
+
+def claims_prefix(shard: int) -> str:
+    """Return the prefix of one shard of the claims."""
+    return f"claims/{shard:03x}"
--- a/chivefall/telemetry/_events.py
+++ b/chivefall/telemetry/_events.py
@@ -39,6 +39,7 @@
     JOB_START_FAILED = (5003, "A gang could not start and was released.")
     JOB_FINISHED = (5004, "A job reached a final state.")
     REQUEST_ANSWERED = (6001, "A request of a caller was answered.")
+    CLAIM_UNSETTLED = (6011, "An idempotency claim cannot be completed or released.")
 
     def __init__(self, number: int, meaning: str) -> None:
         self.number = number
