--- a/chivefall/application.py
+++ b/chivefall/application.py
@@ -10,6 +10,7 @@
 
 from chivefall.api import HttpApi
 from chivefall.controllers import (
+    ClaimController,
     DocumentController,
     DrainController,
     EndpointController,
@@ -27,6 +28,7 @@
     DispatchFilter,
     FeasibilityFilter,
     FilterChain,
+    IdempotencyFilter,
     ShutdownFilter,
 )
 from chivefall.model import Epoch, JobState
@@ -77,6 +79,7 @@
                 FeasibilityFilter(lambda: self.document.document),
                 AdmissionFilter(lambda: self.document.document),
                 self._deadline,
+                IdempotencyFilter(self.clock, self.claims, self._dispatch.wait_for_job),
                 self._dispatch,
             ],
             self.clock.now,
@@ -92,6 +95,7 @@
             DocumentController(clock, cfg, store, peers, self.membership, lambda: self.leader.leads)
         )
         self.leader = add(LeaderController(clock, cfg, store, self._heard_epoch))
+        self.claims = add(ClaimController(clock, cfg, store, self._swept_share))
         self.workers = add(WorkerController(clock, cfg, connections.workers, self.leader))
         self.jobs = add(
             JobController(
@@ -154,6 +158,13 @@
         peer = self.membership.leader_of(self.cfg.failure_domain, now)
         return Epoch(0) if peer is None else peer.leader_epoch
 
+    def _swept_share(self) -> tuple[int, int] | None:
+        """Return this leader's share of the sweep of claims, or None for others."""
+        domains = sorted(self.document.document.failure_domains)
+        if not self.leader.leads or self.cfg.failure_domain not in domains:
+            return None
+        return domains.index(self.cfg.failure_domain), len(domains)
+
     def _describe(self, now: float) -> Heartbeat:
         """Return this instance's heartbeat."""
         leads = self.leader.leads
--- a/chivefall/controllers/__init__.py
+++ b/chivefall/controllers/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from chivefall.controllers._base import Controller
+from chivefall.controllers._claims import ClaimController, ClaimRequest, Held, Unclaimed
 from chivefall.controllers._document import DocumentController
 from chivefall.controllers._drain import DrainController
 from chivefall.controllers._endpoints import EndpointController, ServiceRequest
@@ -13,15 +14,19 @@
 from chivefall.controllers._workers import WorkerController
 
 __all__ = [
+    "ClaimController",
+    "ClaimRequest",
     "Controller",
     "DocumentController",
     "DrainController",
     "EndpointController",
+    "Held",
     "JobController",
     "JobRouter",
     "LeaderController",
     "LeaderState",
     "MembershipController",
     "ServiceRequest",
+    "Unclaimed",
     "WorkerController",
 ]
--- a/chivefall/controllers/_job_router.py
+++ b/chivefall/controllers/_job_router.py
@@ -73,20 +73,19 @@
         self._peers.serve(STATUS, lambda body: self.run_task(self._serve_status(body)))
         self._peers.serve(CANCEL, lambda body: self.run_task(self._serve_cancel(body)))
 
-    async def submit(self, spec: JobSpec, wait: bool, deadline: float, now: float) -> Outcome:
-        """Submit a job in a failure domain with a leader and optionally wait for its end."""
+    async def submit(self, spec: JobSpec, caller_waits: bool, now: float) -> Outcome:
+        """Submit a job in a failure domain with a leader.
+
+        While the store is down, only an idempotent job whose caller waits is accepted.
+        """
         domain = self._choose_domain(now)
         if domain is None:
             return NotRun(
                 NotRunReason.NO_LEADER, "no failure domain in service has a leader", RETRY_AFTER
             )
         if self._is_local(domain):
-            outcome = await self._jobs.submit(spec, wait)
-        else:
-            outcome = await self._ask_submit(domain, spec, wait, now)
-        if wait and isinstance(outcome, Accepted):
-            return await self.wait(outcome.job_id, deadline)
-        return outcome
+            return await self._jobs.submit(spec, caller_waits)
+        return await self._ask_submit(domain, spec, caller_waits)
 
     async def wait(self, job_id: JobId, deadline: float) -> Outcome:
         """Wait for a job's final state until the deadline, wherever it moves."""
@@ -188,8 +187,8 @@
             return PeerFailure(f"{domain} has no leader now", sent=False)
         return await self._peers.call(leader.instance, operation, body, timeout)
 
-    async def _ask_submit(self, domain: DomainId, spec: JobSpec, wait: bool, now: float) -> Outcome:
-        body = [msgspec.to_builtins(spec), wait]
+    async def _ask_submit(self, domain: DomainId, spec: JobSpec, caller_waits: bool) -> Outcome:
+        body = [msgspec.to_builtins(spec), caller_waits]
         reply = await self._call(domain, SUBMIT, body, self._cfg.timing.peer_timeout)
         if isinstance(reply, PeerFailure):
             if reply.sent:
--- a/chivefall/filters/__init__.py
+++ b/chivefall/filters/__init__.py
@@ -15,6 +15,7 @@
 from chivefall.filters._deadline import DeadlineFilter
 from chivefall.filters._dispatch import DispatchFilter
 from chivefall.filters._feasibility import FeasibilityFilter
+from chivefall.filters._idempotency import IdempotencyFilter
 from chivefall.filters._shutdown import ShutdownFilter
 
 __all__ = [
@@ -25,6 +26,7 @@
     "FeasibilityFilter",
     "Filter",
     "FilterChain",
+    "IdempotencyFilter",
     "Proceed",
     "RequestContext",
     "RequestKind",
--- a/chivefall/filters/_dispatch.py
+++ b/chivefall/filters/_dispatch.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from chivefall.controllers import EndpointController, JobRouter, ServiceRequest
 from chivefall.filters._base import Filter, Proceed, RequestContext, RequestKind
@@ -10,6 +10,9 @@
 from chivefall.model import Accepted, NotRun, NotRunReason, Outcome, Unknown
 from chivefall.runtime import spawn
 
+if TYPE_CHECKING:
+    from chivefall.model import JobId
+
 __all__ = ["DispatchFilter"]
 
 
@@ -26,9 +29,9 @@
         """Return the outcome of the controller; never proceeds."""
         del proceed
         if ctx.kind is RequestKind.JOB and ctx.job is not None:
-            outcome = await self._jobs.submit(ctx.job, False, ctx.deadline, now)
-            if ctx.wait and self._may_wait and isinstance(outcome, Accepted):
-                return await self._wait(outcome, ctx.deadline)
+            outcome = await self._jobs.submit(ctx.job, ctx.wait, now)
+            if ctx.wait and isinstance(outcome, Accepted):
+                return await self.wait_for_job(outcome.job_id, ctx.deadline)
             return outcome
         if ctx.kind is RequestKind.SERVICE and ctx.service is not None:
             call = ctx.service
@@ -44,11 +47,15 @@
         self._may_wait = False
         self._waits.end_all()
 
-    async def _wait(self, accepted: Accepted, deadline: float) -> Outcome:
-        fut: Any = spawn(self._jobs.wait(accepted.job_id, deadline))
+    async def wait_for_job(self, job_id: JobId, deadline: float) -> Outcome:
+        """Return a job's outcome, or Accepted at the deadline or once the drain began."""
+        accepted = Accepted(job_id)
+        if not self._may_wait:
+            return accepted
+        fut: Any = spawn(self._jobs.wait(job_id, deadline))
         outcome = await self._waits.watch(fut, accepted)
         if not isinstance(outcome, Unknown):
             return outcome
         # The wait may have ended because the job's leader changed while the job runs on.
-        record = await self._jobs.status(accepted.job_id, self._jobs.clock.now())
+        record = await self._jobs.status(job_id, self._jobs.clock.now())
         return outcome if record is not None and record.state.is_final else accepted
--- a/chivefall/store/_keys.py
+++ b/chivefall/store/_keys.py
@@ -10,10 +10,12 @@
     from chivefall.model import AccountId, DomainId, IdempotencyKey, JobId, Revision
 
 __all__ = [
+    "CLAIMS_SHARDS",
     "DOCUMENT_KEY",
     "HISTORY_PREFIX",
     "JOB_SHARDS",
     "claim_key",
+    "claims_prefix",
     "history_key",
     "job_key",
     "jobs_prefix",
@@ -29,6 +31,8 @@
 A day's records of a domain at the target size, 800 of up to 64 KB, are about
 0.8 MB for each part; the store's limit is 1 MB.
 """
+CLAIMS_SHARDS = 4096
+"""Parts of the claims that are listed one at a time, by the first three hex digits."""
 
 
 def history_key(revision: Revision) -> str:
@@ -58,3 +62,8 @@
     """
     digest = blake2b(f"{account}\0{key}".encode(), digest_size=KEY_DIGEST_BYTES)
     return f"claims/{digest.hexdigest()}"
+
+
+def claims_prefix(shard: int) -> str:
+    """Return the prefix of one shard of the claims."""
+    return f"claims/{shard:03x}"
--- a/chivefall/telemetry/_events.py
+++ b/chivefall/telemetry/_events.py
@@ -51,6 +51,7 @@
     REQUEST_ANSWERED = (6001, "A request of a caller was answered.")
     ENDPOINT_LEAVING = (6002, "An endpoint says that it is leaving.")
     ENDPOINT_EJECTED = (6003, "An endpoint failed several times and gets no requests for a while.")
+    CLAIM_UNSETTLED = (6011, "An idempotency claim cannot be completed or released.")
 
     def __init__(self, number: int, meaning: str) -> None:
         self.number = number
--- a/tests/controllers/test_jobs_fuzz.py
+++ b/tests/controllers/test_jobs_fuzz.py
@@ -79,7 +79,7 @@
         payload = {"run_time": seconds}
         spec = JobSpec(AccountId("farmers"), "sort", payload, size, 8, idempotent=idempotent)
         now = self.cluster.clock.now()
-        self.submitted.append((spec, spawn(app.job_router.submit(spec, False, now + 30, now))))
+        self.submitted.append((spec, spawn(app.job_router.submit(spec, False, now))))
         self.advance(0.5)
 
     @rule(entry=st.sampled_from(ENTRIES), idempotent=st.booleans(), count=st.integers(1, 4))
