Test the end of the grace period and arbitrary bytes

Cause: no process test showed that a drain ends in time with an answer for what is still open, and the bound for an idle instance was looser than the target of 2.3 % of a core.

--- a/tests/net/test_http_framing.py
+++ b/tests/net/test_http_framing.py
@@ -80,6 +80,17 @@
                 frame(data)
             self.assertEqual(caught.exception.status, status)
 
+    @settings(derandomize=True, database=None, max_examples=200)
+    @given(st.lists(st.sampled_from([*b"GPT/1.0: \r\n;,", *range(0, 256, 37)]), max_size=80))
+    def test_any_bytes(self, data: list[int]) -> None:
+        """Guards against an error that is not reported to the caller."""
+        for prefix in (b"", b"POST / HTTP/1.1\r\n", POST[:40], CHUNKED[:60]):
+            try:
+                for message in frame(prefix + bytes(data)):
+                    parse_request_line(message)
+            except FramingError as exc:
+                self.assertGreaterEqual(exc.status, 400)
+
     def test_request_line(self) -> None:
         """Guards against targets, versions and encodings that are not supported."""
         self.assertEqual(parse_request_line(frame(GET)[0]), ("GET", "/v1/jobs/a", "wait=1"))
--- a/tests/system/test_shutdown.py
+++ b/tests/system/test_shutdown.py
@@ -94,6 +94,31 @@
         other = self.address("zarcero-2")
         wait_until(lambda: self.knows(other, waits[0][1]["job_id"]), "the next leader has the job")
 
+    def test_ends_within_the_grace_period_with_an_answer(self) -> None:
+        """Guards against a process that waits for ever, and against a cut request (G8)."""
+        name = "cartago-1"
+        self.running.kill(name)
+        self.running.entries[name]["timing"] = {"shutdown_grace": 4.0}
+        self.running.start_entry(name)
+        answers: list[Any] = []
+        thread = threading.Thread()
+        executed = self.executed()
+
+        def accepted() -> bool:
+            nonlocal thread
+            thread = self.exchange(name, SERVICE, {"run_time": 20.0}, answers)
+            thread.join(0.5)
+            return thread.is_alive() and self.executed() > executed
+
+        wait_until(accepted, "the request runs")
+        answers.clear()
+        self.running.processes[name].send_signal(signal.SIGTERM)
+        began = time.monotonic()
+        self.assertEqual(self.running.processes[name].wait(10), 0)
+        self.assertLess(time.monotonic() - began, 4.5)
+        thread.join(5)
+        self.assertEqual({(code, body["outcome"]) for code, body in answers}, {(504, "unknown")})
+
     def test_second_signal_ends_at_once(self) -> None:
         """Guards against an operator who cannot end a process that drains."""
         name, process = "tarrazu-1", self.running.processes["tarrazu-1"]
@@ -116,7 +141,7 @@
         wait_until(lambda: time.monotonic() - began > 4, "4 s have passed")
         share = (cpu_seconds(pid) - before) / (time.monotonic() - began)
         print(f"idle instance: {share:.2%} of a core")
-        self.assertLess(share, 0.05)
+        self.assertLess(share, 0.023)
 
     def executed(self) -> int:
         """Return the number of service requests that the endpoints began."""
