Bound the time for records and the lease at a shutdown

Cause: a task of the job controller that never ends would have kept an instance without requests for the whole grace period.

Change: after the last answer the process ends within 4 s.

--- a/chivefall/daemon.py
+++ b/chivefall/daemon.py
@@ -25,7 +25,7 @@
 __all__ = ["Daemon"]
 
 DRAIN_CHECK_INTERVAL = 0.1  # seconds between checks for requests in progress
-HAND_OVER_SECONDS = 4.0  # part of the grace period that is kept for records and the lease
+HAND_OVER_SECONDS = 4.0  # longest time for records and the lease, kept from the grace period
 RELEASE_SECONDS = 1.5  # part of the grace period that is kept for the lease
 
 
@@ -89,6 +89,8 @@
             self.clock.call_later(DRAIN_CHECK_INTERVAL, self._drain)
             return
         self.application.end_requests()
+        # Nobody waits for this process any more, so it does not use up a long grace period.
+        self._limit = min(self._limit, self.clock.now() + HAND_OVER_SECONDS)
         self._hand_over()
 
     def _hand_over(self) -> None:
