Keep the store out of the document resources

Cause: the HTTP resources told a missing store by a type of the store package, which that package must not import, and a team's name was of any length although it becomes part of the stored value.

Change: the controller returns no history when the store does not answer; team names have up to 63 characters.

--- a/chivefall/api/_document_api.py
+++ b/chivefall/api/_document_api.py
@@ -27,7 +27,6 @@
 )
 from chivefall.errors import DocumentError, MessageError
 from chivefall.model import DomainId, DomainState, Revision, Section, TeamId
-from chivefall.store import Unavailable
 
 if TYPE_CHECKING:
     from chivefall.controllers import DocumentController
@@ -41,6 +40,7 @@
 RETRY_AFTER = "2"  # seconds after which a store that did not answer may answer again
 DEFAULT_HISTORY = 20
 MAX_HISTORY = 500
+MAX_TEAM = 63  # characters; the name becomes part of the audit record
 
 _TAGS: dict[type, tuple[str, HTTPStatus]] = {
     ChangeAccepted: ("accepted", HTTPStatus.OK),
@@ -112,10 +112,10 @@
 
     async def _read_history(self, limit: int) -> HttpReply:
         records = await self._document.history(limit)
-        if isinstance(records, Unavailable):
+        if records is None:
             return json_reply(
                 HTTPStatus.SERVICE_UNAVAILABLE,
-                {"error": f"the history cannot be read: {records.reason}"},
+                {"error": "the store does not answer, so the history cannot be read"},
                 {"Retry-After": RETRY_AFTER},
             )
         changes = msgspec.to_builtins(records)
@@ -125,8 +125,11 @@
         self, req: HttpRequest, edit: Edit, base: Revision | None = None
     ) -> HttpReply:
         team = req.headers.get(TEAM_HEADER)
-        if not team:
-            raise MessageError("the X-Chivefall-Team header is missing", "send your team's name")
+        if not team or len(team) > MAX_TEAM:
+            raise MessageError(
+                "the X-Chivefall-Team header is missing or too long",
+                f"send your team's name of up to {MAX_TEAM} characters",
+            )
         if base is None:
             base = _base(req)
         outcome = await self._document.change(
--- a/chivefall/controllers/_document.py
+++ b/chivefall/controllers/_document.py
@@ -163,12 +163,10 @@
             return replace(outcome, warnings=warnings)
         return outcome
 
-    async def history(self, limit: int) -> tuple[ChangeRecord, ...] | Unavailable:
-        """Return up to ``limit`` audit records, the newest first."""
+    async def history(self, limit: int) -> tuple[ChangeRecord, ...] | None:
+        """Return up to ``limit`` audit records, the newest first; None without the store."""
         records = await self._history.list(self.document.last_change)
-        if isinstance(records, Unavailable):
-            return records
-        return records[::-1][:limit]
+        return None if isinstance(records, Unavailable) else records[::-1][:limit]
 
     def adopt(self, document: Document, version: Version | None = None) -> None:
         """Put a revision in force if it is higher than the present one."""
--- a/tests/api/test_document_api.py
+++ b/tests/api/test_document_api.py
@@ -72,6 +72,7 @@
             "invalid": ("PUT", accounts, '{"a": {"burst": -1}}', match, 422, "burst"),
             "no base": ("PUT", accounts, "{}", {}, 400, "If-Match"),
             "no team": ("PUT", accounts, "{}", {**match, "x-chivefall-team": ""}, 400, "Team"),
+            "long team": ("PUT", accounts, "{}", {"x-chivefall-team": "t" * 64}, 400, "Team"),
             "section": ("GET", "/v1/document/sections/x", "", {}, 400, "accounts"),
             "domain": ("POST", "/v1/failure-domains/x/out", "", {}, 422, "tarrazu"),
             "resource": ("DELETE", "/v1/document", "", {}, 404, "no such resource"),
