Divide guarantees among failure domains and send jobs to their share

Change: leaders use guarantee_shares; a job goes to a domain where it starts at once, else to one whose share covers it; a waiting job whose account can reclaim room only elsewhere is transferred there. Figures: with all three domains filled by a borrower, a guaranteed gang of 8 sent to a domain without the share runs within 3 s; without the choice, and without the transfer, the two new tests fail. Conclusion: a guarantee holds from every domain.

--- a/chivefall/controllers/_drain.py
+++ b/chivefall/controllers/_drain.py
@@ -15,11 +15,13 @@
     checkpoint_order,
     choose_targets,
 )
+from chivefall.document import guarantee_shares
 from chivefall.model import (
     Accepted,
     DomainId,
     JobId,
     JobRecord,
+    JobSpec,
     JobState,
     NotRun,
     NotRunReason,
@@ -28,6 +30,7 @@
     WorkerState,
 )
 from chivefall.net import PeerFailure, Peers, decode_outcome, encode_outcome
+from chivefall.routing import covers
 from chivefall.runtime import wait_for
 from chivefall.scheduling import find_placement
 from chivefall.telemetry import LogEvent, log_event
@@ -128,7 +131,13 @@
             self._offered_at = now
             free = min(free, OFFER_BATCH)
         waiting = [
-            Transferable(job.record.job_id, job.record.spec, frozenset(job.refused_by), leaving)
+            Transferable(
+                job.record.job_id,
+                job.record.spec,
+                frozenset(job.refused_by),
+                leaving,
+                self._reclaims_at(job.record.spec),
+            )
             for job in jobs.values()
             if job.record.state is JobState.QUEUED
             and not job.busy
@@ -139,6 +148,16 @@
             for job_id, domain in choose_targets(waiting, self._rooms(now))[:free]:
                 self._begin(jobs[job_id], domain)
 
+    def _reclaims_at(self, spec: JobSpec) -> frozenset[DomainId]:
+        """Return where a job's account can reclaim room, unless it can here."""
+        document = self._document.document
+        found = frozenset(
+            domain
+            for domain in document.failure_domains
+            if covers(guarantee_shares(document, domain), spec)
+        )
+        return frozenset() if self._cfg.failure_domain in found else found
+
     def _rooms(self, now: float) -> list[DomainRoom]:
         document = self._document.document
         rooms = []
--- a/chivefall/controllers/_job_router.py
+++ b/chivefall/controllers/_job_router.py
@@ -8,6 +8,7 @@
 
 from chivefall.controllers._base import Controller
 from chivefall.controllers._job_table import WaitReply
+from chivefall.document import guarantee_shares
 from chivefall.model import (
     Accepted,
     DomainId,
@@ -22,6 +23,7 @@
     domain_of_job,
 )
 from chivefall.net import PeerFailure, Peers, decode_outcome, encode_outcome
+from chivefall.routing import DomainOffer, choose_domain, covers
 from chivefall.runtime import sleep
 
 if TYPE_CHECKING:
@@ -78,7 +80,7 @@
 
         While the store is down, only an idempotent job whose caller waits is accepted.
         """
-        domain = self._choose_domain(now)
+        domain = choose_domain(spec, self._offers(spec, now))
         if domain is None:
             return NotRun(
                 NotRunReason.NO_LEADER, "no failure domain in service has a leader", RETRY_AFTER
@@ -160,21 +162,25 @@
             return None if reply is None else msgspec.convert(reply, JobRecord)
         return decode_outcome(reply)
 
-    def _choose_domain(self, now: float) -> DomainId | None:
-        """Return the own domain if it has a leader, else the one with most free room."""
+    def _offers(self, spec: JobSpec, now: float) -> list[DomainOffer]:
+        """Return the failure domains in service that have a leader."""
         document = self._document.document
-        candidates = []
+        offers = []
         for domain in document.failure_domains:
-            if not document.is_in_service(domain):
+            capacity = self._capacity(domain, now)
+            if capacity is None or not document.is_in_service(domain):
                 continue
-            if self._is_local(domain):
-                return domain
-            leader = self._membership.leader_of(domain, now)
-            if leader is not None:
-                own = domain == self._cfg.failure_domain
-                free = leader.capacity[0] if leader.capacity else 0
-                candidates.append((own, free, domain))
-        return max(candidates)[2] if candidates else None
+            guaranteed = covers(guarantee_shares(document, domain), spec)
+            own = domain == self._cfg.failure_domain
+            offers.append(DomainOffer(domain, *capacity[:3], guaranteed=guaranteed, own=own))
+        return offers
+
+    def _capacity(self, domain: DomainId, now: float) -> tuple[int, ...] | None:
+        """Return what a domain's leader tells of its room, or None without a leader."""
+        if self._is_local(domain):
+            return self._jobs.capacity_digest()
+        leader = self._membership.leader_of(domain, now)
+        return None if leader is None else leader.capacity
 
     def _is_local(self, domain: DomainId) -> bool:
         return domain == self._cfg.failure_domain and self._leader.leads
--- a/chivefall/controllers/_rounds.py
+++ b/chivefall/controllers/_rounds.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from chivefall.document import guarantee_shares
 from chivefall.model import JobState, WorkerState
 from chivefall.scheduling import ClusterView, QueuedJob, RunningJob, WorkerView
 
@@ -77,7 +78,7 @@
         tuple(_offered(view) for view in workers.views()),
         tuple(queued),
         tuple(running),
-        document.guarantees,
+        guarantee_shares(document, cfg.failure_domain),
         document.accounts,
         draining=not document.is_in_service(cfg.failure_domain),
     )
--- a/chivefall/controllers/_transfers.py
+++ b/chivefall/controllers/_transfers.py
@@ -43,12 +43,15 @@
         Domains whose leaders said that it never fits there.
     must_leave : bool
         Whether it cannot run here, so that it goes even where it has to wait.
+    reclaims_at : frozenset of DomainId
+        Domains where its account can reclaim room for it, if it cannot here.
     """
 
     job_id: JobId
     spec: JobSpec
     refused_by: frozenset[DomainId] = frozenset()
     must_leave: bool = False
+    reclaims_at: frozenset[DomainId] = frozenset()
 
 
 def checkpoint_order(records: Iterable[JobRecord]) -> list[JobId]:
@@ -70,9 +73,9 @@
         need = job.spec.total_accelerators
         candidates = [room for name, room in left.items() if name not in job.refused_by]
         starting = [room for room in candidates if _starts_now(job.spec, room)]
-        if not starting and not job.must_leave:
-            continue
-        best = max(starting or candidates, key=lambda room: room.free, default=None)
+        reclaiming = [room for room in candidates if room.domain in job.reclaims_at]
+        waiting = candidates if job.must_leave else []
+        best = max(starting or reclaiming or waiting, key=lambda room: room.free, default=None)
         if best is None:
             continue
         chosen.append((job.job_id, best.domain))
--- a/chivefall/routing/__init__.py
+++ b/chivefall/routing/__init__.py
@@ -1,9 +1,10 @@
-"""Decisions about service requests: endpoint selection, limits and retries."""
+"""Decisions about requests: failure domain, endpoint, limits and retries."""
 
 from __future__ import annotations
 
 from chivefall.routing._buckets import RetryBudget, TokenBucket
 from chivefall.routing._choice import Fleet, choose_endpoint, next_available
+from chivefall.routing._domains import DomainOffer, choose_domain, covers
 from chivefall.routing._endpoint import Endpoint
 from chivefall.routing._retries import (
     AttemptEnd,
@@ -21,13 +22,16 @@
     "AttemptEnd",
     "AttemptResult",
     "CallState",
+    "DomainOffer",
     "Endpoint",
     "Finish",
     "Fleet",
     "Retry",
     "RetryBudget",
     "TokenBucket",
+    "choose_domain",
     "choose_endpoint",
+    "covers",
     "next_available",
     "next_step",
     "parse_retry_after",
--- /dev/null
+++ b/tests/controllers/test_guarantees.py
@@ -0,0 +1,58 @@
+"""Guaranteed shapes over several failure domains (G1)."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+
+from chivefall.document import guarantee_shares
+from chivefall.model import Accepted, AccountId, DomainId, Guarantee, JobSpec, JobState
+from standins.cluster import Cluster, default_document
+
+DOMAINS = ("zarcero", "tarrazu", "cartago")
+FARMERS, BUYERS = AccountId("farmers"), AccountId("buyers")
+
+
+class ReclaimTest(unittest.TestCase):
+    def setUp(self) -> None:
+        shape = Guarantee(FARMERS, gangs=1, gang_size=8, accelerators=1)
+        self.document = replace(default_document(DOMAINS), guarantees=(shape,))
+        self.cluster = Cluster(DOMAINS, workers_per_domain=1, document=self.document)
+        self.cluster.advance(6)
+
+    def submit(self, account: AccountId, domain: str, size: int) -> str:
+        """Submit a long gang through an instance of a domain and return its id."""
+        spec = JobSpec(account, "sort", {"run_time": 500.0}, gang_size=size, run_time=500.0)
+        app = next(a for a in self.cluster.applications.values() if a.cfg.failure_domain == domain)
+        now = self.cluster.clock.now()
+        outcome = self.cluster.run(app.job_router.submit(spec, False, now))
+        self.assertIsInstance(outcome, Accepted)
+        return outcome.job_id
+
+    def state(self, job_id: str) -> JobState:
+        app = next(iter(self.cluster.applications.values()))
+        record = self.cluster.run(app.job_router.status(job_id, self.cluster.clock.now()))
+        return record.state
+
+    def test_guaranteed_gang_starts_from_any_domain_while_borrowers_fill_all(self) -> None:
+        """Guards against a guarantee that holds only in the domain of its share."""
+        for domain in DOMAINS:
+            self.submit(BUYERS, domain, 8)
+        self.cluster.advance(3)
+        share = next(name for name in DOMAINS if guarantee_shares(self.document, DomainId(name)))
+        elsewhere = next(name for name in DOMAINS if name != share)
+        job_id = self.submit(FARMERS, elsewhere, 8)
+        self.cluster.advance(3)
+        self.assertIs(self.state(job_id), JobState.RUNNING)
+
+    def test_guaranteed_gang_moves_to_its_share(self) -> None:
+        """Guards against a job that was queued before its domain filled up and stays there."""
+        share = next(name for name in DOMAINS if guarantee_shares(self.document, DomainId(name)))
+        elsewhere = next(name for name in DOMAINS if name != share)
+        for domain in DOMAINS:
+            self.submit(BUYERS, domain, 8)
+        self.cluster.advance(3)
+        spec = JobSpec(FARMERS, "sort", {"run_time": 500.0}, gang_size=8, run_time=500.0)
+        outcome = self.cluster.run(self.cluster.leader(elsewhere).jobs.submit(spec))
+        self.cluster.advance(15)
+        self.assertIs(self.state(outcome.job_id), JobState.RUNNING)
