--- a/tests/scheduling/test_guarantee_policy.py
+++ b/tests/scheduling/test_guarantee_policy.py
@@ -87,7 +87,7 @@
     def test_holds_the_place_of_borrowers_that_still_start(self) -> None:
         """Guards against borrowers that follow each other where none can be checkpointed yet."""
         jobs = [running("b", spec("buyers", 6), "a1", checkpointable=False)]
-        waiting = [queued("j", spec("farmers", 8)), queued("k", spec("buyers", 2))]
+        waiting = [queued("j", spec("farmers", 8)), queued("k", spec("buyers", 2, run_time=1.0))]
         result = plan(["a1"], jobs, waiting, guarantees=self.OWN)
         self.assertEqual((result.starts, result.preemptions), ((), ()))
 
@@ -122,6 +122,14 @@
         result = plan(["a1", "b1"], jobs, [queued("j", spec("captains", 1))], guarantees=shapes)
         self.assertEqual(result.starts[0][1].members[0].worker, "b1")
 
+    def test_reclaims_of_one_round_are_limited(self) -> None:
+        """Guards against rounds that take long when many accounts reclaim at once."""
+        names = [f"a{index}" for index in range(10)]
+        jobs = [running(f"b{name}", spec("buyers", 8), name) for name in names]
+        waiting = [queued(f"j{name}", spec("farmers", 8)) for name in names]
+        shapes = (replace(guarantee("farmers", 8), gangs=10),)
+        self.assertEqual(len(plan(names, jobs, waiting, guarantees=shapes).preemptions), 8)
+
 
 class UrgentTest(unittest.TestCase):
     def test_urgent_preempts_borrowers_of_any_account(self) -> None:
@@ -223,6 +231,7 @@
         policy = GuaranteePolicy()
         waiting = [queued("j", spec("farmers", 16))]
         plan(["a1", "a2"], [], waiting, policy=policy)
+        waiting = [queued("k", spec("farmers", 15))]
         self.assertEqual(plan(["a1"], [], waiting, policy=policy).rejections, {})
         seen = view(["a1", "a2"], [], waiting)
         workers = (seen.workers[0], replace(seen.workers[1], state=WorkerState.LOST))
--- a/tests/scheduling/test_reservations.py
+++ b/tests/scheduling/test_reservations.py
@@ -4,7 +4,9 @@
 
 import unittest
 
-from chivefall.scheduling import GuaranteePolicy, RunTimeEstimator, drain_order
+from chivefall.model import JobId
+from chivefall.scheduling import GuaranteePolicy, Room, RunTimeEstimator, drain_order
+from chivefall.scheduling._reservation import Reservation, hold_reservation
 from tests.scheduling.views import URGENT, guarantee, queued, running, spec, view
 
 NOW = 200.0
@@ -73,6 +75,15 @@
         self.assertEqual(self.round(short), ["short"])
         self.assertEqual(self.round(short, now=351.0), [])
 
+    def test_whole_rack_is_held_after_the_bound(self) -> None:
+        """Guards against backfill beside the place that moves the place on."""
+        room = Room(view(["a1", "a2", "b1"]).workers)
+        gang = spec("farmers", 8)
+        place = running("head", gang, "a1").placement
+        reservation = Reservation(JobId("head"), place, 300.0, 350.0)
+        totals = [hold_reservation(reservation, gang, room, now).total() for now in (340, 360)]
+        self.assertEqual(totals, [16, 8])
+
     def test_reservation_stays_with_its_job(self) -> None:
         """Guards against a reservation that passes to a newer job when shares change."""
         self.round()
@@ -118,14 +129,15 @@
         self.assertEqual(self.plan().moves, ("small",))
 
     def test_moves_only_if_it_pays(self) -> None:
-        """Guards against moves for a gang that would soon fit anyway."""
-        policy = GuaranteePolicy()
-        jobs = [
-            running("small", spec("buyers", 1, run_time=105.0), "a1"),
-            running("other", spec("captains", 6, run_time=900.0), "b1"),
-        ]
-        result = round_of(policy, ["a1", "b1"], jobs, [queued("gang", spec("farmers", 8))])
-        self.assertEqual(result.moves, ())
+        """Guards against moves for a gang that would soon fit anyway, or of too much work."""
+        for size, left in ((1, 9.0), (7, 10.5)):
+            policy = GuaranteePolicy()
+            jobs = [
+                running("small", spec("buyers", size, run_time=100.0 + left), "a1"),
+                running("other", spec("captains", 1, run_time=900.0), "b1", checkpointable=False),
+            ]
+            result = round_of(policy, ["a1", "b1"], jobs, [queued("gang", spec("farmers", 8))])
+            self.assertEqual(result.moves, ())
 
     def test_moves_only_to_a_free_place(self) -> None:
         """Guards against a move that is a preemption in disguise."""
