Use reserved places until they are needed

Cause: the policy left a third of the room idle while jobs waited: only jobs that end in time by their run time were backfilled into a reserved place. Change: a checkpointable job may use the place whatever its run time; it is checkpointed as soon as its room completes the place of the owner.

--- a/chivefall/scheduling/_guarantee_policy.py
+++ b/chivefall/scheduling/_guarantee_policy.py
@@ -28,6 +28,7 @@
 Shape = tuple[str, int, int, Adjacency]
 ORDER_MEMORY = 10.0  # seconds after which a checkpoint that did not happen is ordered again
 MAX_RECLAIMS = 8  # in one round; the checkpoints that they cause bring the next round
+MIN_GUEST_STAY = 10.0  # seconds; a checkpoint and a restore take about 3 s
 MOVE_PAUSE = 600.0  # seconds during which a moved job is not moved again
 
 
@@ -46,6 +47,7 @@
         self.examined = 0
         self._ordered: dict[JobId, tuple[float, float]] = {}
         self._starts = StartHistory()
+        self._guests: set[JobId] = set()
         self._moved: dict[JobId, float] = {}
         self._seen: dict[WorkerId, WorkerView] = {}
         self._accounts: dict[AccountId, Account] = {}
@@ -175,6 +177,7 @@
 
     def _start_normal(self, current: Round, waiting: list[QueuedJob]) -> None:
         """Start other jobs by fair share around the reservation of the first that waits."""
+        self._guests &= {job.job_id for job in current.view.running}
         outside = self._renew_reservation(current, waiting)
         handled = {name for name, _ in current.starts}
         if self.reservation is not None:
@@ -186,6 +189,9 @@
             placement = (outside or current.room).place(job.spec, job.avoid)
             if placement is None and self._ends_in_time(job, current.now):
                 placement = current.room.place(job.spec, job.avoid)
+            elif placement is None and self._may_be_guest(current, job):
+                placement = current.room.place(job.spec, job.avoid)
+                self._guests.add(job.job_id)
             if placement is not None and not current.may_borrow(job.spec, placement):
                 continue
             if placement is not None:
@@ -210,11 +216,53 @@
         if placement is not None and current.may_borrow(job.spec, placement):
             current.start(job, placement)
             return None
-        self.reservation = renew(
-            old, job, current.future, current.occupants, self.estimator, current.now
-        )
+        self.reservation = self._evict_guests(current, job, old)
+        if self.reservation is not None:
+            return hold_reservation(self.reservation, job.spec, current.room, current.now)
+        room, occupants = self._without_guests(current)
+        self.reservation = renew(old, job, room, occupants, self.estimator, current.now)
         return self._keep(current, job)
 
+    def _may_be_guest(self, current: Round, job: QueuedJob) -> bool:
+        """Return whether a job may use the reserved place until its owner needs it.
+
+        A guest is checkpointed as soon as its room completes the place, so its run
+        time does not matter and the place is not idle until then.
+        """
+        return (
+            self.reservation is not None
+            and self.reservation.starts_at - current.now > MIN_GUEST_STAY
+            and job.spec.idempotent
+            and not current.stuck(job.spec)
+        )
+
+    def _evict_guests(self, current: Round, job: QueuedJob, old: Reservation) -> Reservation | None:
+        """Checkpoint guests if their room completes a place for the owner."""
+        choice = choose_victims(
+            job.spec,
+            current.future,
+            current.victims,
+            lambda item: (
+                item.job_id in self._guests
+                and item.checkpointable
+                and not current.ledger.is_protected(item)
+            ),
+        )
+        if choice is None or not current.may_borrow(job.spec, choice.placement):
+            return None
+        current.preempt(choice.victims)
+        return old.moved_to(choice.placement, current.now)
+
+    def _without_guests(self, current: Round) -> tuple[Room, list[RunningJob]]:
+        """Return the room and the jobs in it as if the guests had left."""
+        room, staying = current.future.copy(), []
+        for item in current.occupants:
+            if item.job_id in self._guests:
+                room.give(item.placement)
+            else:
+                staying.append(item)
+        return room, staying
+
     def _keep(self, current: Round, job: QueuedJob) -> Room | None:
         """Move small jobs if that pays, and return the room outside of the reservation."""
         if self.reservation is None:
