Compare gang completion and work done with both baselines

Cause: the benchmarks set no bound on gang completion and on the work done over a domain's leave and return, the two measures that the users weigh most. Change: four checks against FIFO and plain backfill. Tried and reverted: a gang that preempts the jobs in the rest of a half idle place; more work on average, but a large gang then waits longer than in submission order.

--- a/benchmarks/bench_completion.py
+++ b/benchmarks/bench_completion.py
@@ -5,7 +5,7 @@
 import unittest
 from functools import cache
 
-from benchmarks._loop import NORMAL, URGENT, Figures, Loop, Workload
+from benchmarks._loop import GANG, NORMAL, URGENT, Figures, Loop, Workload
 from benchmarks._workloads import EasyPolicy, assessor, booking
 from chivefall.scheduling import FifoPolicy, GuaranteePolicy
 
@@ -63,6 +63,34 @@
                 self.assertEqual(own.lost_entitled, 0.0)
                 self.assertLessEqual(own.lost, max(other.lost for other in baselines))
 
+    def assert_gangs_complete_sooner(self, make: object) -> None:
+        own = mean(figures(make, "guarantee").times(NORMAL, GANG))
+        for name in ("fifo", "easy"):
+            with self.subTest(name):
+                self.assertLessEqual(own, mean(figures(make, name).times(NORMAL, GANG)))
+
+    def assert_more_work_is_done(self, make: object) -> None:
+        own = figures(make, "guarantee").kept
+        for name in ("fifo", "easy"):
+            with self.subTest(name):
+                self.assertGreaterEqual(own, figures(make, name).kept)
+
+    def test_gangs_of_booking(self) -> None:
+        """Guards against gangs that pay for urgent and small jobs."""
+        self.assert_gangs_complete_sooner(booking)
+
+    def test_gangs_of_assessor(self) -> None:
+        """Guards against gangs that pay for urgent and small jobs."""
+        self.assert_gangs_complete_sooner(assessor)
+
+    def test_work_done_of_booking(self) -> None:
+        """Guards against room that is idle while a failure domain is away."""
+        self.assert_more_work_is_done(booking)
+
+    def test_work_done_of_assessor(self) -> None:
+        """Guards against room that is idle while a failure domain is away."""
+        self.assert_more_work_is_done(assessor)
+
     def test_every_possible_job_ends(self) -> None:
         """Guards against a large gang that is starved, and jobs that are rejected wrongly."""
         for make, own, baselines in self.each():
