Tell the policy which jobs leave, and let it order a drain and learn run times

Cause: the controllers showed jobs under checkpoint as holding their room, never reported run times, and began to checkpoint a leaving domain's jobs 5 s late in an order of their own; non-idempotent jobs, which are never checkpointed, could fill guaranteed shapes (G1). Change: the view tells which jobs start or leave; finished jobs are reported; a drain follows the policy's order at once, 8 jobs a second; non-idempotent jobs count as jobs that cannot be checkpointed.

--- a/chivefall/controllers/_drain.py
+++ b/chivefall/controllers/_drain.py
@@ -12,7 +12,6 @@
 from chivefall.controllers._transfers import (
     DomainRoom,
     Transferable,
-    checkpoint_order,
     choose_targets,
 )
 from chivefall.document import guarantee_shares
@@ -53,8 +52,7 @@
 OFFER_BATCH = 8  # jobs offered at once to domains with room
 MAX_OPEN = 32  # transfers begun in a turn; the peer socket buffers 64 messages
 OFFER_AFTER = 5.0  # seconds a job waits here before it is offered
-POLICY_GRACE = 5.0  # seconds in which the policy orders the checkpoints of a leaving domain
-CHECKPOINT_BATCH = 8  # jobs a turn that the policy did not name
+CHECKPOINT_BATCH = 8  # jobs checkpointed a turn, so that the first ones leave soon
 STORE_LIMIT = 2.0  # seconds in which a taken job has to be recorded
 RETRY_AFTER = 2.0
 
@@ -81,7 +79,6 @@
         self._leader = leader
         self._jobs = jobs
         self._workers = workers
-        self._out_since: float | None = None
         self._offered_at = 0.0
         self._open = 0
         self._taking: set[JobId] = set()
@@ -94,30 +91,12 @@
     def _turn(self, now: float) -> None:
         in_service = self._document.document.is_in_service(self._cfg.failure_domain)
         if not self._leader.leads or not self._jobs.ready:
-            self._out_since = None
             return
-        if in_service:
-            self._out_since = None
-        elif self._out_since is None:
-            self._out_since = now
-        elif now >= self._out_since + POLICY_GRACE:
-            self._checkpoint_running()
+        if not in_service:
+            for job_id in self._jobs.drain_order(now)[:CHECKPOINT_BATCH]:
+                self._jobs.checkpoint(job_id)
         self._transfer_jobs(now, leaving=not in_service)
 
-    def _checkpoint_running(self) -> None:
-        """Checkpoint the running jobs that the policy did not name.
-
-        A non-idempotent job runs to its end, because a lost checkpoint would
-        leave it without a known outcome.
-        """
-        running = [
-            job.record
-            for job in self._jobs.jobs.values()
-            if job.record.state is JobState.RUNNING and not job.busy and job.record.spec.idempotent
-        ]
-        for job_id in checkpoint_order(running)[:CHECKPOINT_BATCH]:
-            self._jobs.checkpoint(job_id)
-
     def _transfer_jobs(self, now: float, leaving: bool) -> None:
         jobs = self._jobs.jobs
         free = MAX_OPEN - self._open
--- a/chivefall/controllers/_jobs.py
+++ b/chivefall/controllers/_jobs.py
@@ -41,7 +41,7 @@
     from chivefall.controllers._workers import WorkerController
     from chivefall.model import Placement
     from chivefall.runtime import Clock
-    from chivefall.scheduling import SchedulingPolicy
+    from chivefall.scheduling import ClusterView, SchedulingPolicy
     from chivefall.workers import TaskReport
 
 __all__ = ["JobController"]
@@ -201,6 +201,19 @@
         """Return whether this instance still decides about a job."""
         return self._leader.leads and self.jobs.get(job.record.job_id) is job
 
+    def observe_finished(self, record: JobRecord) -> None:
+        """Let the policy learn from the run time of a job that succeeded."""
+        seconds = record.progress + record.finished_at - record.started_at
+        self._policy.observe_finished(record.spec, max(0.0, seconds))
+
+    def drain_order(self, now: float) -> tuple[JobId, ...]:
+        """Return the running jobs that can be moved, in the policy's order."""
+        return self._policy.drain_order(self._view(now), now)
+
+    def _view(self, now: float) -> ClusterView:
+        document = self._document.document
+        return view_of(self._cfg, document, self._workers, self.jobs.values(), now)
+
     def request_round(self) -> None:
         """Run a scheduling round soon."""
         self._rounds.request()
@@ -258,7 +271,7 @@
             movable = job.record.state is JobState.RUNNING and job.record.spec.idempotent
             if movable and leaving.intersection(workers_of(job.record)):
                 self._lifecycle.interrupt(job, checkpoint=True)
-        view = view_of(self._cfg, self._document.document, self._workers, self.jobs.values(), now)
+        view = self._view(now)
         waiting = any(job.record.state is JobState.QUEUED for job in self.jobs.values())
         if not waiting and not view.draining:
             return None
--- a/chivefall/controllers/_lifecycle.py
+++ b/chivefall/controllers/_lifecycle.py
@@ -131,6 +131,7 @@
         if record.state is JobState.SUCCEEDED:
             for name in workers_of(record):
                 self._workers.quarantine.record_success(name)
+            self._jobs.observe_finished(record)
         job.record = record
         job.queued_at = self._clock.now()
         self._jobs.records.save(job)
--- a/chivefall/controllers/_rounds.py
+++ b/chivefall/controllers/_rounds.py
@@ -66,14 +66,7 @@
                 QueuedJob(record.job_id, record.spec, record.submitted_at, record.progress, avoid)
             )
         elif record.placement is not None and not record.state.is_final:
-            checkpointable = (
-                record.state is JobState.RUNNING and not job.busy and record.spec.idempotent
-            )
-            running.append(
-                RunningJob(
-                    record.job_id, record.spec, record.placement, record.started_at, checkpointable
-                )
-            )
+            running.append(_running_job(job))
     return ClusterView(
         tuple(_offered(view) for view in workers.views()),
         tuple(queued),
@@ -84,6 +77,20 @@
     )
 
 
+def _running_job(job: Job) -> RunningJob:
+    record = job.record
+    starting = record.state is JobState.STARTING
+    return RunningJob(
+        record.job_id,
+        record.spec,
+        record.placement,
+        0.0 if starting else record.started_at,
+        checkpointable=not (starting or job.busy) and record.spec.idempotent,
+        done=record.progress,
+        checkpointing=job.busy and not starting,
+    )
+
+
 def _can_start(job: Job, now: float) -> bool:
     idle = job.record.state is JobState.QUEUED and not job.busy
     return idle and not job.rejected and job.not_before <= now
--- a/chivefall/controllers/_transfers.py
+++ b/chivefall/controllers/_transfers.py
@@ -5,14 +5,12 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
-from chivefall.model import Adjacency, DomainId, JobId, JobSpec, Urgency
+from chivefall.model import Adjacency, DomainId, JobId, JobSpec
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
-    from chivefall.model import JobRecord
-
-__all__ = ["DomainRoom", "Transferable", "checkpoint_order", "choose_targets"]
+__all__ = ["DomainRoom", "Transferable", "choose_targets"]
 
 
 @dataclass(frozen=True)
@@ -54,15 +52,6 @@
     reclaims_at: frozenset[DomainId] = frozenset()
 
 
-def checkpoint_order(records: Iterable[JobRecord]) -> list[JobId]:
-    """Return running jobs of a leaving domain, urgent and longest running ones first."""
-    ordered = sorted(
-        records,
-        key=lambda record: (record.spec.urgency is not Urgency.URGENT, record.started_at),
-    )
-    return [record.job_id for record in ordered]
-
-
 def choose_targets(
     jobs: Iterable[Transferable], rooms: Sequence[DomainRoom]
 ) -> list[tuple[JobId, DomainId]]:
--- a/chivefall/scheduling/_cluster.py
+++ b/chivefall/scheduling/_cluster.py
@@ -132,5 +132,10 @@
     def plan(self, view: ClusterView, now: float) -> Plan:
         """Return the decisions for one round."""
 
+    def drain_order(self, view: ClusterView, now: float) -> tuple[JobId, ...]:
+        """Return the jobs to checkpoint in a leaving domain, the first ones first."""
+        del now
+        return tuple(job.job_id for job in view.running if job.checkpointable)
+
     def observe_finished(self, spec: JobSpec, seconds: float) -> None:  # noqa: B027
         """Learn from the whole run time of a finished job."""
--- a/chivefall/scheduling/_guarantee_policy.py
+++ b/chivefall/scheduling/_guarantee_policy.py
@@ -7,6 +7,7 @@
 from chivefall.model import Adjacency, Urgency
 from chivefall.scheduling._cluster import Plan, SchedulingPolicy
 from chivefall.scheduling._defragment import choose_moves
+from chivefall.scheduling._drain import drain_order
 from chivefall.scheduling._estimator import RunTimeEstimator
 from chivefall.scheduling._fair_queue import FairQueue
 from chivefall.scheduling._feasibility import feasibility
@@ -66,7 +67,7 @@
         rejections = self._rejections(view)
         self._starts.observe(view.running, now)
         queued = [job for job in view.queued if job.job_id not in rejections]
-        current = Round(view, self._leaving(view.running, now), self._starts.is_slow, now)
+        current = Round(view, self._leaving(view.running, now), self._is_stuck, now)
         waiting = self._start_entitled(current, queued)
         self._start_normal(current, waiting)
         for job_id in (*current.preemptions, *current.moves):
@@ -74,6 +75,18 @@
         self.examined = current.examined
         return current.plan(rejections)
 
+    def drain_order(self, view: ClusterView, now: float) -> tuple[JobId, ...]:
+        """Return the jobs to checkpoint in a leaving domain by the work at risk."""
+        ordered = drain_order(view.running, view.guarantees, self.estimator, now)
+        return tuple(job.job_id for job in ordered if job.checkpointable)
+
+    def _is_stuck(self, spec: JobSpec) -> bool:
+        """Return whether jobs like this one cannot be checkpointed in time.
+
+        The checkpoint of a non-idempotent job may leave it without a known outcome.
+        """
+        return not spec.idempotent or self._starts.is_slow(spec)
+
     def _rejections(self, view: ClusterView) -> dict[JobId, str]:
         """Return the jobs that can never run; a worker that is gone may return."""
         for worker in view.workers:
@@ -232,7 +245,6 @@
         return (
             self.reservation is not None
             and self.reservation.starts_at - current.now > MIN_GUEST_STAY
-            and job.spec.idempotent
             and not current.stuck(job.spec)
         )
 
--- a/chivefall/scheduling/_start_history.py
+++ b/chivefall/scheduling/_start_history.py
@@ -32,7 +32,7 @@
         self._slow = {key: at for key, at in self._slow.items() if now - at < FORGET}
         for job in running:
             key = (job.spec.account, job.spec.command)
-            if job.checkpointing:
+            if job.checkpointing or not job.spec.idempotent:
                 continue
             if job.checkpointable:
                 if job.job_id in self._since and now - self._since[job.job_id] < SLOW_START:
--- a/tests/controllers/test_guarantees.py
+++ b/tests/controllers/test_guarantees.py
@@ -13,6 +13,40 @@
 FARMERS, BUYERS = AccountId("farmers"), AccountId("buyers")
 
 
+class PolicyViewTest(unittest.TestCase):
+    """What the controllers tell the policy."""
+
+    def setUp(self) -> None:
+        self.cluster = Cluster(("zarcero",), workers_per_domain=1, entries_per_domain=1)
+        self.cluster.advance(6)
+        self.jobs = self.cluster.leader("zarcero").jobs
+
+    def submit(self, **changes: object) -> str:
+        spec = JobSpec(FARMERS, "sort", {"run_time": 3.0}, **changes)
+        return self.cluster.run(self.jobs.submit(spec)).job_id
+
+    def running(self):
+        view = self.jobs._view(self.cluster.clock.now())
+        return {job.job_id: job for job in view.running}
+
+    def test_job_whose_checkpoint_is_under_way(self) -> None:
+        """Guards against room that counts neither as free nor as about to be free."""
+        job_id = self.submit()
+        self.cluster.advance(1)
+        self.assertTrue(self.running()[job_id].checkpointable)
+        self.assertFalse(self.running()[job_id].checkpointing)
+        self.jobs.jobs[job_id].busy = True
+        self.assertTrue(self.running()[job_id].checkpointing)
+        self.assertFalse(self.running()[job_id].checkpointable)
+
+    def test_policy_learns_run_times(self) -> None:
+        """Guards against reservations that rely on wrong declared run times for ever."""
+        self.submit(run_time=600.0)
+        self.cluster.advance(5)
+        seconds = self.jobs._policy.estimator.run_time(JobSpec(FARMERS, "sort", run_time=600.0))
+        self.assertAlmostEqual(seconds, 3.0, delta=0.5)
+
+
 class ReclaimTest(unittest.TestCase):
     def setUp(self) -> None:
         shape = Guarantee(FARMERS, gangs=1, gang_size=8, accelerators=1)
--- a/tests/scheduling/test_guarantee_policy.py
+++ b/tests/scheduling/test_guarantee_policy.py
@@ -102,6 +102,15 @@
         self.assertEqual(starts(plan(["a1", "a2"], stuck, waiting, **kwargs)), ["k"])
         self.assertEqual(starts(plan(["a1"], [], waiting, **kwargs)), [])
 
+    def test_non_idempotent_jobs_leave_the_shape_reclaimable(self) -> None:
+        """Guards against borrowers that are never preempted in a guaranteed place (G1)."""
+        shape = (guarantee("farmers", 8),)
+        once = queued("once", spec("buyers", 4, idempotent=False))
+        again = queued("again", spec("buyers", 4))
+        for workers, expected in ((["a1"], ["again"]), (["a1", "b1"], ["once", "again"])):
+            plan = GuaranteePolicy().plan(view(workers, (), [once, again], guarantees=shape), 200.0)
+            self.assertEqual(sorted(name for name, _ in plan.starts), sorted(expected))
+
     def test_larger_job_replaces_the_accounts_own_small_ones(self) -> None:
         """Guards against a guaranteed gang that waits for single jobs of its account."""
         jobs = [running(f"s{index}", spec("farmers", 1), "a1") for index in range(8)]
--- a/tests/scheduling/test_reservations.py
+++ b/tests/scheduling/test_reservations.py
@@ -200,6 +200,12 @@
         result = round_of(self.policy, ["a1"], [], [self.head, late], NOW + 300.5)
         self.assertEqual(starts(result), ["head"])
 
+    def test_non_idempotent_job_is_no_guest(self) -> None:
+        """Guards against a checkpoint that may leave a job without a known outcome."""
+        once = queued("once", spec("captains", 2, run_time=5000.0, idempotent=False), 101.0)
+        result = round_of(GuaranteePolicy(), ["a1"], [self.first], [self.head, once])
+        self.assertEqual(starts(result), [])
+
     def test_other_jobs_do_not_leave(self) -> None:
         """Guards against the preemption of jobs that were there before the reservation."""
         jobs = [running("first", spec("buyers", 6, run_time=900.0), "a1"), self.guest()]
