Refuse jobs that fit no failure domain before they are recorded

Cause: a job that can never run was recorded, offered to every domain and only then ended as failed. Change: the feasibility filter asks with the listed workers of the whole region; a job is refused only if no failure domain, in service or not, can ever hold it. Conclusion: impossible jobs cost no store write.

--- a/chivefall/application.py
+++ b/chivefall/application.py
@@ -76,7 +76,7 @@
             [
                 ShutdownFilter(lambda: self.draining),
                 AccountFilter(lambda: self.document.document),
-                FeasibilityFilter(lambda: self.document.document),
+                FeasibilityFilter(lambda: self.document.document, self.workers.find_obstacle),
                 AdmissionFilter(lambda: self.document.document),
                 self._deadline,
                 IdempotencyFilter(self.clock, self.claims, self._dispatch.wait_for_job),
--- a/chivefall/controllers/_workers.py
+++ b/chivefall/controllers/_workers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from typing import TYPE_CHECKING
 
 from circuits import handler
@@ -13,15 +14,17 @@
 from chivefall.events import instances_listed, task_reported, worker_lost, workers_changed
 from chivefall.model import (
     AttemptId,
+    DomainId,
     Epoch,
     InstanceKind,
     InstanceStatus,
+    JobSpec,
     TaskState,
     WorkerId,
     WorkerState,
 )
 from chivefall.runtime import sleep
-from chivefall.scheduling import WorkerView
+from chivefall.scheduling import WorkerView, feasibility
 from chivefall.telemetry import LogEvent, log_event
 from chivefall.workers import (
     Accepted,
@@ -64,6 +67,7 @@
         self._keep_finished = True
         self.quarantine = Quarantine()
         self.gained_at = clock.now()
+        self.region: dict[DomainId, tuple[WorkerView, ...]] = {}
 
     def start(self) -> None:
         """Begin to read the platform's list."""
@@ -151,6 +155,11 @@
                 share.attempt, share.job_id, TaskState.RESERVED, share.accelerators, share.account
             )
 
+    def find_obstacle(self, spec: JobSpec) -> str | None:
+        """Return why a job fits no failure domain of the region, or None."""
+        obstacles = [feasibility(spec, workers, {}) for workers in self.region.values()]
+        return None if None in obstacles else next(iter(obstacles), None)
+
     async def reserve(self, name: WorkerId, share: TaskShare) -> CommandOutcome:
         """Hold accelerators for a share without running it."""
         worker = self._workers.get(name)
@@ -214,6 +223,7 @@
         if isinstance(listed, Unreachable):
             return
         self.fire(instances_listed(listed))
+        self.region = _shapes(listed)
         own = [
             instance
             for instance in listed
@@ -350,5 +360,15 @@
         self.fire(worker_lost(worker.instance.worker_id))
 
 
+def _shapes(listed: tuple[Instance, ...]) -> dict[DomainId, tuple[WorkerView, ...]]:
+    """Return the listed workers of each failure domain, all of them empty."""
+    region: dict[DomainId, list[WorkerView]] = defaultdict(list)
+    for item in listed:
+        if item.kind is InstanceKind.WORKER:
+            view = WorkerView(item.worker_id, item.rack, item.accelerators, item.accelerators)
+            region[item.failure_domain].append(view)
+    return {domain: tuple(views) for domain, views in region.items()}
+
+
 def _not_a_worker(name: WorkerId) -> Unreachable:
     return Unreachable(f"{name} is not a worker of this failure domain", sent=False)
--- a/tests/api/test_http_api.py
+++ b/tests/api/test_http_api.py
@@ -104,6 +104,15 @@
         self.cluster.advance(2)
         self.assertEqual(running.result().status, 200)
 
+    def test_job_that_fits_no_domain_is_refused_at_once(self) -> None:
+        """Guards against a job that waits forever although no worker can ever hold it."""
+        for size, adjacency, status in ((9, "worker", 422), (8, "worker", 202), (9, "domain", 202)):
+            body = {"command": "sort", "gang_size": size, "adjacency": adjacency}
+            reply = self.send("POST", "/v1/jobs", body)
+            self.assertEqual(reply.status, status, reply.body)
+        refused = self.send("POST", "/v1/jobs", {**body, "accelerators": 9})
+        self.assertIn("fits no domain", json.loads(refused.body)["detail"])
+
     def test_job_that_is_recorded_during_the_drain(self) -> None:
         """Guards against a caller who begins to wait for a job after the drain began."""
         self.cluster.stores["zarcero-1"].delay = 0.5
