--- a/chivefall/cli/_document.py
+++ b/chivefall/cli/_document.py
@@ -16,6 +16,8 @@
 
 app = typer.Typer(no_args_is_help=True, help="Show and change the operators' document.")
 
+METADATA = ("revision", "section_revisions", "last_change")
+
 SectionOption = Annotated[
     str, typer.Option("--section", help="Section; the whole document without.")
 ]
@@ -23,8 +25,8 @@
 
 @app.command()
 def show(instance: InstanceOption, section: SectionOption = "") -> None:
-    """Print the document in force, or one of its sections."""
-    print_json(InstanceClient(instance).require("GET", _path(section)))
+    """Print the document in force, or one of its sections, as apply takes it."""
+    print_json(_content(InstanceClient(instance).require("GET", _path(section)), section))
 
 
 @app.command()
@@ -80,13 +82,13 @@
     return f"/v1/document/sections/{section}" if section else "/v1/document"
 
 
-def _content(document: Any, section: str) -> Any:
-    """Return a document without its revision, which a file need not hold."""
-    if section and isinstance(document, dict) and section in document:
-        return document[section]
-    if isinstance(document, dict):
-        return {key: value for key, value in document.items() if key != "revision"}
-    return document
+def _content(reply: Any, section: str) -> Any:
+    """Return what a reply says of the sections, without revisions and audit data."""
+    if section:
+        return reply["content"]
+    if isinstance(reply, dict):
+        return {key: value for key, value in reply.items() if key not in METADATA}
+    return reply
 
 
 def _lines(value: Any) -> list[str]:
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -99,6 +99,19 @@
         self.assertEqual(status, 1)
         self.assertIn('+    "captains": {}', out)
 
+    def test_section_is_compared_with_its_content(self) -> None:
+        """Guards against a difference in the envelope of a section."""
+        reply = Answer(200, {"revision": 7, "section": "accounts", "content": {"farmers": {}}})
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory) / "accounts.json"
+            path.write_text('{"farmers": {}}', encoding="utf-8")
+            with mock.patch.object(InstanceClient, "call", return_value=reply):
+                options = ["--section", "accounts", *INSTANCE]
+                status, out, _ = run("document", "diff", str(path), *options)
+                _, shown, _ = run("document", "show", *options)
+        self.assertEqual((status, out), (0, ""))
+        self.assertEqual(json.loads(shown), {"farmers": {}})
+
     def test_apply_names_its_base_revision(self) -> None:
         """Guards against a change that overwrites an edit its author has not seen."""
         _, _, call = self._run("apply", '{"accounts": {}}', "--team", "planners")
