Keep one description of a failure domain that takes jobs; measure start delays

Cause: the choice of a domain for a new job and for a moved one described the same thing twice, the second beside the controllers; the histogram of start delays was declared and never set. Change: choose_targets moves to routing and uses DomainOffer; an event job_started carries the delay of first attempts to the metric.

--- a/chivefall/application.py
+++ b/chivefall/application.py
@@ -42,6 +42,7 @@
 
 if TYPE_CHECKING:
     from chivefall.config import Settings
+    from chivefall.model import JobRecord
 
 __all__ = ["Application", "Connections"]
 
@@ -186,6 +187,12 @@
         for state in JobState:
             self.metrics.jobs.set({"state": state.value}, states[state])
 
+    @handler("job_started", channel="*")
+    def _on_job_started(self, record: JobRecord) -> None:
+        if record.attempts == 1:
+            delay = record.started_at - record.submitted_at
+            self.metrics.start_delay.observe({"urgency": record.spec.urgency.value}, delay)
+
     @handler("exception", channel="*")
     def _on_exception(self, kind, value, _traceback, handler=None, fevent=None) -> None:
         log_event(
--- a/chivefall/controllers/_drain.py
+++ b/chivefall/controllers/_drain.py
@@ -9,11 +9,6 @@
 from circuits import handler
 
 from chivefall.controllers._base import Controller
-from chivefall.controllers._transfers import (
-    DomainRoom,
-    Transferable,
-    choose_targets,
-)
 from chivefall.document import guarantee_shares
 from chivefall.model import (
     Accepted,
@@ -29,7 +24,7 @@
     WorkerState,
 )
 from chivefall.net import PeerFailure, Peers, decode_outcome, encode_outcome
-from chivefall.routing import covers
+from chivefall.routing import DomainOffer, Transferable, choose_targets, covers
 from chivefall.runtime import wait_for
 from chivefall.scheduling import find_placement
 from chivefall.telemetry import LogEvent, log_event
@@ -124,7 +119,7 @@
             and (leaving or job.queued_at + OFFER_AFTER <= now)
         ]
         if waiting and free > 0:
-            for job_id, domain in choose_targets(waiting, self._rooms(now))[:free]:
+            for job_id, domain in choose_targets(waiting, self._offers(now))[:free]:
                 self._begin(jobs[job_id], domain)
 
     def _reclaims_at(self, spec: JobSpec) -> frozenset[DomainId]:
@@ -137,15 +132,15 @@
         )
         return frozenset() if self._cfg.failure_domain in found else found
 
-    def _rooms(self, now: float) -> list[DomainRoom]:
+    def _offers(self, now: float) -> list[DomainOffer]:
         document = self._document.document
-        rooms = []
+        offers = []
         for domain in document.failure_domains:
             leader = self._membership.leader_of(domain, now)
             other = domain != self._cfg.failure_domain and document.is_in_service(domain)
             if other and leader is not None and leader.capacity:
-                rooms.append(DomainRoom(domain, *leader.capacity[:3]))
-        return rooms
+                offers.append(DomainOffer(domain, *leader.capacity[:3]))
+        return offers
 
     @handler("job_rejected")
     def _on_job_rejected(self, job_id: JobId, reason: str) -> None:
@@ -159,7 +154,7 @@
             item = Transferable(
                 job.record.job_id, job.record.spec, frozenset(job.refused_by), must_leave=True
             )
-            chosen = choose_targets([item], self._rooms(self.clock.now()))
+            chosen = choose_targets([item], self._offers(self.clock.now()))
             if not chosen:
                 self._jobs.reject(job, reason)
                 return
--- a/chivefall/controllers/_lifecycle.py
+++ b/chivefall/controllers/_lifecycle.py
@@ -8,6 +8,7 @@
 from chivefall.controllers._attempts import AttemptFate, after_release, decide_attempt, succeeded
 from chivefall.controllers._gangs import Gangs
 from chivefall.controllers._job_table import Job, final_outcome, shares_of, workers_of
+from chivefall.events import job_started
 from chivefall.model import AttemptId, JobRecord, JobState, TaskState
 from chivefall.telemetry import LogEvent, log_event
 
@@ -107,6 +108,7 @@
         job.record = job.record.with_state(JobState.RUNNING, started_at=self._clock.now())
         self._jobs.records.save(job)
         log_event(LogEvent.JOB_STARTED, job=job.record.job_id, attempt=job.record.attempt)
+        self._jobs.fire(job_started(job.record))
         self.check(job)
         if job.record.cancel_requested:
             self._jobs.request_round()
--- a/chivefall/events.py
+++ b/chivefall/events.py
@@ -8,6 +8,7 @@
     "document_adopted",
     "instances_listed",
     "job_rejected",
+    "job_started",
     "leadership_gained",
     "leadership_lost",
     "peer_heard",
@@ -29,6 +30,10 @@
     """A job never fits the failure domain; arguments: JobId, reason."""
 
 
+class job_started(Event):  # noqa: N801
+    """All members of a gang run; argument: JobRecord."""
+
+
 class leadership_gained(Event):  # noqa: N801
     """The instance leads its failure domain; argument: Epoch."""
 
--- a/chivefall/routing/__init__.py
+++ b/chivefall/routing/__init__.py
@@ -16,6 +16,7 @@
     parse_retry_after,
 )
 from chivefall.routing._share import AdmissionShare
+from chivefall.routing._transfers import Transferable, choose_targets
 
 __all__ = [
     "AdmissionShare",
@@ -29,8 +30,10 @@
     "Retry",
     "RetryBudget",
     "TokenBucket",
+    "Transferable",
     "choose_domain",
     "choose_endpoint",
+    "choose_targets",
     "covers",
     "next_available",
     "next_step",
--- a/chivefall/routing/_domains.py
+++ b/chivefall/routing/_domains.py
@@ -38,6 +38,11 @@
     guaranteed: bool = False
     own: bool = False
 
+    def starts(self, spec: JobSpec) -> bool:
+        """Return whether a job starts there at once."""
+        adjacent = self.free if spec.adjacency is Adjacency.DOMAIN else self.block
+        return self.queued == 0 and adjacent >= spec.total_accelerators
+
 
 def choose_domain(spec: JobSpec, offers: Iterable[DomainOffer]) -> DomainId | None:
     """Return the failure domain to send a job to, or None if there is none.
@@ -61,8 +66,7 @@
 
 
 def _rank(spec: JobSpec, offer: DomainOffer) -> tuple[bool, bool, bool, int, int, DomainId]:
-    adjacent = offer.free if spec.adjacency is Adjacency.DOMAIN else offer.block
-    starts = offer.queued == 0 and adjacent >= spec.total_accelerators
+    starts = offer.starts(spec)
     return (
         starts,
         offer.guaranteed and not starts,
