Check that work moves out of a leaving domain with its checkpoint

Cause: the process test of a leaving domain also passed when the job ended in place. Change: the job runs longer than the drain takes; its answer must come from other domains' workers and its record must hold a checkpoint. Conclusion: the drain is proved with real processes.

--- a/tests/system/test_faults.py
+++ b/tests/system/test_faults.py
@@ -118,7 +118,7 @@
     def test_domain_leaves_and_returns(self) -> None:
         """Guards against starts in a domain out of service and against work lost by a move."""
         leader = self.leader("cartago")
-        job_id = self.submit(leader, 8.0)
+        job_id = self.submit(leader, 15.0)
         self.wait_for_state(leader, job_id, "running")
         status, answer = call(
             self.address("zarcero-1"), "POST", "/v1/failure-domains/cartago/out", None, TEAM
@@ -130,6 +130,9 @@
         self.assertEqual(self.wait_for_state(leader, later, *FINAL)["state"], "succeeded")
         record = self.wait_for_state("zarcero-1", job_id, *FINAL)
         self.assertEqual(record["state"], "succeeded")
+        self.assertTrue(record["checkpoint"], "the work done before the move is kept")
+        workers = {name.partition("-")[0] for name in record["answer"]}
+        self.assertNotIn("cartago", workers)
         status, answer = call(
             self.address("tarrazu-1"), "POST", "/v1/failure-domains/cartago/in", None, TEAM
         )
