Run rounds every 10 s instead of each second while jobs wait

Each HTTP request also searched all components of the process for the poller. Change: without a change the next round is due after 10 s, or when a start may be tried again; while tasks may not start it stays 1 s. A gang that begins to run requests a round. The poller is kept. Figures: rounds in 60 s with a waiting job: at most 7 (new test).

--- a/chivefall/controllers/_jobs.py
+++ b/chivefall/controllers/_jobs.py
@@ -51,6 +51,7 @@
 CLEANUP_INTERVAL = 60.0
 DELETIONS_A_CLEANUP = 10  # the target's 3,200 jobs a day need 2.3 a minute
 RECORD_LIMIT = 2.0  # seconds in which a job taken over has to be recorded
+ROUND_DUE = 10.0  # seconds between rounds while jobs wait; estimates change slowly
 CANCEL_BOUND = 10.0  # seconds until a cancellation is answered with the present state
 
 
@@ -282,9 +283,19 @@
         for job_id in dict.fromkeys((*plan.preemptions, *plan.moves)):
             if self.jobs[job_id].record.state is JobState.RUNNING:
                 self._lifecycle.interrupt(self.jobs[job_id], checkpoint=True)
-        if self._may_start(now):
-            self._start_planned(plan.starts, now)
-        return now + RETRY_DELAY
+        if not self._may_start(now):
+            return now + RETRY_DELAY
+        self._start_planned(plan.starts, now)
+        return self._next_round(now)
+
+    def _next_round(self, now: float) -> float:
+        """Return when a round is due although nothing changes."""
+        retries = [
+            job.not_before
+            for job in self.jobs.values()
+            if job.record.state is JobState.QUEUED and job.not_before > now
+        ]
+        return min([now + ROUND_DUE, *retries])
 
     def _start_planned(self, starts: tuple[tuple[JobId, Placement], ...], now: float) -> None:
         quarantine = self._workers.quarantine
--- a/chivefall/controllers/_lifecycle.py
+++ b/chivefall/controllers/_lifecycle.py
@@ -110,8 +110,8 @@
         log_event(LogEvent.JOB_STARTED, job=job.record.job_id, attempt=job.record.attempt)
         self._jobs.fire(job_started(job.record))
         self.check(job)
-        if job.record.cancel_requested:
-            self._jobs.request_round()
+        # A job that runs can be checkpointed, which a waiting one may need.
+        self._jobs.request_round()
 
     async def _release(self, job: Job, checkpoint: bool = False) -> None:
         if checkpoint:
--- a/chivefall/net/_http_client.py
+++ b/chivefall/net/_http_client.py
@@ -39,6 +39,8 @@
     timed out is closed and never used again.
     """
 
+    _found_poller: BasePoller | None = None
+
     def __init__(self, clock: Clock) -> None:
         super().__init__(channel=f"http-client-{next(_channel_numbers)}")
         self._clock = clock
@@ -50,7 +52,10 @@
 
     @property
     def _poller(self) -> BasePoller:
-        return findcmp(self.root, BasePoller)
+        # Kept, because the search walks all components of the process.
+        if self._found_poller is None:
+            self._found_poller = findcmp(self.root, BasePoller)
+        return self._found_poller
 
     def open_connections(self, address: Address) -> int:
         """Return the number of connections to a server, idle ones included."""
--- a/tests/controllers/test_jobs.py
+++ b/tests/controllers/test_jobs.py
@@ -211,6 +211,15 @@
         self.cluster.advance(60)
         self.assertEqual(len(self.policy.rounds), rounds)
 
+    def test_few_rounds_while_a_job_waits(self) -> None:
+        """Guards against a queue that costs a leader a round each second."""
+        for _ in range(12):
+            self.cluster.submit(DOMAIN, accelerators=8, payload={"run_time": 100.0})
+        self.cluster.advance(1)
+        rounds = len(self.policy.rounds)
+        self.cluster.advance(60)
+        self.assertIn(len(self.policy.rounds) - rounds, range(5, 8))
+
     def test_round_follows_a_change_at_once(self) -> None:
         """Guards against urgent work that waits for the next round."""
         first = self.cluster.submit(DOMAIN, accelerators=8, payload={"run_time": 5.0})
