--- a/chivefall/controllers/_attempts.py
+++ b/chivefall/controllers/_attempts.py
@@ -114,8 +114,8 @@
 ) -> JobRecord:
     workers = tuple(dict.fromkeys((*record.failed_workers, *failed)))
     counted = replace(record, failed_workers=workers, failures=record.failures + 1)
-    hopeless = len(workers) >= MAX_FAILED_WORKERS or counted.failures >= MAX_FAILURES
-    if hopeless or not record.spec.idempotent:
+    exhausted = len(workers) >= MAX_FAILED_WORKERS or counted.failures >= MAX_FAILURES
+    if exhausted or not record.spec.idempotent:
         error = reports[failed[0]].error or "the program failed"
         return _ended(counted, JobState.FAILED, now, error=error)
     return _queued(counted)
--- a/chivefall/controllers/_lifecycle.py
+++ b/chivefall/controllers/_lifecycle.py
@@ -122,7 +122,7 @@
         if not self._jobs.owns(job):
             return
         now = self._clock.now()
-        self._blame(job, now)
+        self._record_failures(job, now)
         job.busy = False
         self.settle(job, after_release(job.record, job.reports, job.committed, now))
         if not checkpoint:
@@ -142,7 +142,7 @@
             job.done.set_result(final_outcome(record))
         self._jobs.request_round()
 
-    def _blame(self, job: Job, now: float) -> None:
+    def _record_failures(self, job: Job, now: float) -> None:
         for name in workers_of(job.record):
             report = job.reports.get(name)
             if report is not None and report.state is TaskState.FAILED:
--- a/chivefall/controllers/_quarantine.py
+++ b/chivefall/controllers/_quarantine.py
@@ -9,11 +9,11 @@
 __all__ = ["Quarantine"]
 
 FAILURES_TO_QUARANTINE = 3  # shares of different jobs in a row
-BLAME_TO_QUARANTINE = 2.0  # three jobs that failed on one other worker too weigh 1.5
+FAILURE_WEIGHT_TO_QUARANTINE = 2.0  # three jobs that failed on one other worker too weigh 1.5
 FIRST_PROBE_DELAY = 60.0  # seconds; doubled after each failed probe
 MAX_PROBE_DELAY = 3600.0
 WORKERS_TO_CLEAR = 3  # a job that failed on so many workers clears them
-MAX_BLAMED_JOBS = 1000  # failed jobs remembered
+MAX_FAILED_JOBS = 1000  # failed jobs remembered
 
 
 @dataclass
@@ -39,7 +39,7 @@
         """Note a share that failed; return whether the worker is newly quarantined."""
         places = self._failed_on.setdefault(job, set())
         places.add(worker)
-        while len(self._failed_on) > MAX_BLAMED_JOBS:
+        while len(self._failed_on) > MAX_FAILED_JOBS:
             del self._failed_on[next(iter(self._failed_on))]
         history = self._workers.setdefault(worker, _History())
         history.failed = [item for item in history.failed if item != job] + [job]
@@ -50,7 +50,7 @@
         if history.probing:
             history.probing = False
             history.delay = min(MAX_PROBE_DELAY, history.delay * 2)
-        elif history.probe_at is not None or not self._is_to_blame(history):
+        elif history.probe_at is not None or not self._exceeds_limit(history):
             return False
         history.probe_at = now + history.delay
         return True
@@ -81,9 +81,11 @@
         if history is not None:
             history.probing = False
 
-    def _is_to_blame(self, history: _History) -> bool:
+    def _exceeds_limit(self, history: _History) -> bool:
         weight = sum(1 / len(self._failed_on.get(job, (0,))) for job in history.failed)
-        return len(history.failed) >= FAILURES_TO_QUARANTINE and weight >= BLAME_TO_QUARANTINE
+        return (
+            len(history.failed) >= FAILURES_TO_QUARANTINE and weight >= FAILURE_WEIGHT_TO_QUARANTINE
+        )
 
     def _clear(self, job: JobId) -> None:
         """Take a job that fails everywhere out of all histories."""
--- a/chivefall/routing/_endpoint.py
+++ b/chivefall/routing/_endpoint.py
@@ -12,7 +12,7 @@
 EJECT_AFTER = 3  # consecutive failures
 FIRST_EJECTION = 1.0  # seconds
 MAX_EJECTION = 30.0  # seconds
-LEAVING_MEMORY = 60.0  # seconds; a restarted endpoint may have the same name
+LEAVING_EXPIRY = 60.0  # seconds; a restarted endpoint may have the same name
 
 
 @dataclass
@@ -85,4 +85,4 @@
 
     def note_leaving(self, now: float) -> None:
         """Record that the endpoint itself says that it leaves."""
-        self.leaving_until = now + LEAVING_MEMORY
+        self.leaving_until = now + LEAVING_EXPIRY
--- a/chivefall/scheduling/_guarantee_policy.py
+++ b/chivefall/scheduling/_guarantee_policy.py
@@ -27,9 +27,9 @@
 __all__ = ["GuaranteePolicy"]
 
 Shape = tuple[str, int, int, Adjacency]
-ORDER_MEMORY = 10.0  # seconds after which a checkpoint that did not happen is ordered again
+ORDER_EXPIRY = 10.0  # seconds after which a checkpoint that did not happen is ordered again
 MAX_RECLAIMS = 8  # in one round; the checkpoints that they cause bring the next round
-MIN_GUEST_STAY = 10.0  # seconds; a checkpoint and a restore take about 3 s
+MIN_BACKFILL_SECONDS = 10.0  # seconds; a checkpoint and a restore take about 3 s
 MOVE_PAUSE = 600.0  # seconds during which a moved job is not moved again
 
 
@@ -48,7 +48,7 @@
         self.examined = 0
         self._ordered: dict[JobId, tuple[float, float]] = {}
         self._starts = StartHistory()
-        self._guests: set[JobId] = set()
+        self._backfilled: set[JobId] = set()
         self._moved: dict[JobId, float] = {}
         self._seen: dict[WorkerId, WorkerView] = {}
         self._accounts: dict[AccountId, Account] = {}
@@ -67,7 +67,7 @@
         rejections = self._rejections(view)
         self._starts.observe(view.running, now)
         queued = [job for job in view.queued if job.job_id not in rejections]
-        current = Round(view, self._leaving(view.running, now), self._is_stuck, now)
+        current = Round(view, self._leaving(view.running, now), self._cannot_checkpoint, now)
         waiting = self._start_entitled(current, queued)
         self._start_normal(current, waiting)
         for job_id in (*current.preemptions, *current.moves):
@@ -80,7 +80,7 @@
         ordered = drain_order(view.running, view.guarantees, self.estimator, now)
         return tuple(job.job_id for job in ordered if job.checkpointable)
 
-    def _is_stuck(self, spec: JobSpec) -> bool:
+    def _cannot_checkpoint(self, spec: JobSpec) -> bool:
         """Return whether jobs like this one cannot be checkpointed in time.
 
         The checkpoint of a non-idempotent job may leave it without a known outcome.
@@ -112,8 +112,8 @@
         """Return the jobs whose checkpoint is under way or was ordered lately."""
         leaving, ordered = set(), {}
         for job in running:
-            at, started_at = self._ordered.get(job.job_id, (-ORDER_MEMORY, None))
-            recent = started_at == job.started_at and now - at < ORDER_MEMORY
+            at, started_at = self._ordered.get(job.job_id, (-ORDER_EXPIRY, None))
+            recent = started_at == job.started_at and now - at < ORDER_EXPIRY
             if recent:
                 ordered[job.job_id] = (at, started_at)
             if recent or job.checkpointing:
@@ -190,7 +190,7 @@
 
     def _start_normal(self, current: Round, waiting: list[QueuedJob]) -> None:
         """Start other jobs by fair share around the reservation of the first that waits."""
-        self._guests &= {job.job_id for job in current.view.running}
+        self._backfilled &= {job.job_id for job in current.view.running}
         outside = self._renew_reservation(current, waiting)
         handled = {name for name, _ in current.starts}
         if self.reservation is not None:
@@ -202,9 +202,10 @@
             placement = (outside or current.room).place(job.spec, job.avoid)
             if placement is None and self._ends_in_time(job, current.now):
                 placement = current.room.place(job.spec, job.avoid)
-            elif placement is None and self._may_be_guest(current, job):
+            elif placement is None and self._may_backfill(current, job):
                 placement = current.room.place(job.spec, job.avoid)
-                self._guests.add(job.job_id)
+                if placement is not None:
+                    self._backfilled.add(job.job_id)
             if placement is not None and not current.may_borrow(job.spec, placement):
                 continue
             if placement is not None:
@@ -229,33 +230,35 @@
         if placement is not None and current.may_borrow(job.spec, placement):
             current.start(job, placement)
             return None
-        self.reservation = self._evict_guests(current, job, old)
+        self.reservation = self._preempt_backfilled(current, job, old)
         if self.reservation is not None:
             return hold_reservation(self.reservation, job.spec, current.room, current.now)
-        room, occupants = self._without_guests(current)
+        room, occupants = self._without_backfilled(current)
         self.reservation = renew(old, job, room, occupants, self.estimator, current.now)
         return self._keep(current, job)
 
-    def _may_be_guest(self, current: Round, job: QueuedJob) -> bool:
+    def _may_backfill(self, current: Round, job: QueuedJob) -> bool:
         """Return whether a job may use the reserved place until its owner needs it.
 
-        A guest is checkpointed as soon as its room completes the place, so its run
-        time does not matter and the place is not idle until then.
+        Such a job is checkpointed as soon as its room completes the place, so its
+        run time does not matter and the place is not idle until then.
         """
         return (
             self.reservation is not None
-            and self.reservation.starts_at - current.now > MIN_GUEST_STAY
-            and not current.stuck(job.spec)
+            and self.reservation.starts_at - current.now > MIN_BACKFILL_SECONDS
+            and not current.cannot_checkpoint(job.spec)
         )
 
-    def _evict_guests(self, current: Round, job: QueuedJob, old: Reservation) -> Reservation | None:
-        """Checkpoint guests if their room completes a place for the owner."""
+    def _preempt_backfilled(
+        self, current: Round, job: QueuedJob, old: Reservation
+    ) -> Reservation | None:
+        """Checkpoint backfilled jobs if their room completes a place for the owner."""
         choice = choose_victims(
             job.spec,
             current.future,
             current.victims,
             lambda item: (
-                item.job_id in self._guests
+                item.job_id in self._backfilled
                 and item.checkpointable
                 and not current.ledger.is_protected(item)
             ),
@@ -265,11 +268,11 @@
         current.preempt(choice.victims)
         return old.moved_to(choice.placement, current.now)
 
-    def _without_guests(self, current: Round) -> tuple[Room, list[RunningJob]]:
-        """Return the room and the jobs in it as if the guests had left."""
+    def _without_backfilled(self, current: Round) -> tuple[Room, list[RunningJob]]:
+        """Return the room and the jobs in it as if the backfilled ones had left."""
         room, staying = current.future.copy(), []
         for item in current.occupants:
-            if item.job_id in self._guests:
+            if item.job_id in self._backfilled:
                 room.give(item.placement)
             else:
                 staying.append(item)
--- a/chivefall/scheduling/_reservation.py
+++ b/chivefall/scheduling/_reservation.py
@@ -18,7 +18,7 @@
 __all__ = ["Reservation", "hold_reservation", "renew", "reserve"]
 
 CHECKPOINT_SECONDS = 0.5  # seconds until a job that is being checkpointed has left
-PATIENCE = 1.5  # times the first estimated wait during which others may be backfilled
+BACKFILL_WAIT_FACTOR = 1.5  # times the first estimated wait during which others may be backfilled
 BETTER_PLACE = 0.5  # another rack is taken only if it at least halves the remaining wait
 
 
@@ -84,7 +84,7 @@
             continue
         placement = after.place(spec)
         if placement is not None:
-            latest = now + PATIENCE * seconds
+            latest = now + BACKFILL_WAIT_FACTOR * seconds
             return Reservation(job.job_id, placement, now + seconds, latest)
     return None
 
--- a/chivefall/scheduling/_round.py
+++ b/chivefall/scheduling/_round.py
@@ -39,7 +39,7 @@
     unreclaimable : set
         Shapes for which no victims were found, and the number of jobs displaced from their
         guarantee until then; without more of these, victims only get fewer.
-    stuck : callable
+    cannot_checkpoint : callable
         Whether jobs like a given one cannot be checkpointed in time.
     """
 
@@ -47,12 +47,12 @@
         self,
         view: ClusterView,
         leaving: Collection[JobId],
-        stuck: Callable[[JobSpec], bool],
+        cannot_checkpoint: Callable[[JobSpec], bool],
         now: float,
     ) -> None:
         self.view = view
         self.now = now
-        self.stuck = stuck
+        self.cannot_checkpoint = cannot_checkpoint
         self.tasks = count_tasks(view.running)
         self.room = Room(view.workers, self.tasks)
         self.future = self.room.copy()
@@ -180,13 +180,13 @@
         """Return the room that is free or that borrowers can be made to leave."""
         room = self.future.copy()
         for job in self.borrowers():
-            if not self.stuck(job.spec):
+            if not self.cannot_checkpoint(job.spec):
                 room.give(job.placement)
         return room
 
     def may_borrow(self, spec: JobSpec, placement: Placement) -> bool:
         """Return whether a borrower leaves the unused guaranteed shapes reclaimable."""
-        if not self.stuck(spec):
+        if not self.cannot_checkpoint(spec):
             return True
         shapes = self.ledger.open_shapes()
         return not shapes or self._missing(shapes, placement) <= unplaced_shapes(
--- a/chivefall/scheduling/_start_history.py
+++ b/chivefall/scheduling/_start_history.py
@@ -13,7 +13,7 @@
 __all__ = ["StartHistory"]
 
 SLOW_START = 10.0  # seconds without a checkpoint after which a job blocks a reclaim for long
-FORGET = 3600.0  # seconds after which such a command may borrow freely again
+SLOW_START_EXPIRY = 3600.0  # seconds after which such a command may borrow freely again
 MAX_COMMANDS = 1000  # accounts and commands kept; bounds the memory of a daemon
 
 
@@ -29,7 +29,7 @@
         """Note the running jobs of one round."""
         since = {}
         self._now = now
-        self._slow = {key: at for key, at in self._slow.items() if now - at < FORGET}
+        self._slow = {key: at for key, at in self._slow.items() if now - at < SLOW_START_EXPIRY}
         for job in running:
             key = (job.spec.account, job.spec.command)
             if job.checkpointing or not job.spec.idempotent:
--- a/tests/scheduling/test_reservations.py
+++ b/tests/scheduling/test_reservations.py
@@ -166,41 +166,41 @@
         self.assertEqual(moves, [("small",), ()])
 
 
-class GuestTest(unittest.TestCase):
+class BackfillPreemptionTest(unittest.TestCase):
     """Checkpointable jobs in a reserved place."""
 
     def setUp(self) -> None:
         self.policy = GuaranteePolicy()
         self.first = running("first", spec("buyers", 6, run_time=900.0), "a1")
         self.head = queued("head", spec("farmers", 8))
-        guest = queued("guest", spec("captains", 2, run_time=5000.0), 101.0)
-        self.started = starts(round_of(self.policy, ["a1"], [self.first], [self.head, guest]))
+        extra = queued("extra", spec("captains", 2, run_time=5000.0), 101.0)
+        self.started = starts(round_of(self.policy, ["a1"], [self.first], [self.head, extra]))
 
-    def guest(self, **changes: object):
-        """Return the guest after its start."""
+    def extra(self, **changes: object):
+        """Return the backfilled job after its start."""
         return running(
-            "guest", spec("captains", 2, run_time=5000.0), "a1", started_at=NOW, **changes
+            "extra", spec("captains", 2, run_time=5000.0), "a1", started_at=NOW, **changes
         )
 
     def test_uses_the_place_until_it_is_needed(self) -> None:
         """Guards against room that is idle until the last job in a reserved place has ended."""
-        self.assertEqual(self.started, ["guest"])
-        result = round_of(self.policy, ["a1"], [self.first, self.guest()], [self.head], NOW + 5)
+        self.assertEqual(self.started, ["extra"])
+        result = round_of(self.policy, ["a1"], [self.first, self.extra()], [self.head], NOW + 5)
         self.assertEqual((result.preemptions, starts(result)), ((), []))
         self.assertAlmostEqual(self.policy.reservation.starts_at, 1000.0)
 
     def test_leaves_as_soon_as_the_owner_fits(self) -> None:
-        """Guards against a large job that waits for the guests of its own place."""
-        result = round_of(self.policy, ["a1"], [self.guest()], [self.head], NOW + 300)
-        self.assertEqual(result.preemptions, ("guest",))
+        """Guards against a large job that waits for jobs backfilled into its place."""
+        result = round_of(self.policy, ["a1"], [self.extra()], [self.head], NOW + 300)
+        self.assertEqual(result.preemptions, ("extra",))
         late = queued("late", spec("captains", 2, run_time=1.0), 150.0)
-        leaving = self.guest(checkpointing=True)
+        leaving = self.extra(checkpointing=True)
         result = round_of(self.policy, ["a1"], [leaving], [self.head, late], NOW + 300.25)
         self.assertEqual(starts(result), [])
         result = round_of(self.policy, ["a1"], [], [self.head, late], NOW + 300.5)
         self.assertEqual(starts(result), ["head"])
 
-    def test_non_idempotent_job_is_no_guest(self) -> None:
+    def test_non_idempotent_job_is_not_backfilled(self) -> None:
         """Guards against a checkpoint that may leave a job without a known outcome."""
         once = queued("once", spec("captains", 2, run_time=5000.0, idempotent=False), 101.0)
         result = round_of(GuaranteePolicy(), ["a1"], [self.first], [self.head, once])
@@ -208,7 +208,7 @@
 
     def test_other_jobs_do_not_leave(self) -> None:
         """Guards against the preemption of jobs that were there before the reservation."""
-        jobs = [running("first", spec("buyers", 6, run_time=900.0), "a1"), self.guest()]
+        jobs = [running("first", spec("buyers", 6, run_time=900.0), "a1"), self.extra()]
         result = round_of(self.policy, ["a1"], jobs, [self.head], NOW + 300)
         self.assertEqual(result.preemptions, ())
 
