Run a round when a probe is due and remove names without use

Cause: a quarantined worker whose probe was due was offered only with the next change or after 10 s, and two reasons, a property and an empty test folder had no use. Conclusion: no other unused name was found among the enumerations.

--- a/chivefall/controllers/_jobs.py
+++ b/chivefall/controllers/_jobs.py
@@ -290,12 +290,15 @@
 
     def _next_round(self, now: float) -> float:
         """Return when a round is due although nothing changes."""
-        retries = [
+        due = [
             job.not_before
             for job in self.jobs.values()
             if job.record.state is JobState.QUEUED and job.not_before > now
         ]
-        return min([now + ROUND_DUE, *retries])
+        probe = self._workers.quarantine.next_probe(now)
+        if probe is not None:
+            due.append(probe)
+        return min([now + ROUND_DUE, *due])
 
     def _start_planned(self, starts: tuple[tuple[JobId, Placement], ...], now: float) -> None:
         quarantine = self._workers.quarantine
--- a/chivefall/model/_states.py
+++ b/chivefall/model/_states.py
@@ -84,10 +84,8 @@
     NO_CAPACITY = "no_capacity"
     NO_LEADER = "no_leader"
     STORE_UNAVAILABLE = "store_unavailable"
-    STALE_DOCUMENT = "stale_document"
     DUPLICATE = "duplicate"
     DEADLINE_EXCEEDED = "deadline_exceeded"
-    REFUSED_BY_WORKER = "refused_by_worker"
     UNREACHABLE = "unreachable"
     CANCELLED = "cancelled"
 
--- a/chivefall/net/_http_server.py
+++ b/chivefall/net/_http_server.py
@@ -104,11 +104,6 @@
             bufsize=MAX_HELD_BYTES,
         ).register(self)
 
-    @property
-    def requests_in_progress(self) -> int:
-        """Return the number of requests without a written reply."""
-        return self._serving
-
     @property
     def is_quiet(self) -> bool:
         """Return whether no request is in progress or arriving and all output is sent."""
--- a/tests/model/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of model."""
