End the handling of an error inside the error handler

A stack dump showed circuits printing exception events nested without end: the error handler printed the failed event, whose arguments could not be printed, so each error caused the next one and the loop never became empty. Change: the handler logs names only and ignores errors of the error handler itself. Conclusion: an error cannot keep the loop busy by itself.

--- a/chivefall/application.py
+++ b/chivefall/application.py
@@ -195,9 +195,12 @@
 
     @handler("exception", channel="*")
     def _on_exception(self, kind, value, _traceback, handler=None, fevent=None) -> None:
+        name = getattr(fevent, "name", "")
+        if name == "exception":
+            return  # An error of this handler would otherwise cause the next one without end.
         log_event(
             LogEvent.UNHANDLED_ERROR,
             error=f"{kind.__name__}: {value}",
-            handler=repr(handler),
-            event=repr(fevent),
+            handler=getattr(handler, "__qualname__", ""),
+            event=name,
         )
--- a/tests/test_application.py
+++ b/tests/test_application.py
@@ -4,10 +4,43 @@
 
 import unittest
 
+from circuits import BaseComponent, Event, handler
+
 from chivefall.model import AccountId, JobSpec, Urgency
 from standins.cluster import Cluster
 
 
+class Unprintable:
+    """Raises in its representation, as objects of a closed connection may."""
+
+    def __repr__(self) -> str:
+        raise TypeError("no representation")
+
+
+class broken(Event):  # noqa: N801 - circuits derives handler names from it
+    """An event whose handler fails."""
+
+
+class BrokenComponent(BaseComponent):
+    """Fails when it handles an event."""
+
+    @handler("broken", channel="*")
+    def _on_broken(self, _value: object) -> None:
+        raise ValueError("handler failed")
+
+
+class ExceptionTest(unittest.TestCase):
+    def test_error_in_an_error_handler_ends(self) -> None:
+        """Guards against a process that handles its own errors without end at 100 %."""
+        cluster = Cluster(("zarcero",), entries_per_domain=1)
+        app = next(iter(cluster.applications.values()))
+        BrokenComponent().register(app)
+        app.fire(broken(Unprintable()))
+        for _ in range(20):
+            app.flush()
+        self.assertEqual(len(app), 0)
+
+
 class MetricsTest(unittest.TestCase):
     def test_start_delay_and_job_states(self) -> None:
         """Guards against metrics that are declared and never set."""
