--- /dev/null
+++ b/chivefall/batch/_codec.py
@@ -0,0 +1,147 @@
+"""Records of batch jobs as the store keeps them."""
+
+from __future__ import annotations
+
+import msgspec
+
+from chivefall.batch._job import Assignment, BatchJob, Submission, TaskState
+from chivefall.batch._model import (
+    BatchSpec,
+    Checkpoint,
+    Incarnation,
+    JobState,
+    QueueId,
+    RunNumber,
+    TaskKey,
+)
+from chivefall.errors import MessageError
+from chivefall.model import AccountId, JobId, WorkerId
+
+__all__ = [
+    "decode_submission",
+    "encode_progress",
+    "encode_submission",
+    "recorded_state",
+    "restore_progress",
+]
+
+_STATES = list(TaskState)
+
+
+class _Submission(msgspec.Struct):
+    job_id: str
+    queue: str
+    account: str
+    submitted_at: float
+    spec: BatchSpec
+
+
+class _TaskRow(msgspec.Struct, array_like=True):
+    occurrence: int
+    step: int
+    index: int
+    state: int
+    runs: int
+    failures: int
+    checkpoint: str
+    worker: str = ""
+    incarnation: int = 0
+    number: int = 0
+
+
+class _Progress(msgspec.Struct):
+    state: JobState
+    tasks: list[_TaskRow]
+
+
+def encode_submission(submission: Submission) -> bytes:
+    """Return the record of an accepted job."""
+    return msgspec.json.encode(
+        _Submission(
+            submission.job_id,
+            submission.queue,
+            submission.account,
+            submission.submitted_at,
+            submission.spec,
+        )
+    )
+
+
+def decode_submission(value: bytes) -> Submission:
+    """Return the accepted job of a record.
+
+    Raises
+    ------
+    MessageError
+        If the record cannot be read.
+    """
+    raw = _decode(value, _Submission)
+    return Submission(
+        JobId(raw.job_id), QueueId(raw.queue), AccountId(raw.account), raw.submitted_at, raw.spec
+    )
+
+
+def encode_progress(job: BatchJob) -> bytes:
+    """Return the record of a job's progress; untouched tasks are left out."""
+    return msgspec.json.encode(_Progress(job.state, [_row(task) for task in _touched(job)]))
+
+
+def recorded_state(value: bytes) -> JobState:
+    """Return the state in a record of progress.
+
+    Raises
+    ------
+    MessageError
+        If the record cannot be read.
+    """
+    return _decode(value, _Progress).state
+
+
+def restore_progress(job: BatchJob, value: bytes) -> None:
+    """Set a new job's tasks to a record of progress.
+
+    Raises
+    ------
+    MessageError
+        If the record cannot be read.
+    """
+    raw = _decode(value, _Progress)
+    job.failed = raw.state is JobState.FAILED
+    job.cancelled = job.cancelled or raw.state is JobState.CANCELLED
+    job.started = job.started or raw.state is not JobState.QUEUED
+    for row in raw.tasks:
+        assignment = None
+        if row.worker:
+            assignment = Assignment(
+                WorkerId(row.worker), Incarnation(row.incarnation), RunNumber(row.number)
+            )
+        job.restore(
+            TaskKey(row.occurrence, row.step, row.index),
+            _STATES[row.state],
+            RunNumber(row.runs),
+            row.failures,
+            Checkpoint(row.checkpoint),
+            assignment,
+        )
+
+
+def _touched(job: BatchJob):
+    return (task for task in job.tasks() if task.runs or task.state is not TaskState.WAITING)
+
+
+def _row(task) -> _TaskRow:
+    row = _TaskRow(*task.key, _STATES.index(task.state), task.runs, task.failures, task.checkpoint)
+    if task.assignment is not None:
+        row.worker = task.assignment.worker
+        row.incarnation = task.assignment.incarnation
+        row.number = task.assignment.number
+    return row
+
+
+def _decode(value: bytes, kind):
+    try:
+        return msgspec.json.decode(value, type=kind)
+    except msgspec.MsgspecError as exc:
+        raise MessageError(
+            f"a stored record cannot be read: {exc}", "check which program wrote the key"
+        ) from exc
--- /dev/null
+++ b/chivefall/batch_daemon.py
@@ -0,0 +1,128 @@
+"""The process of an instance that serves batch jobs on the users' platform."""
+
+from __future__ import annotations
+
+import signal as signals
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from circuits import BaseComponent, handler
+from circuits.core.pollers import EPoll
+
+from chivefall.batch_application import BatchApplication, BatchConnections
+from chivefall.config import Address
+from chivefall.net import HttpClient, HttpReply, HttpRequest, HttpServer
+from chivefall.platform import BatchHttpApi, HttpRunClient, PlatformStore, UsersPlatformCodec
+from chivefall.runtime import Future, LoopClock
+from chivefall.telemetry import LogEvent, log_event
+
+if TYPE_CHECKING:
+    from types import FrameType
+
+    from chivefall.config import Settings
+
+__all__ = ["BatchDaemon"]
+
+DRAIN_CHECK_SECONDS = 0.05
+OUT_OF_ROTATION_SECONDS = 3.0
+"""Time in which new connections still arrive after a stop was asked for.
+
+The platform asks once a second and takes an instance out after two misses.
+"""
+END_RESERVE_SECONDS = 0.5  # kept from the grace period for the last answers
+
+
+class BatchDaemon(BaseComponent):
+    """Runs a batch application on the circuits loop until a signal ends it."""
+
+    channel = "daemon"
+
+    def __init__(self, cfg: Settings) -> None:
+        super().__init__()
+        self.cfg = cfg
+        self._stopping_at: float | None = None
+        self._ended = False
+        EPoll().register(self)
+        self.clock = LoopClock()
+        self.clock.source.register(self)
+        self.http = HttpClient(self.clock).register(self)
+        timing = cfg.timing
+        self.store = PlatformStore(self.http, Address.parse(cfg.store), timing.store_timeout)
+        self.application = BatchApplication(
+            cfg,
+            BatchConnections(
+                self.clock,
+                self.store,
+                HttpRunClient(self.http, timing.worker_timeout),
+                UsersPlatformCodec(),
+            ),
+        ).register(self)
+        api = BatchHttpApi(self.clock, self.application.chain, self.application.metrics)
+        self.servers = {
+            name: HttpServer(Address.parse(listen), serve, self.clock, channel=name).register(self)
+            for name, listen, serve in (
+                ("front", cfg.listen, api.serve),
+                ("ready", cfg.batch.ready_listen, self._serve_ready),
+                ("metrics", cfg.batch.metrics_listen, self._serve_metrics),
+            )
+        }
+
+    def _serve_ready(self, _: HttpRequest) -> Future[HttpReply]:
+        ready = self.application.is_ready(self.clock.now())
+        return _done(HttpReply(HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE))
+
+    def _serve_metrics(self, _: HttpRequest) -> Future[HttpReply]:
+        content, kind = self.application.metrics.render()
+        return _done(HttpReply(HTTPStatus.OK, content, content_type=kind))
+
+    @handler("started", channel="*")
+    def _on_started(self, *_: object) -> None:
+        self.application.start_controllers()
+        log_event(LogEvent.PROCESS_STARTED, instance=self.cfg.instance, listen=self.cfg.listen)
+
+    @handler("signal", channel="*")
+    def _on_signal(self, signo: int, _frame: FrameType | None) -> None:
+        if signo not in (signals.SIGTERM, signals.SIGINT) or self._stopping_at is not None:
+            return
+        log_event(LogEvent.PROCESS_STOPPING, signal=signals.Signals(signo).name)
+        self._stopping_at = self.clock.now()
+        self.application.begin_drain()
+        self._hand_over()
+
+    def _hand_over(self) -> None:
+        """Give the leader lease up as soon as everything is written."""
+        waited = self.clock.now() - self._stopping_at
+        if not self.application.hand_over() and waited < OUT_OF_ROTATION_SECONDS:
+            self.clock.call_later(DRAIN_CHECK_SECONDS, self._hand_over)
+            return
+        self.application.leader.stop()
+        self._drain()
+
+    def _drain(self) -> None:
+        """Serve until no connection arrives any more and every request is answered."""
+        waited = self.clock.now() - self._stopping_at
+        limit = self.cfg.timing.shutdown_grace - END_RESERVE_SECONDS
+        if waited < min(OUT_OF_ROTATION_SECONDS, limit):
+            self.clock.call_later(DRAIN_CHECK_SECONDS, self._drain)
+            return
+        front = self.servers["front"]
+        front.stop_listening()
+        if not front.is_quiet and waited < limit:
+            self.clock.call_later(DRAIN_CHECK_SECONDS, self._drain)
+            return
+        self._end()
+
+    def _end(self) -> None:
+        if self._ended:
+            return
+        self._ended = True
+        self.application.stop_controllers()
+        self.http.close_all()
+        log_event(LogEvent.PROCESS_STOPPED, instance=self.cfg.instance)
+        self.root.stop()
+
+
+def _done(reply: HttpReply) -> Future[HttpReply]:
+    fut: Future[HttpReply] = Future()
+    fut.set_result(reply)
+    return fut
--- a/chivefall/cli/_main.py
+++ b/chivefall/cli/_main.py
@@ -32,12 +32,18 @@
 @app.command()
 def run(settings: SettingsOption) -> None:
     """Run one instance until SIGTERM or SIGINT."""
-    # Imported here so that the other commands start without the daemon's libraries.
-    from chivefall.daemon import Daemon  # noqa: PLC0415
+    # Imported here so that a process loads only the libraries that it uses.
     from chivefall.telemetry import open_log  # noqa: PLC0415
 
     cfg = load_settings(settings)
     open_log(cfg.log_file)
+    if cfg.batch is not None:
+        from chivefall.batch_daemon import BatchDaemon  # noqa: PLC0415
+
+        BatchDaemon(cfg).run()
+        return
+    from chivefall.daemon import Daemon  # noqa: PLC0415
+
     Daemon(cfg).run()
 
 
--- a/chivefall/config.py
+++ b/chivefall/config.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-__all__ = ["Address", "Settings", "Timing", "load_settings", "parse_settings"]
+__all__ = ["Address", "BatchSettings", "Settings", "Timing", "load_settings", "parse_settings"]
 
 MAX_PORT = 65535
 
@@ -64,6 +64,22 @@
     shutdown_grace: float = 30.0
 
 
+@dataclass(frozen=True)
+class BatchSettings:
+    """Settings of an instance that serves batch jobs on the users' platform.
+
+    Attributes
+    ----------
+    ready_listen : str
+        ``host:port`` at which the platform asks whether the instance is ready.
+    metrics_listen : str
+        ``host:port`` of the metrics.
+    """
+
+    ready_listen: str
+    metrics_listen: str
+
+
 @dataclass(frozen=True)
 class Settings:
     """Settings of one entry instance.
@@ -84,6 +100,8 @@
         ``host:port`` of the platform's key-value service.
     peers : dict
         Peer address of every configured instance by its name.
+    batch : BatchSettings or None
+        Present if the instance serves batch jobs on the users' platform.
     """
 
     instance: InstanceId
@@ -95,6 +113,7 @@
     peers: dict[InstanceId, str] = field(default_factory=dict)
     timing: Timing = field(default_factory=Timing)
     log_file: str = "-"
+    batch: BatchSettings | None = None
 
 
 def parse_settings(text: str, source: str = "settings") -> Settings:
@@ -122,6 +141,7 @@
         raise ConfigError(f"{source} is not an object", "put all keys between { and }")
     _reject_unknown_keys(raw, Settings, source, "")
     _reject_unknown_keys(raw.get("timing", {}), Timing, source, "timing.")
+    _reject_unknown_keys(raw.get("batch", {}), BatchSettings, source, "batch.")
     try:
         cfg = msgspec.convert(raw, Settings)
     except msgspec.ValidationError as exc:
@@ -158,16 +178,16 @@
 
 
 def _check_values(cfg: Settings, source: str) -> None:
-    for key in ("listen", "peer_listen", "store"):
+    addresses = {key: getattr(cfg, key) for key in ("listen", "peer_listen", "store")}
+    addresses |= {f"peers.{name}": peer for name, peer in cfg.peers.items()}
+    if cfg.batch is not None:
+        addresses["batch.ready_listen"] = cfg.batch.ready_listen
+        addresses["batch.metrics_listen"] = cfg.batch.metrics_listen
+    for key, text in addresses.items():
         try:
-            Address.parse(getattr(cfg, key))
+            Address.parse(text)
         except ConfigError as exc:
             raise ConfigError(f"{source}: {key}: {exc.problem}", exc.remedy) from exc
-    for name, peer in cfg.peers.items():
-        try:
-            Address.parse(peer)
-        except ConfigError as exc:
-            raise ConfigError(f"{source}: peers.{name}: {exc.problem}", exc.remedy) from exc
     for key in Timing.__dataclass_fields__:
         if not getattr(cfg.timing, key) > 0:
             raise ConfigError(
--- a/chivefall/controllers/_leader.py
+++ b/chivefall/controllers/_leader.py
@@ -9,7 +9,7 @@
 
 from chivefall.controllers._base import Controller
 from chivefall.events import leadership_gained, leadership_lost
-from chivefall.model import Epoch
+from chivefall.model import DomainId, Epoch
 from chivefall.store import (
     ABSENT,
     Conflict,
@@ -59,6 +59,8 @@
     heard_epoch : callable
         Returns the highest epoch that a peer of the failure domain announced
         lately, or 0.
+    scope : str, optional
+        What is led; the failure domain of the settings by default.
     """
 
     def __init__(
@@ -67,12 +69,13 @@
         cfg: Settings,
         store: Store,
         heard_epoch: Callable[[float], Epoch],
+        scope: str | None = None,
     ) -> None:
         super().__init__(clock)
         self._cfg = cfg
         self._store = store
         self._heard_epoch = heard_epoch
-        self._key = leader_key(cfg.failure_domain)
+        self._key = leader_key(DomainId(scope) if scope else cfg.failure_domain)
         self._name = f"{cfg.instance} {secrets.token_hex(8)} ".encode()
         self._attempts = itertools.count(1)
         self._lease: LeaseId | None = None
@@ -98,6 +101,16 @@
         """Return whether this instance acts as leader."""
         return self._state is not LeaderState.FOLLOWER
 
+    @property
+    def key(self) -> str:
+        """Return the key whose version is the epoch."""
+        return self._key
+
+    @property
+    def valid_until(self) -> float:
+        """Return the time up to which the lease was last confirmed."""
+        return self._valid_until
+
     def lease_is_valid(self, now: float) -> bool:
         """Return whether the lease is certain to be held."""
         return self._state is LeaderState.LEADER and now < self._valid_until
--- /dev/null
+++ b/chivefall/controllers/batch/_fleet.py
@@ -0,0 +1,507 @@
+"""The workers of the region, the leases of their runs, and orders to them."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING
+
+from chivefall.batch import EndKind, Fleet, Incarnation, Placed, RunId, Worker
+from chivefall.controllers._base import Controller
+from chivefall.controllers.batch._mirror import PrefixMirror
+from chivefall.controllers.batch._session import Session
+from chivefall.runtime import sleep
+from chivefall.telemetry import LogEvent, log_event
+from chivefall.workers import (
+    NoAnswer,
+    OtherLife,
+    Ran,
+    RefusalReason,
+    RunOrder,
+    RunRefused,
+    RunReport,
+)
+
+if TYPE_CHECKING:
+    from chivefall.batch import Checkpoint, PlatformCodec, WorkerEntry
+    from chivefall.config import Settings
+    from chivefall.controllers._leader import LeaderController
+    from chivefall.model import Epoch, WorkerId
+    from chivefall.runtime import Clock
+    from chivefall.store import Entry, Store
+    from chivefall.workers import OrderOutcome, RunClient, RunEnd
+
+__all__ = ["FleetController", "RunListener"]
+
+HOLD_SECONDS = 8.0
+"""Lease of runs beyond each call; the platform's limit is 10 s.
+
+A new leader needs about 4.5 s, and the last poll may be 2 s old.
+"""
+POLL_SECONDS = 1.5  # longest wait of one poll, below the platform's 2 s
+RETRY_SECONDS = 0.4  # between calls to a worker that does not answer
+START_ATTEMPTS = 2  # a repeated start is harmless; gangs wait 3 s for their members
+STOP_SETTLE_SECONDS = 1.2  # a stop takes at most 0.9 s
+SUSPECT_FAILURES = 2  # calls in a row
+AVOID_SECONDS = 2.0  # no starts on a worker that refused one for want of room or health
+ORPHAN_SECONDS = 22.5
+"""After a takeover, runs of workers that were never reached are gone.
+
+The leader before holds leases for 12 s beyond its own, each for 10 s on a clock 2 % slow.
+"""
+UNCONFIRMED_HOLD_SECONDS = 12.0  # a leader whose lease is not confirmed holds runs that long
+ACKNOWLEDGE_CHECK_SECONDS = 0.05  # between checks whether ends are written
+
+
+class RunListener(ABC):
+    """Learns what happens to runs."""
+
+    @abstractmethod
+    def run_confirmed(self, run: RunId) -> None:
+        """Note that a run was seen on its worker."""
+
+    @abstractmethod
+    def run_progressed(self, run: RunId, checkpoint: Checkpoint, share: float) -> None:
+        """Note what a worker reports of a run."""
+
+    @abstractmethod
+    def run_ended(self, run: RunId, kind: EndKind, checkpoint: Checkpoint) -> bool:
+        """Apply an end; return whether it has to be written before it is acknowledged."""
+
+    @abstractmethod
+    def run_released(self, run: RunId) -> None:
+        """Note that a run does not exist and never will."""
+
+    @abstractmethod
+    def knows_run(self, run: RunId) -> bool:
+        """Return whether a run is the current one of its task."""
+
+    @abstractmethod
+    def fleet_changed(self) -> None:
+        """Note that room or workers changed."""
+
+
+class FleetController(Controller):
+    """Owns workers, sessions and leases while this instance leads."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        cfg: Settings,
+        store: Store,
+        client: RunClient,
+        codec: PlatformCodec,
+        leader: LeaderController,
+    ) -> None:
+        super().__init__(clock)
+        self._cfg = cfg
+        self._store = store
+        self._client = client
+        self._codec = codec
+        self._leader = leader
+        self._listener: RunListener | None = None
+        self._sessions: dict[WorkerId, Session] = {}
+        self._orphans: dict[WorkerId, list[tuple[RunId, Placed, Incarnation]]] = {}
+        self._epoch: Epoch | None = None
+        self.listed = False
+        self.fleet = Fleet()
+
+    def start(self) -> None:
+        """Nothing to begin; the scheduler opens the fleet when this instance leads."""
+
+    def open(self, epoch: Epoch, listener: RunListener) -> None:
+        """Begin to follow the workers and to give orders under an epoch."""
+        self.close()
+        self._epoch, self._listener = epoch, listener
+        mirror = PrefixMirror(
+            self.clock,
+            self._store,
+            self._codec.worker_prefix,
+            lambda *change: self._apply(epoch, *change),
+            lambda: self._is_current(epoch),
+        )
+        self.run_task(mirror.run())
+
+    def close(self) -> None:
+        """Give no more orders and forget all workers."""
+        self._epoch = None
+        for session in self._sessions.values():
+            session.closed = True
+        self._sessions, self._orphans = {}, {}
+        self.listed = False
+        self.fleet = Fleet()
+
+    def _is_current(self, epoch: Epoch) -> bool:
+        return self._epoch == epoch and not self.is_stopped
+
+    # Entries of workers.
+
+    def _apply(
+        self, epoch: Epoch, entries: tuple[Entry, ...], deleted: tuple[str, ...], whole: bool
+    ) -> None:
+        if not self._is_current(epoch):
+            return
+        seen = set()
+        for item in entries:
+            entry = self._codec.decode_worker(item.key, item.value)
+            if entry is None:
+                deleted = (*deleted, item.key)
+                continue
+            seen.add(entry.worker_id)
+            self._note_entry(entry)
+        gone = {self._codec.worker_id(key) for key in deleted}
+        if whole:
+            gone |= self._sessions.keys() - seen
+        for name in gone:
+            self._note_unlisted(name)
+        if whole and not self.listed:
+            self.listed = True
+            self._await_orphans(epoch)
+        self._listener.fleet_changed()
+
+    def _note_entry(self, entry: WorkerEntry) -> None:
+        session = self._sessions.get(entry.worker_id)
+        if session is not None and session.worker.entry.incarnation != entry.incarnation:
+            self._end_life(session, "the worker started again")
+            session = None
+        if session is None:
+            session = self._sessions[entry.worker_id] = Session(Worker(entry))
+            self.fleet.workers[entry.worker_id] = session.worker
+            self._adopt_orphans(session)
+            log_event(
+                LogEvent.FLEET_CHANGED,
+                worker=entry.worker_id,
+                change="joined",
+                rack=entry.rack,
+                domain=entry.domain,
+                incarnation=entry.incarnation,
+            )
+        elif session.worker.entry.status is not entry.status:
+            log_event(
+                LogEvent.FLEET_CHANGED,
+                worker=entry.worker_id,
+                change=entry.status.value,
+                remaining=entry.remaining,
+            )
+        session.worker.entry = entry
+        session.worker.listed = True
+        self._poll(session)
+
+    def _note_unlisted(self, name: WorkerId) -> None:
+        session = self._sessions.get(name)
+        if session is None or not session.worker.listed:
+            return
+        session.worker.listed = False
+        log_event(
+            LogEvent.FLEET_CHANGED, worker=name, change="unlisted", runs=len(session.worker.placed)
+        )
+        if not session.worker.placed:
+            self._forget(session)
+        else:
+            self._poll(session)
+
+    def _forget(self, session: Session) -> None:
+        session.closed = True
+        name = session.worker.worker_id
+        if self._sessions.get(name) is session:
+            del self._sessions[name]
+            del self.fleet.workers[name]
+
+    def _end_life(self, session: Session, reason: str) -> None:
+        """Release all runs of a life that is over."""
+        for run in list(session.worker.placed):
+            self._release(session, run, reason)
+        self._forget(session)
+
+    def _release(self, session: Session, run: RunId, reason: str) -> None:
+        session.worker.release(run)
+        session.present_since.pop(run, None)
+        log_event(
+            LogEvent.RUN_RELEASED, run=_text(run), worker=session.worker.worker_id, reason=reason
+        )
+        self._listener.run_released(run)
+
+    # Runs that an earlier leader assigned.
+
+    def adopt(self, run: RunId, placed: Placed, worker: WorkerId, life: Incarnation) -> None:
+        """Take over a run that a record names; the worker's report says whether it exists."""
+        session = self._sessions.get(worker)
+        if session is None:
+            self._orphans.setdefault(worker, []).append((run, placed, life))
+        else:
+            self._adopt_into(session, run, placed, life)
+
+    def _adopt_into(self, session: Session, run: RunId, placed: Placed, life: Incarnation) -> None:
+        if session.worker.entry.incarnation != life:
+            self._listener.run_released(run)
+            return
+        session.worker.hold(run, placed)
+        session.present_since[run] = float("-inf")
+        self._poll(session)
+
+    def _adopt_orphans(self, session: Session) -> None:
+        for run, placed, life in self._orphans.pop(session.worker.worker_id, ()):
+            self._adopt_into(session, run, placed, life)
+
+    def _await_orphans(self, epoch: Epoch) -> None:
+        def release() -> None:
+            if not self._is_current(epoch):
+                return
+            for runs in self._orphans.values():
+                for run, _, _ in runs:
+                    log_event(
+                        LogEvent.RUN_RELEASED,
+                        run=_text(run),
+                        reason="its worker was not listed since the takeover",
+                    )
+                    self._listener.run_released(run)
+            self._orphans = {}
+            for session in list(self._sessions.values()):
+                if not session.worker.synced:
+                    for run in list(session.worker.placed):
+                        self._release(session, run, "its worker was not reached since the takeover")
+
+        self.clock.call_later(ORPHAN_SECONDS, release)
+
+    # Polls.
+
+    def _poll(self, session: Session) -> None:
+        if not session.polling and not session.closed and session.has_work:
+            session.polling = True
+            self.run_task(self._poll_while_busy(session)).add_done_callback(
+                lambda _: self._poll_ended(session)
+            )
+
+    def _poll_ended(self, session: Session) -> None:
+        session.polling = False
+        if not session.worker.listed and not session.has_work:
+            self._forget(session)
+        self._poll(session)
+
+    async def _poll_while_busy(self, session: Session) -> None:
+        epoch = self._epoch
+        while not session.closed and session.has_work and self._is_current(epoch):
+            if not self._may_hold(self.clock.now()):
+                await sleep(self.clock, RETRY_SECONDS)
+                self._check_lapse(session)
+                continue
+            wait = POLL_SECONDS if session.worker.synced and session.worker.placed else 0.0
+            sent_at, told = self.clock.now(), session.acknowledged
+            outcome = await self._client.hold(
+                session.worker.entry, epoch, self._next_deadline(session), told, wait
+            )
+            if session.closed or not self._is_current(epoch):
+                return
+            if isinstance(outcome, RunReport):
+                session.told = max(session.told, told)
+                self._note_report(session, outcome, sent_at)
+                await self._wait_until_written(session)
+            else:
+                self._note_failure(session, outcome)
+                await sleep(self.clock, RETRY_SECONDS)
+
+    def _may_hold(self, now: float) -> bool:
+        """Return whether leases may be extended although another leader may exist."""
+        return now < self._leader.valid_until + UNCONFIRMED_HOLD_SECONDS
+
+    def _next_deadline(self, session: Session) -> float | None:
+        """Return the lease end to send, on the worker's clock; None until it was read."""
+        if not session.knows_clock:
+            return None
+        deadline = session.worker_clock(self.clock.now()) + HOLD_SECONDS
+        session.deadline = max(session.deadline, deadline)
+        return deadline
+
+    async def _wait_until_written(self, session: Session) -> None:
+        """Wait a little until ends are written, so that the next poll acknowledges them."""
+        limit = self.clock.now() + POLL_SECONDS
+        while session.open_ends and not session.closed and self.clock.now() < limit:
+            await sleep(self.clock, ACKNOWLEDGE_CHECK_SECONDS)
+
+    def _note_report(self, session: Session, report: RunReport, sent_at: float) -> None:
+        worker = session.worker
+        if report.incarnation not in (worker.entry.incarnation, Incarnation(0)):
+            self._end_life(session, "another life of the worker answered")
+            return
+        session.note_clock(report.clock, self.clock.now())
+        self._note_answer(session)
+        was_synced, worker.synced = worker.synced, True
+        for status in report.running:
+            self._note_running(session, status.run)
+            self._listener.run_progressed(status.run, status.checkpoint, status.share)
+        listed = {status.run for status in report.running}
+        for end in report.ends:
+            listed.add(end.run)
+            self._note_end(session, end)
+        for run in list(worker.placed):
+            # A report that was asked for before the run was certain says nothing about it.
+            if run not in listed and session.present_since.get(run, float("inf")) <= sent_at:
+                self._release(session, run, "its worker does not list it")
+        if not was_synced:
+            self._listener.fleet_changed()
+
+    def _note_running(self, session: Session, run: RunId) -> None:
+        if not self._listener.knows_run(run):
+            log_event(LogEvent.UNKNOWN_RUN_STOPPED, run=_text(run), worker=session.worker.worker_id)
+            self.run_task(self._client.stop(session.worker.entry, run, self._epoch))
+            return
+        if run not in session.present_since:
+            session.present_since[run] = self.clock.now()
+        self._listener.run_confirmed(run)
+
+    def _note_end(self, session: Session, end: RunEnd) -> None:
+        if end.sequence in session.open_ends or end.sequence <= session.acknowledged:
+            return
+        session.open_ends[end.sequence] = end
+        session.worker.release(end.run)
+        session.present_since.pop(end.run, None)
+        log_event(
+            LogEvent.RUN_ENDED,
+            run=_text(end.run),
+            worker=session.worker.worker_id,
+            kind=end.kind.value,
+            sequence=end.sequence,
+        )
+        if not self._listener.run_ended(end.run, end.kind, end.checkpoint):
+            session.acknowledge(end.sequence)
+        self._listener.fleet_changed()
+
+    def acknowledge(self, run: RunId) -> None:
+        """Acknowledge the end of a run, which is written to the store now."""
+        for session in self._sessions.values():
+            for sequence, end in list(session.open_ends.items()):
+                if end.run == run:
+                    session.acknowledge(sequence)
+
+    def _note_answer(self, session: Session) -> None:
+        session.failures = 0
+        if session.worker.suspect:
+            session.worker.suspect = False
+            log_event(LogEvent.WORKER_ANSWERS, worker=session.worker.worker_id)
+            self._listener.fleet_changed()
+
+    def _note_failure(self, session: Session, outcome) -> None:
+        if isinstance(outcome, OtherLife):
+            self._end_life(session, "another life of the worker answered")
+            return
+        if isinstance(outcome, RunRefused) and outcome.reason is RefusalReason.FENCED:
+            self._leader.step_down("a worker knows a higher epoch")
+            return
+        session.failures += 1
+        if session.failures >= SUSPECT_FAILURES and not session.worker.suspect:
+            session.worker.suspect = True
+            reason = getattr(outcome, "reason", "")
+            log_event(
+                LogEvent.WORKER_SUSPECTED,
+                worker=session.worker.worker_id,
+                reason=str(reason),
+                runs=len(session.worker.placed),
+            )
+        self._check_lapse(session)
+
+    def _check_lapse(self, session: Session) -> None:
+        """Release the runs of a worker whose leases have certainly ended."""
+        lapse_at = session.lapse_at()
+        if lapse_at is None or self.clock.now() <= lapse_at:
+            return
+        for run in list(session.worker.placed):
+            self._release(session, run, "its lease ended while the worker did not answer")
+        if not session.worker.listed:
+            self._forget(session)
+        self._listener.fleet_changed()
+
+    # Orders.
+
+    def reserve(self, worker_id: WorkerId, run: RunId, placed: Placed) -> None:
+        """Hold room for a run that is about to be recorded."""
+        self.fleet.workers[worker_id].hold(run, placed)
+
+    def cancel_reservation(self, worker_id: WorkerId, run: RunId) -> None:
+        """Give back the room of a run whose start was never sent."""
+        worker = self.fleet.workers.get(worker_id)
+        if worker is not None:
+            worker.release(run)
+
+    async def order_start(
+        self, worker_id: WorkerId, run: RunId, payload: str, checkpoint: Checkpoint
+    ) -> bool:
+        """Start a recorded run; return whether it runs for certain.
+
+        A run that is not started for certain is released here, at once or after
+        a stop was confirmed.
+        """
+        session = self._sessions.get(worker_id)
+        if session is None or run not in session.worker.placed:
+            return False
+        for _ in range(START_ATTEMPTS):
+            deadline = session.worker_clock(self.clock.now()) + HOLD_SECONDS
+            session.deadline = max(session.deadline, deadline)
+            order = RunOrder(run, payload, deadline, checkpoint)
+            outcome = await self._client.start(session.worker.entry, order, self._epoch)
+            if run not in session.worker.placed:
+                return False
+            if isinstance(outcome, Ran):
+                self._note_started(session, run, outcome)
+                return True
+            if not isinstance(outcome, NoAnswer):
+                self._note_refused(session, run, outcome)
+                return False
+        log_event(LogEvent.RUN_UNCERTAIN, run=_text(run), worker=worker_id)
+        session.failures += 1
+        self.order_stop(worker_id, run)
+        return False
+
+    def _note_started(self, session: Session, run: RunId, outcome: Ran) -> None:
+        now = self.clock.now()
+        session.note_clock(outcome.clock, now)
+        session.present_since[run] = now
+        self._note_answer(session)
+        log_event(LogEvent.RUN_STARTED, run=_text(run), worker=session.worker.worker_id)
+        self._listener.run_confirmed(run)
+        self._poll(session)
+
+    def _note_refused(self, session: Session, run: RunId, outcome: OrderOutcome) -> None:
+        log_event(
+            LogEvent.RUN_NOT_STARTED,
+            run=_text(run),
+            worker=session.worker.worker_id,
+            outcome=repr(outcome),
+        )
+        if isinstance(outcome, OtherLife):
+            self._end_life(session, "another life of the worker answered")
+            return
+        if outcome.reason is RefusalReason.FENCED:
+            self._leader.step_down("a worker knows a higher epoch")
+            return
+        session.worker.avoided_until = self.clock.now() + AVOID_SECONDS
+        if outcome.reason is RefusalReason.OUTDATED:
+            # The run may have been there and ended; the next report says so.
+            session.present_since[run] = self.clock.now()
+            self._poll(session)
+            return
+        session.worker.release(run)
+        self._listener.run_released(run)
+
+    def order_stop(self, worker_id: WorkerId, run: RunId) -> None:
+        """Stop a run and repeat that until the worker confirms it or the run is gone."""
+        session = self._sessions.get(worker_id)
+        if session is not None:
+            self.run_task(self._stop_until_confirmed(session, run))
+
+    async def _stop_until_confirmed(self, session: Session, run: RunId) -> None:
+        epoch = self._epoch
+        while run in session.worker.placed and not session.closed and self._is_current(epoch):
+            log_event(LogEvent.RUN_STOPPED, run=_text(run), worker=session.worker.worker_id)
+            outcome = await self._client.stop(session.worker.entry, run, epoch)
+            if not isinstance(outcome, NoAnswer):
+                break
+            await sleep(self.clock, RETRY_SECONDS)
+        if run in session.worker.placed and not session.closed:
+            # The stop fences the run; a report after the longest stop lists it or never will.
+            now = self.clock.now()
+            session.present_since.setdefault(run, now + STOP_SETTLE_SECONDS)
+            self._poll(session)
+
+
+def _text(run: RunId) -> str:
+    task = run.task
+    return f"{run.job}.{task.occurrence}.{task.step}.{task.index}#{run.number}"
--- /dev/null
+++ b/chivefall/controllers/batch/_mirror.py
@@ -0,0 +1,93 @@
+"""A copy of all keys below a prefix that follows the store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from chivefall.runtime import sleep
+from chivefall.store import Changed, HistoryLost, Listed, Unavailable
+from chivefall.telemetry import LogEvent, log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from chivefall.runtime import Clock
+    from chivefall.store import Entry, Store, Version
+
+__all__ = ["PrefixMirror"]
+
+WATCH_SECONDS = 1.5  # one wait; every reply confirms the copy, so it bounds the copy's age
+RETRY_SECONDS = 0.25  # after a call that the store did not answer
+
+
+class PrefixMirror:
+    """Lists a prefix, then watches it, and hands every change on.
+
+    Parameters
+    ----------
+    apply : callable
+        Called with the entries written, the keys deleted, and whether the
+        entries are all that exist.
+    is_active : callable
+        Whether the mirror goes on; read after each reply.
+
+    Attributes
+    ----------
+    confirmed_at : float
+        Time at which the copy was certain to be complete, in seconds since the
+        epoch; the time before the call, since a reply may have waited anywhere.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        store: Store,
+        prefix: str,
+        apply: Callable[[tuple[Entry, ...], tuple[str, ...], bool], None],
+        is_active: Callable[[], bool],
+    ) -> None:
+        self._clock = clock
+        self._store = store
+        self._prefix = prefix
+        self._apply = apply
+        self._is_active = is_active
+        self._version: Version | None = None
+        self._reachable = True
+        self.confirmed_at = float("-inf")
+
+    async def run(self) -> None:
+        """Follow the prefix until the mirror is not active any more."""
+        while self._is_active():
+            asked_at = self._clock.now()
+            if self._version is None:
+                outcome = await self._store.list(self._prefix)
+            else:
+                outcome = await self._store.watch(self._prefix, self._version, WATCH_SECONDS)
+            if not self._is_active():
+                return
+            self._note_reachable(outcome)
+            if isinstance(outcome, Unavailable):
+                await sleep(self._clock, RETRY_SECONDS)
+            elif isinstance(outcome, HistoryLost):
+                log_event(LogEvent.HISTORY_LOST, prefix=self._prefix, after=self._version)
+                self._version = None
+            else:
+                self._take(outcome, asked_at)
+
+    def _take(self, outcome, asked_at: float) -> None:
+        self._version = outcome.version
+        self.confirmed_at = max(self.confirmed_at, asked_at)
+        if isinstance(outcome, Listed):
+            self._apply(outcome.entries, (), True)
+        elif isinstance(outcome, Changed):
+            self._apply(outcome.entries, outcome.deleted, False)
+
+    def _note_reachable(self, outcome) -> None:
+        reachable = not isinstance(outcome, Unavailable)
+        if reachable == self._reachable:
+            return
+        self._reachable = reachable
+        if reachable:
+            log_event(LogEvent.STORE_REACHABLE, prefix=self._prefix)
+        else:
+            log_event(LogEvent.STORE_UNREACHABLE, prefix=self._prefix, reason=outcome.reason)
--- /dev/null
+++ b/chivefall/controllers/batch/_scheduler.py
@@ -0,0 +1,484 @@
+"""The leader's scheduler: all batch jobs, rounds, and the record of progress."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from circuits import handler
+
+from chivefall.batch import (
+    BatchJob,
+    Candidate,
+    Catalog,
+    JobState,
+    Placed,
+    Queue,
+    RunId,
+    TaskKey,
+    decode_submission,
+    encode_progress,
+    restore_progress,
+)
+from chivefall.controllers._base import Controller
+from chivefall.controllers.batch._fleet import FleetController, RunListener
+from chivefall.controllers.batch._mirror import PrefixMirror
+from chivefall.controllers.batch._records import TrackedJob
+from chivefall.errors import MessageError
+from chivefall.model import JobId
+from chivefall.runtime import sleep
+from chivefall.store import (
+    BATCH_JOBS_PREFIX,
+    BatchPart,
+    Mismatch,
+    Put,
+    Stored,
+    Version,
+    batch_key,
+    parse_batch_key,
+    waiting_key,
+)
+from chivefall.telemetry import LogEvent, log_event
+
+if TYPE_CHECKING:
+    from chivefall.batch import BatchPolicy, Checkpoint, EndKind, Plan, Start
+    from chivefall.controllers._leader import LeaderController
+    from chivefall.controllers.batch._catalog import CatalogController
+    from chivefall.model import Epoch
+    from chivefall.runtime import Clock
+    from chivefall.store import Entry, TransactionalStore
+
+__all__ = ["BatchScheduler"]
+
+ROUND_DELAY_SECONDS = 0.01  # collects what arrives together into one round
+ROUND_INTERVAL_SECONDS = 0.5  # for decisions that depend on time alone
+JOBS_PER_COMMIT = 10  # a job takes three of the store's 32 entries
+COMMIT_RETRY_SECONDS = 0.1
+KEEP_FINAL_SECONDS = 180.0  # the platform asks for 120 s of answers for a final job
+
+
+class BatchScheduler(Controller, RunListener):
+    """Owns the jobs while this instance leads; writes before it acts."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        store: TransactionalStore,
+        policy: BatchPolicy,
+        catalog: CatalogController,
+        leader: LeaderController,
+        fleet: FleetController,
+    ) -> None:
+        super().__init__(clock)
+        self._store = store
+        self._policy = policy
+        self._catalog = catalog
+        self._leader = leader
+        self._fleet = fleet
+        self._epoch: Epoch | None = None
+        self._loaded = False
+        self._round_due = False
+        self._committing = False
+        self.jobs: dict[JobId, TrackedJob] = {}
+        self._last_queues: dict[str, Queue] = {}
+        catalog.on_change(self.fleet_changed)
+
+    def start(self) -> None:
+        """Begin rounds; they do nothing while another instance leads."""
+        self.every(ROUND_INTERVAL_SECONDS, self._tick)
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether nothing waits to be written."""
+        return not self._committing and not any(job.dirty for job in self.jobs.values())
+
+    # Leadership.
+
+    @handler("leadership_gained", channel="*")
+    def _on_gained(self, epoch: Epoch) -> None:
+        self._close()
+        self._epoch = epoch
+        mirror = PrefixMirror(
+            self.clock,
+            self._store,
+            BATCH_JOBS_PREFIX,
+            lambda *change: self._apply(epoch, *change),
+            lambda: self._is_current(epoch),
+        )
+        self.run_task(mirror.run())
+
+    @handler("leadership_lost", channel="*")
+    def _on_lost(self, _reason: str) -> None:
+        self._close()
+
+    def _close(self) -> None:
+        self._epoch, self._loaded = None, False
+        self.jobs = {}
+        self._fleet.close()
+
+    def _is_current(self, epoch: Epoch) -> bool:
+        return self._epoch == epoch and not self.is_stopped
+
+    # Records from the store.
+
+    def _apply(
+        self, epoch: Epoch, entries: tuple[Entry, ...], deleted: tuple[str, ...], whole: bool
+    ) -> None:
+        del deleted  # Only this leader deletes records.
+        if not self._is_current(epoch):
+            return
+        parts: dict[BatchPart, list[tuple[JobId, Entry]]] = {part: [] for part in BatchPart}
+        for entry in entries:
+            parsed = parse_batch_key(entry.key)
+            if parsed is not None:
+                parts[parsed[1]].append((JobId(parsed[0]), entry))
+        for job_id, entry in parts[BatchPart.SPEC]:
+            self._add(job_id, entry)
+        if not self._loaded:
+            for job_id, entry in parts[BatchPart.PROGRESS]:
+                self._restore(job_id, entry)
+        for job_id, _ in parts[BatchPart.CANCEL]:
+            self._cancel(job_id)
+        if whole and not self._loaded:
+            self._loaded = True
+            log_event(LogEvent.BATCH_LOADED, epoch=epoch, jobs=len(self.jobs))
+            # Reports of workers are understood only with all records at hand.
+            self._fleet.open(epoch, self)
+            for tracked in self.jobs.values():
+                self._adopt_runs(tracked.job)
+        self._request_round()
+
+    def _add(self, job_id: JobId, entry: Entry) -> None:
+        if job_id in self.jobs:
+            return
+        try:
+            submission = decode_submission(entry.value)
+        except MessageError as exc:
+            log_event(LogEvent.BATCH_RECORD_INVALID, key=entry.key, reason=str(exc))
+            return
+        queue = self._find_queue(submission.queue)
+        attempts = queue.max_attempts if queue is not None else 1
+        self.jobs[job_id] = TrackedJob(BatchJob(submission, attempts))
+
+    def _restore(self, job_id: JobId, entry: Entry) -> None:
+        tracked = self.jobs.get(job_id)
+        if tracked is None:
+            return
+        try:
+            restore_progress(tracked.job, entry.value)
+        except MessageError as exc:
+            log_event(LogEvent.BATCH_RECORD_INVALID, key=entry.key, reason=str(exc))
+            return
+        tracked.version = Version(entry.version)
+        tracked.shown = tracked.job.state
+        tracked.is_waiting = False
+        if tracked.shown.is_final:
+            tracked.final_since = self.clock.now()
+
+    def _cancel(self, job_id: JobId) -> None:
+        tracked = self.jobs.get(job_id)
+        if tracked is None or tracked.job.state.is_final:
+            return
+        tracked.job.cancelled = True
+        self._mark(tracked)
+        self._stop_all(tracked.job)
+
+    def _adopt_runs(self, job: BatchJob) -> None:
+        for task in job.active_tasks():
+            where = task.assignment
+            run = RunId(job.job_id, task.key, where.number)
+            task.started_at = self.clock.now()
+            self._fleet.adopt(run, self._placed(job, task.key), where.worker, where.incarnation)
+        if job.state.is_final:
+            self._stop_all(job)
+
+    def _placed(self, job: BatchJob, key: TaskKey) -> Placed:
+        step = job.step_of(key)
+        queue = self._find_queue(job.submission.queue)
+        return Placed(step.room, 0 if queue is None else queue.priority, step)
+
+    def _find_queue(self, name: str) -> Queue | None:
+        """Return a queue, also one that was removed while its jobs go on."""
+        catalog: Catalog = self._catalog.catalog
+        found = catalog.queues.get(name)
+        if found is not None:
+            self._last_queues[name] = found
+        return found or self._last_queues.get(name)
+
+    # Rounds.
+
+    def fleet_changed(self) -> None:
+        """Plan again, since room, workers or the catalog changed."""
+        self._fleet.fleet.domains_out = self._catalog.domains_out
+        self._request_round()
+
+    def _tick(self, now: float) -> None:
+        self._remove_old(now)
+        self._request_round()
+
+    def _request_round(self) -> None:
+        if self._epoch is None or self._round_due:
+            return
+        self._round_due = True
+        self.clock.call_later(ROUND_DELAY_SECONDS, self._run_round)
+
+    def _run_round(self) -> None:
+        self._round_due = False
+        now = self.clock.now()
+        if not self._may_plan(now):
+            return
+        self._fleet.fleet.domains_out = self._catalog.domains_out
+        plan = self._policy.plan(self._candidates(), self._fleet.fleet, now)
+        if plan.starts or plan.stops:
+            self._carry_out(plan, now)
+
+    def _may_plan(self, now: float) -> bool:
+        """Return whether starts can be recorded and rest on knowledge that is in force."""
+        return (
+            self._epoch is not None
+            and self._loaded
+            and self._fleet.listed
+            and self._leader.lease_is_valid(now)
+            and self._catalog.is_fresh(now)
+        )
+
+    def _candidates(self) -> list[Candidate]:
+        found = []
+        for tracked in self.jobs.values():
+            queue = self._find_queue(tracked.job.submission.queue)
+            if queue is not None:
+                found.append(Candidate(tracked.job, queue))
+        return found
+
+    def _carry_out(self, plan: Plan, now: float) -> None:
+        log_event(
+            LogEvent.ROUND_PLANNED,
+            starts=[[start.job.job_id, len(start.places)] for start in plan.starts],
+            stops=len(plan.stops),
+            catalog=self._catalog.catalog.version,
+            catalog_age=round(self._catalog.age(now), 3),
+            jobs=len(self.jobs),
+        )
+        for start in plan.starts:
+            self._begin(start, now)
+        for run in plan.stops:
+            self._stop(run)
+
+    def _begin(self, start: Start, now: float) -> None:
+        job = start.job
+        runs = job.assign(start.places, now)
+        for run, (key, worker, _) in zip(runs, start.places, strict=True):
+            self._fleet.reserve(worker, run, self._placed(job, key))
+        tracked = self.jobs[job.job_id]
+        epoch = self._epoch
+        places = [(run, worker) for run, (_, worker, _) in zip(runs, start.places, strict=True)]
+        self._mark(tracked, lambda: self._send_starts(epoch, job, places))
+
+    def _send_starts(self, epoch: Epoch, job: BatchJob, places: list) -> None:
+        if not self._is_current(epoch):
+            return
+        for run, worker in places:
+            task = job.task(run.task)
+            if job.state.is_final or task.stopping:
+                self._fleet.cancel_reservation(worker, run)
+                self.run_released(run)
+            else:
+                self.run_task(self._start(job, run, worker))
+
+    async def _start(self, job: BatchJob, run: RunId, worker) -> None:
+        task = job.task(run.task)
+        payload = job.submission.spec.payload
+        runs = await self._fleet.order_start(worker, run, payload, task.checkpoint)
+        if not runs and job.step_of(run.task).gang:
+            self._stop_gang(job, run)
+        elif runs and (task.stopping or job.state.is_final):
+            self._fleet.order_stop(worker, run)
+
+    def _stop_gang(self, job: BatchJob, run: RunId) -> None:
+        """Stop the other members of a gang that cannot start as a whole."""
+        for member in job.group(run.task.occurrence, run.task.step):
+            if member.assignment is not None and member.assignment.number == run.number:
+                self._stop(RunId(run.job, member.key, run.number))
+
+    def _stop_all(self, job: BatchJob) -> None:
+        for task in job.active_tasks():
+            self._stop(RunId(job.job_id, task.key, task.assignment.number))
+
+    def _stop(self, run: RunId) -> None:
+        tracked = self.jobs.get(run.job)
+        task = tracked.job.task(run.task) if tracked is not None else None
+        if task is None or task.assignment is None or task.stopping:
+            return
+        task.stopping = True
+        self._fleet.order_stop(task.assignment.worker, run)
+
+    # What happens to runs.
+
+    def _task_of(self, run: RunId):
+        tracked = self.jobs.get(run.job)
+        return None if tracked is None else tracked.job.task(run.task)
+
+    def knows_run(self, run: RunId) -> bool:
+        """Return whether a run is the current one of its task."""
+        task = self._task_of(run)
+        return (
+            task is not None
+            and task.assignment is not None
+            and task.assignment.number == run.number
+        )
+
+    def run_confirmed(self, run: RunId) -> None:
+        """Note that a run was seen on its worker."""
+        tracked = self.jobs.get(run.job)
+        if tracked is not None:
+            tracked.job.confirm_running(run.task, run.number)
+
+    def run_progressed(self, run: RunId, checkpoint: Checkpoint, share: float) -> None:
+        """Note what a worker reports of a run."""
+        tracked = self.jobs.get(run.job)
+        if tracked is not None:
+            tracked.job.note_progress(run, checkpoint, share)
+
+    def run_ended(self, run: RunId, kind: EndKind, checkpoint: Checkpoint) -> bool:
+        """Apply an end; return whether it has to be written before it is acknowledged."""
+        tracked = self.jobs.get(run.job)
+        if tracked is None or not tracked.job.end(run, kind, checkpoint):
+            return False
+        if tracked.job.state is JobState.FAILED:
+            self._stop_all(tracked.job)
+        self._mark(tracked, lambda: self._fleet.acknowledge(run))
+        return True
+
+    def run_released(self, run: RunId) -> None:
+        """Note that a run does not exist and never will."""
+        tracked = self.jobs.get(run.job)
+        if tracked is None or not tracked.job.release(run.task, run.number):
+            return
+        if tracked.job.step_of(run.task).gang:
+            self._stop_gang(tracked.job, run)
+        self._mark(tracked)
+        self._request_round()
+
+    # The record.
+
+    def _mark(self, tracked: TrackedJob, once_written=None) -> None:
+        """Have a job's progress written, and act once it is."""
+        tracked.dirty = True
+        if once_written is not None:
+            tracked.once_written.append(once_written)
+        if not self._committing and self._epoch is not None:
+            self._committing = True
+            epoch = self._epoch
+            self.clock.call_later(0.0, lambda: self._begin_commits(epoch))
+
+    def _begin_commits(self, epoch: Epoch) -> None:
+        self.run_task(self._commit_all(epoch)).add_done_callback(lambda _: self._commits_ended())
+
+    def _commits_ended(self) -> None:
+        self._committing = False
+        if self._epoch is not None and any(job.dirty for job in self.jobs.values()):
+            tracked = next(job for job in self.jobs.values() if job.dirty)
+            self._mark(tracked)
+
+    async def _commit_all(self, epoch: Epoch) -> None:
+        while self._is_current(epoch):
+            batch = [job for job in self.jobs.values() if job.dirty][:JOBS_PER_COMMIT]
+            if not batch:
+                return
+            if not await self._commit(epoch, batch):
+                await sleep(self.clock, COMMIT_RETRY_SECONDS)
+
+    async def _commit(self, epoch: Epoch, batch: list[TrackedJob]) -> bool:
+        """Write the progress of some jobs; return whether it is written."""
+        conditions: dict[str, Version] = {self._leader.key: Version(epoch)}
+        puts, removes, actions = [], [], []
+        for tracked in batch:
+            key = batch_key(tracked.job.job_id, BatchPart.PROGRESS)
+            value = encode_progress(tracked.job)
+            conditions[key] = tracked.version
+            puts.append(Put(key, value))
+            tracked.attempted.append(value)
+            tracked.dirty = False
+            if tracked.is_waiting and tracked.job.state is not JobState.QUEUED:
+                removes.append(waiting_key(tracked.job.submission.queue, tracked.job.job_id))
+            actions.append((tracked, tracked.job.state, tracked.once_written))
+            tracked.once_written = []
+        outcome = await self._store.transact(conditions, puts, removes)
+        if not self._is_current(epoch):
+            return True
+        if isinstance(outcome, Stored):
+            for tracked, state, once_written in actions:
+                self._note_written(tracked, state, outcome.version)
+                for action in once_written:
+                    action()
+            return True
+        for tracked, _, once_written in actions:
+            tracked.dirty = True
+            tracked.once_written = once_written + tracked.once_written
+        if isinstance(outcome, Mismatch):
+            self._resolve(batch, outcome)
+        log_event(
+            LogEvent.BATCH_COMMIT_DELAYED,
+            jobs=len(batch),
+            outcome=type(outcome).__name__,
+            reason=getattr(outcome, "reason", ""),
+        )
+        return False
+
+    def _note_written(self, tracked: TrackedJob, state: JobState, version: Version) -> None:
+        tracked.version, tracked.attempted = version, []
+        if state is not JobState.QUEUED:
+            tracked.is_waiting = False
+        if state is not tracked.shown:
+            tracked.shown = state
+            log_event(
+                LogEvent.BATCH_JOB_STATE,
+                job=tracked.job.job_id,
+                state=state.value,
+                queue=tracked.job.submission.queue,
+                seconds=round(self.clock.now() - tracked.job.submission.submitted_at, 3),
+            )
+        if state.is_final and tracked.final_since is None:
+            tracked.final_since = self.clock.now()
+
+    def _resolve(self, batch: list[TrackedJob], outcome: Mismatch) -> None:
+        """Find out which earlier attempts took effect although no reply came."""
+        leader = outcome.current.get(self._leader.key)
+        if leader is None or leader.version != self._epoch:
+            return  # The leader controller finds out and ends or renews this leadership.
+        for tracked in batch:
+            entry = outcome.current.get(batch_key(tracked.job.job_id, BatchPart.PROGRESS))
+            if entry is None or entry.version == tracked.version:
+                continue
+            if entry.value not in tracked.attempted:
+                self._leader.step_down(f"another process wrote progress of {tracked.job.job_id}")
+                return
+            tracked.version, tracked.attempted = Version(entry.version), [entry.value]
+
+    def _remove_old(self, now: float) -> None:
+        """Delete final jobs whose state callers need no longer."""
+        if not self._may_plan(now):
+            return
+        old = [
+            tracked
+            for tracked in self.jobs.values()
+            if tracked.final_since is not None
+            and now - tracked.final_since > KEEP_FINAL_SECONDS
+            and not tracked.job.active_tasks()
+            and not tracked.dirty
+        ][:JOBS_PER_COMMIT]
+        for tracked in old:
+            tracked.final_since = now  # tried again after another period if the call fails
+        if old:
+            self.run_task(self._remove(self._epoch, old))
+
+    async def _remove(self, epoch: Epoch, old: list[TrackedJob]) -> None:
+        conditions: dict[str, Version] = {self._leader.key: Version(epoch)}
+        removes = [
+            batch_key(tracked.job.job_id, part)
+            for tracked in old
+            for part in (BatchPart.PROGRESS, BatchPart.CANCEL, BatchPart.SPEC)
+        ][: JOBS_PER_COMMIT * 3]
+        outcome = await self._store.transact(conditions, (), removes)
+        if isinstance(outcome, Stored) and self._is_current(epoch):
+            for tracked in old:
+                self.jobs.pop(tracked.job.job_id, None)
--- /dev/null
+++ b/chivefall/controllers/batch/_session.py
@@ -0,0 +1,89 @@
+"""What the leader knows of one life of a worker beyond its room."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from chivefall.batch import EndSequence, RunId, Worker
+from chivefall.workers import RunEnd
+
+__all__ = ["Session"]
+
+NO_END = EndSequence(0)
+SLOWEST_CLOCK = 0.98  # the platform lets a worker's clock run 2 % slow
+
+
+@dataclass
+class Session:
+    """Lease, clock and reports of one life of a worker.
+
+    Attributes
+    ----------
+    worker : Worker
+        Entry and room.
+    present_since : dict
+        Time from which a report has to list a run, by run that holds room; absent
+        while the start is not answered.
+    acknowledged : EndSequence
+        Highest end that is written to the store without a gap.
+    open_ends : dict
+        Ends listed but not written yet.
+    deadline : float
+        Highest lease end that was ever sent, on the worker's clock.
+    """
+
+    worker: Worker
+    present_since: dict[RunId, float] = field(default_factory=dict)
+    acknowledged: EndSequence = NO_END
+    told: EndSequence = NO_END
+    open_ends: dict[EndSequence, RunEnd] = field(default_factory=dict)
+    deadline: float = 0.0
+    polling: bool = False
+    closed: bool = False
+    failures: int = 0
+    _clock_at: tuple[float, float] | None = None
+
+    def note_clock(self, clock: float, now: float) -> None:
+        """Record the worker's clock in a reply that arrived now."""
+        self._clock_at = (clock, now)
+
+    @property
+    def knows_clock(self) -> bool:
+        """Return whether the worker's clock was read."""
+        return self._clock_at is not None
+
+    def worker_clock(self, now: float) -> float:
+        """Return the worker's clock, at most 2 % of the last interval too high."""
+        if self._clock_at is None:
+            return 0.0
+        clock, read_at = self._clock_at
+        return clock + now - read_at
+
+    def lapse_at(self) -> float | None:
+        """Return the time by which every lease that was sent has ended, or None if unknown.
+
+        Late orders do not extend it, since a lease ends at a time on the worker's
+        clock and not after a period.
+        """
+        if self._clock_at is None:
+            return None
+        clock, read_at = self._clock_at
+        return read_at + max(0.0, self.deadline - clock) / SLOWEST_CLOCK
+
+    def acknowledge(self, sequence: EndSequence) -> None:
+        """Record that an end is written to the store."""
+        self.open_ends.pop(sequence, None)
+        below = min(self.open_ends, default=None)
+        self.acknowledged = EndSequence(
+            max(self.acknowledged, sequence if below is None else min(sequence, below - 1))
+        )
+
+    @property
+    def has_work(self) -> bool:
+        """Return whether the worker has to be asked again soon."""
+        return bool(
+            not self.worker.synced
+            or self.worker.placed
+            or self.open_ends
+            or self.told < self.acknowledged
+        )
--- /dev/null
+++ b/chivefall/controllers/batch/_submissions.py
@@ -0,0 +1,156 @@
+"""Acceptance, state and cancellation of batch jobs, straight from the store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from chivefall.batch import (
+    BatchOperation,
+    BatchOutcome,
+    BatchRequest,
+    CatalogOutdated,
+    JobMissing,
+    JobState,
+    JobStatus,
+    PendingJobs,
+    Submission,
+    encode_submission,
+    recorded_state,
+)
+from chivefall.controllers._base import Controller
+from chivefall.model import Accepted, JobId, NotRun, NotRunReason, Unknown
+from chivefall.runtime import sleep
+from chivefall.store import (
+    ABSENT,
+    BatchPart,
+    Listed,
+    Mismatch,
+    Put,
+    Stored,
+    batch_key,
+    batch_prefix,
+    waiting_key,
+    waiting_prefix,
+)
+
+if TYPE_CHECKING:
+    from chivefall.controllers.batch._catalog import CatalogController
+    from chivefall.runtime import Clock
+    from chivefall.store import Entry, TransactionalStore, TransactOutcome, Version
+
+__all__ = ["SubmissionController"]
+
+RETRY_SECONDS = 0.1  # between attempts of one request at the store
+RETRY_AFTER_SECONDS = 1.0  # told to callers; the store's short outages end sooner or much later
+
+
+class SubmissionController(Controller):
+    """Serves requests about batch jobs in every process; keeps no state of its own."""
+
+    def __init__(self, clock: Clock, store: TransactionalStore, catalog: CatalogController) -> None:
+        super().__init__(clock)
+        self._store = store
+        self._catalog = catalog
+
+    def start(self) -> None:
+        """Nothing to begin."""
+
+    async def serve(self, req: BatchRequest) -> BatchOutcome:
+        """Return the outcome of a request whose queue and account are known."""
+        if req.operation is BatchOperation.SUBMIT:
+            return await self._submit(req)
+        if req.operation is BatchOperation.STATUS:
+            return await self._status(req.job_id)
+        if req.operation is BatchOperation.CANCEL:
+            return await self._cancel(req)
+        return await self._pending(req)
+
+    async def _submit(self, req: BatchRequest) -> BatchOutcome:
+        submission = Submission(req.job_id, req.queue.name, req.account, req.received_at, req.spec)
+        key = batch_key(req.job_id, BatchPart.SPEC)
+        puts = [
+            Put(key, encode_submission(submission)),
+            Put(waiting_key(req.queue.name, req.job_id), b""),
+        ]
+        return await self._write(req, {key: ABSENT}, puts, Accepted(req.job_id))
+
+    async def _cancel(self, req: BatchRequest) -> BatchOutcome:
+        entries = await self._read_job(req.job_id)
+        if not isinstance(entries, dict):
+            return entries
+        if BatchPart.SPEC not in entries:
+            return JobMissing()
+        state = _state_of(entries)
+        if state.is_final:
+            return JobStatus(state)
+        key = batch_key(req.job_id, BatchPart.CANCEL)
+        done = JobStatus(JobState.CANCELLED)
+        return await self._write(req, {key: ABSENT}, [Put(key, b"")], done)
+
+    async def _write(
+        self, req: BatchRequest, absent: dict[str, Version], puts: list[Put], done: BatchOutcome
+    ) -> BatchOutcome:
+        """Create keys under the desired state that the request was checked against."""
+        conditions = {**absent, self._catalog.key: self._catalog.version}
+        key = next(iter(absent))
+        uncertain = False
+        while True:
+            outcome = await self._store.transact(conditions, puts)
+            if isinstance(outcome, Stored):
+                return done
+            if isinstance(outcome, Mismatch):
+                if outcome.current.get(key) is not None:
+                    return done  # An earlier attempt or an earlier request created it.
+                self._adopt(outcome)
+                # A late write would not meet its condition either, so nothing is uncertain now.
+                return CatalogOutdated()
+            uncertain = uncertain or getattr(outcome, "applied_unknown", False)
+            if not uncertain:
+                return NotRun(
+                    NotRunReason.STORE_UNAVAILABLE,
+                    "the store does not take writes; repeat the request later",
+                    RETRY_AFTER_SECONDS,
+                )
+            if self.clock.now() + RETRY_SECONDS >= req.deadline:
+                return Unknown("the store did not confirm the request; repeat it with the same id")
+            await sleep(self.clock, RETRY_SECONDS)
+
+    def _adopt(self, outcome: TransactOutcome) -> None:
+        entry = outcome.current.get(self._catalog.key)
+        if entry is not None:
+            self._catalog.adopt(entry)
+
+    async def _status(self, job_id: JobId) -> BatchOutcome:
+        entries = await self._read_job(job_id)
+        if not isinstance(entries, dict):
+            return entries
+        return JobStatus(_state_of(entries)) if BatchPart.SPEC in entries else JobMissing()
+
+    async def _read_job(self, job_id: JobId) -> dict[BatchPart, Entry] | BatchOutcome:
+        prefix = batch_prefix(job_id)
+        listed = await self._store.list(prefix)
+        if not isinstance(listed, Listed):
+            return _unavailable()
+        known = {part.value: part for part in BatchPart}
+        names = ((entry.key.removeprefix(prefix), entry) for entry in listed.entries)
+        return {known[name]: entry for name, entry in names if name in known}
+
+    async def _pending(self, req: BatchRequest) -> BatchOutcome:
+        listed = await self._store.list(waiting_prefix(req.queue.name))
+        return PendingJobs(len(listed.entries)) if isinstance(listed, Listed) else _unavailable()
+
+
+def _unavailable() -> NotRun:
+    return NotRun(
+        NotRunReason.STORE_UNAVAILABLE,
+        "the store does not answer; repeat the request later",
+        RETRY_AFTER_SECONDS,
+    )
+
+
+def _state_of(entries: dict[BatchPart, Entry]) -> JobState:
+    progress = entries.get(BatchPart.PROGRESS)
+    state = JobState.QUEUED if progress is None else recorded_state(progress.value)
+    if BatchPart.CANCEL in entries and not state.is_final:
+        return JobState.CANCELLED
+    return state
--- a/chivefall/filters/_account.py
+++ b/chivefall/filters/_account.py
@@ -15,7 +15,7 @@
 __all__ = ["AccountFilter"]
 
 
-class AccountFilter(Filter):
+class AccountFilter(Filter[RequestContext, Outcome]):
     """Checks the client account against the document in force."""
 
     def __init__(self, document: Callable[[], Document]) -> None:
--- a/chivefall/filters/_admission.py
+++ b/chivefall/filters/_admission.py
@@ -16,7 +16,7 @@
 RETRY_AFTER = 1.0  # seconds after which a place among the requests in progress may be free
 
 
-class AdmissionFilter(Filter):
+class AdmissionFilter(Filter[RequestContext, Outcome]):
     """Admits requests within the account's rate and its share of the instance."""
 
     def __init__(
--- a/chivefall/filters/_base.py
+++ b/chivefall/filters/_base.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from enum import Enum
-from typing import Any
+from typing import Any, Generic, TypeVar
 
 from chivefall.model import AccountId, IdempotencyKey, JobSpec, Outcome, ServiceId, Urgency
 
@@ -65,18 +65,20 @@
 
 
 Proceed = Callable[[RequestContext], Awaitable[Outcome]]
+Ctx = TypeVar("Ctx")
+Out = TypeVar("Out")
 
 
-class Filter(ABC):
+class Filter(ABC, Generic[Ctx, Out]):
     """Answers a request, or passes it on and may act on the outcome."""
 
     @abstractmethod
-    async def handle(self, ctx: RequestContext, proceed: Proceed, now: float) -> Outcome:
+    async def handle(self, ctx: Ctx, proceed: Callable[[Ctx], Awaitable[Out]], now: float) -> Out:
         """Return the request's outcome.
 
         Parameters
         ----------
-        ctx : RequestContext
+        ctx : RequestContext or BatchRequest
             The request.
         proceed : callable
             Runs the rest of the chain.
@@ -85,19 +87,19 @@
         """
 
 
-class FilterChain:
+class FilterChain(Generic[Ctx, Out]):
     """Filters in the order in which a request passes them."""
 
-    def __init__(self, filters: Sequence[Filter], now: Callable[[], float]) -> None:
+    def __init__(self, filters: Sequence[Filter[Ctx, Out]], now: Callable[[], float]) -> None:
         self._filters = tuple(filters)
         self._now = now
 
-    async def run(self, ctx: RequestContext) -> Outcome:
+    async def run(self, ctx: Ctx) -> Out:
         """Return the outcome of a request."""
         return await self._run_from(0, ctx)
 
-    async def _run_from(self, index: int, ctx: RequestContext) -> Outcome:
-        async def proceed(following: RequestContext) -> Outcome:
+    async def _run_from(self, index: int, ctx: Ctx) -> Out:
+        async def proceed(following: Ctx) -> Out:
             return await self._run_from(index + 1, following)
 
         return await self._filters[index].handle(ctx, proceed, self._now())
--- a/chivefall/filters/_deadline.py
+++ b/chivefall/filters/_deadline.py
@@ -19,7 +19,7 @@
 GRACE = 0.5  # seconds
 
 
-class DeadlineFilter(Filter):
+class DeadlineFilter(Filter[RequestContext, Outcome]):
     """Refuses late requests and ends those whose outcome does not arrive in time."""
 
     def __init__(self, clock: Clock) -> None:
--- a/chivefall/filters/_dispatch.py
+++ b/chivefall/filters/_dispatch.py
@@ -16,7 +16,7 @@
 __all__ = ["DispatchFilter"]
 
 
-class DispatchFilter(Filter):
+class DispatchFilter(Filter[RequestContext, Outcome]):
     """Sends jobs to a leader and service requests to an endpoint."""
 
     def __init__(self, jobs: JobRouter, endpoints: EndpointController) -> None:
--- a/chivefall/filters/_feasibility.py
+++ b/chivefall/filters/_feasibility.py
@@ -18,7 +18,7 @@
 MAX_COMMAND_LENGTH = 256
 
 
-class FeasibilityFilter(Filter):
+class FeasibilityFilter(Filter[RequestContext, Outcome]):
     """Checks a job's values, its account's quota and the shapes of the region.
 
     Parameters
--- a/chivefall/filters/_idempotency.py
+++ b/chivefall/filters/_idempotency.py
@@ -24,7 +24,7 @@
 RETRY_AFTER = 5.0  # seconds after which the store may record a claim again
 
 
-class IdempotencyFilter(Filter):
+class IdempotencyFilter(Filter[RequestContext, Outcome]):
     """Claims the idempotency key before dispatch and records the outcome.
 
     Parameters
--- a/chivefall/filters/_shutdown.py
+++ b/chivefall/filters/_shutdown.py
@@ -15,7 +15,7 @@
 RETRY_AFTER = 1.0  # seconds; other instances answer at once
 
 
-class ShutdownFilter(Filter):
+class ShutdownFilter(Filter[RequestContext, Outcome]):
     """Passes nothing on after the drain began."""
 
     def __init__(self, is_draining: Callable[[], bool]) -> None:
--- /dev/null
+++ b/chivefall/filters/batch/_catalog.py
@@ -0,0 +1,51 @@
+"""Decides requests only on a desired state that is known to be in force."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from chivefall.batch import BatchOutcome, BatchRequest, CatalogOutdated
+from chivefall.filters._base import Filter
+from chivefall.model import NotRun, NotRunReason
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from chivefall.controllers.batch import CatalogController
+
+__all__ = ["CatalogFilter"]
+
+MAX_PASSES = 4  # versions may follow each other every few hundred milliseconds
+RETRY_AFTER_SECONDS = 1.0  # callers reach another instance with the repeat
+
+
+class CatalogFilter(Filter[BatchRequest, BatchOutcome]):
+    """Reads the desired state again if it is old, and repeats the chain if it changed."""
+
+    def __init__(self, catalog: CatalogController) -> None:
+        self._catalog = catalog
+
+    async def handle(
+        self,
+        ctx: BatchRequest,
+        proceed: Callable[[BatchRequest], Awaitable[BatchOutcome]],
+        now: float,
+    ) -> BatchOutcome:
+        """Pass the request on, again after each change that it met on its way."""
+        if not self._catalog.is_fresh(now):
+            await self._catalog.refresh()
+            if not self._catalog.is_fresh(self._catalog.clock.now()):
+                return _not_ready("the desired state cannot be confirmed")
+        for _ in range(MAX_PASSES):
+            outcome = await proceed(ctx)
+            if not isinstance(outcome, CatalogOutdated):
+                return outcome
+        return _not_ready("the desired state changes too fast")
+
+
+def _not_ready(problem: str) -> NotRun:
+    return NotRun(
+        NotRunReason.STORE_UNAVAILABLE,
+        f"{problem}; repeat the request at another instance",
+        RETRY_AFTER_SECONDS,
+    )
--- /dev/null
+++ b/chivefall/filters/batch/_dispatch.py
@@ -0,0 +1,32 @@
+"""The end of the chain: hands requests to the controller of submissions."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from chivefall.batch import BatchOutcome, BatchRequest
+from chivefall.filters._base import Filter
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from chivefall.controllers.batch import SubmissionController
+
+__all__ = ["BatchDispatchFilter"]
+
+
+class BatchDispatchFilter(Filter[BatchRequest, BatchOutcome]):
+    """Serves every request that reaches it."""
+
+    def __init__(self, submissions: SubmissionController) -> None:
+        self._submissions = submissions
+
+    async def handle(
+        self,
+        ctx: BatchRequest,
+        proceed: Callable[[BatchRequest], Awaitable[BatchOutcome]],
+        now: float,
+    ) -> BatchOutcome:
+        """Return the controller's outcome."""
+        del proceed, now
+        return await self._submissions.serve(ctx)
--- /dev/null
+++ b/chivefall/filters/batch/_key.py
@@ -0,0 +1,41 @@
+"""Refuses calls whose key belongs to no client account."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from chivefall.batch import BatchOutcome, BatchRequest
+from chivefall.filters._base import Filter
+from chivefall.model import AccountId, NotRun, NotRunReason
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from chivefall.controllers.batch import CatalogController
+
+__all__ = ["KeyFilter"]
+
+NO_ACCOUNT = AccountId("")
+
+
+class KeyFilter(Filter[BatchRequest, BatchOutcome]):
+    """Finds the client account of the key; public queues need none."""
+
+    def __init__(self, catalog: CatalogController) -> None:
+        self._catalog = catalog
+
+    async def handle(
+        self,
+        ctx: BatchRequest,
+        proceed: Callable[[BatchRequest], Awaitable[BatchOutcome]],
+        now: float,
+    ) -> BatchOutcome:
+        """Pass requests with a key of the catalog on."""
+        del now
+        account = None if ctx.key is None else self._catalog.catalog.find_account(ctx.key)
+        if account is None and not ctx.queue.public:
+            return NotRun(
+                NotRunReason.UNKNOWN_KEY, "the key belongs to no client account; send a valid one"
+            )
+        return await proceed(replace(ctx, account=account or NO_ACCOUNT))
--- /dev/null
+++ b/chivefall/filters/batch/_steps.py
@@ -0,0 +1,56 @@
+"""Refuses jobs that could never run as they are described."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from chivefall.batch import BatchOperation, BatchOutcome, BatchRequest, StepSpec
+from chivefall.filters._base import Filter
+from chivefall.model import NotRun, NotRunReason
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+__all__ = ["StepsFilter"]
+
+MAX_TASKS = 10_000  # of one job; bounds the leader's memory and the size of a record
+
+
+class StepsFilter(Filter[BatchRequest, BatchOutcome]):
+    """Checks the steps of submitted jobs."""
+
+    async def handle(
+        self,
+        ctx: BatchRequest,
+        proceed: Callable[[BatchRequest], Awaitable[BatchOutcome]],
+        now: float,
+    ) -> BatchOutcome:
+        """Pass jobs on whose steps can run."""
+        del now
+        if ctx.operation is BatchOperation.SUBMIT:
+            problem = _find_problem(ctx)
+            if problem:
+                return NotRun(NotRunReason.BAD_REQUEST, problem)
+        return await proceed(ctx)
+
+
+def _find_problem(ctx: BatchRequest) -> str:
+    spec = ctx.spec
+    if spec is None or not spec.steps:
+        return "the job has no steps; send at least one"
+    for number, step in enumerate(spec.steps):
+        problem = _find_step_problem(number, step)
+        if problem:
+            return f"step {number} {problem}"
+    tasks = sum(step.count for step in spec.steps) * spec.occurrences
+    if tasks > MAX_TASKS:
+        return f"the job has {tasks} tasks; send at most {MAX_TASKS}"
+    return ""
+
+
+def _find_step_problem(number: int, step: StepSpec) -> str:
+    if step.count < 1:
+        return "has no tasks; send a count of at least 1"
+    if any(not 0 <= earlier < number for earlier in step.after):
+        return "comes after a step that is not an earlier one; correct the list"
+    return ""
--- a/chivefall/model/_states.py
+++ b/chivefall/model/_states.py
@@ -77,6 +77,8 @@
     SHUTTING_DOWN = "shutting_down"
     UNKNOWN_ACCOUNT = "unknown_account"
     UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_QUEUE = "unknown_queue"
+    UNKNOWN_KEY = "unknown_key"
     BAD_REQUEST = "bad_request"
     INFEASIBLE = "infeasible"
     RATE_LIMITED = "rate_limited"
--- a/chivefall/net/_http_server.py
+++ b/chivefall/net/_http_server.py
@@ -87,8 +87,9 @@
         serve: Callable[[HttpRequest], Future[HttpReply]],
         clock: Clock,
         max_connections: int = MAX_CONNECTIONS,
+        channel: str = "web",
     ) -> None:
-        super().__init__()
+        super().__init__(channel=channel)
         self._address = address
         self._serve = serve
         self._clock = clock
--- /dev/null
+++ b/chivefall/platform/__init__.py
@@ -0,0 +1,10 @@
+"""Names, formats and calls of the users' platform; nothing here decides."""
+
+from __future__ import annotations
+
+from chivefall.platform._codec import UsersPlatformCodec
+from chivefall.platform._http_api import BatchHttpApi
+from chivefall.platform._run_client import HttpRunClient
+from chivefall.platform._store import PlatformStore
+
+__all__ = ["BatchHttpApi", "HttpRunClient", "PlatformStore", "UsersPlatformCodec"]
--- /dev/null
+++ b/chivefall/platform/_codec.py
@@ -0,0 +1,122 @@
+"""What operators and workers write to the platform's store."""
+
+from __future__ import annotations
+
+import msgspec
+
+from chivefall.batch import (
+    ApiKey,
+    Catalog,
+    ClientAccount,
+    Incarnation,
+    LabelId,
+    PlatformCodec,
+    Queue,
+    QueueId,
+    Resources,
+    Service,
+    WorkerEntry,
+    WorkerStatus,
+)
+from chivefall.errors import MessageError
+from chivefall.model import AccountId, DomainId, RackId, ServiceId, WorkerId
+from chivefall.platform._wire import Capacity, CatalogBody, WorkerBody
+
+__all__ = ["UsersPlatformCodec"]
+
+EVACUATION_PREFIX = "op/evacuate/"
+
+
+class UsersPlatformCodec(PlatformCodec):
+    """Decodes the operators' keys and the workers' entries."""
+
+    catalog_key = "op/config"
+    operator_prefix = "op/"
+    worker_prefix = "servers/"
+
+    def decode_catalog(self, value: bytes) -> Catalog:
+        """Return the desired state.
+
+        Raises
+        ------
+        MessageError
+            If it cannot be read.
+        """
+        try:
+            body = msgspec.json.decode(value, type=CatalogBody)
+        except msgspec.MsgspecError as exc:
+            raise MessageError(
+                f"the desired state cannot be read: {exc}", "ask the operators to correct it"
+            ) from exc
+        return Catalog(
+            body.version,
+            tuple(_queue(route) for route in body.routes),
+            tuple(
+                Service(ServiceId(item.name), item.health_path, item.rejects_overload, item.standby)
+                for item in body.services
+            ),
+            tuple(
+                ClientAccount(
+                    AccountId(item.name),
+                    frozenset(ApiKey(key) for key in item.api_keys),
+                    item.guaranteed.gpu if item.guaranteed else 0,
+                )
+                for item in body.tenants
+            ),
+        )
+
+    def domain_out(self, key: str) -> DomainId | None:
+        """Return the failure domain that a key takes out of service, or None."""
+        if not key.startswith(EVACUATION_PREFIX):
+            return None
+        return DomainId(key.removeprefix(EVACUATION_PREFIX))
+
+    def worker_id(self, key: str) -> WorkerId:
+        """Return the worker that a key belongs to."""
+        return WorkerId(key.removeprefix(self.worker_prefix))
+
+    def decode_worker(self, key: str, value: bytes) -> WorkerEntry | None:
+        """Return a worker's entry, or None if it names no worker to use.
+
+        Other programs write below the same prefix, so an entry may hold anything.
+        """
+        try:
+            body = msgspec.json.decode(value, type=WorkerBody)
+            status = WorkerStatus(body.state)
+        except (msgspec.MsgspecError, ValueError, UnicodeDecodeError):
+            return None
+        host, _, port = body.addr.rpartition(":")
+        if not host or not port.isdigit():
+            return None
+        return WorkerEntry(
+            self.worker_id(key),
+            ServiceId(body.service),
+            body.addr,
+            DomainId(body.zone),
+            Incarnation(body.born),
+            status,
+            decode_room(body.capacity),
+            RackId(body.labels[-1] if body.labels else ""),
+            frozenset(LabelId(label) for label in body.labels),
+            body.remaining_ms / 1000,
+        )
+
+
+def decode_room(room: Capacity) -> Resources:
+    """Return room or need in the project's units."""
+    return Resources(room.cpu, room.mem_mb, room.gpu)
+
+
+def _queue(route) -> Queue:
+    return Queue(
+        QueueId(route.name),
+        route.host,
+        route.prefix,
+        ServiceId(route.service),
+        route.priority,
+        route.max_attempts,
+        route.stretch,
+        route.target_latency_ms / 1000,
+        route.public,
+        bool(route.advice),
+    )
--- /dev/null
+++ b/chivefall/platform/_http_api.py
@@ -0,0 +1,163 @@
+"""Callers' requests about batch jobs in the platform's form."""
+
+from __future__ import annotations
+
+import math
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from chivefall.batch import (
+    ApiKey,
+    BatchOperation,
+    BatchOutcome,
+    BatchRequest,
+    BatchSpec,
+    JobMissing,
+    JobStatus,
+    LabelId,
+    PendingJobs,
+    Resources,
+    StepSpec,
+)
+from chivefall.model import Accepted, NotRun, NotRunReason, RackId
+from chivefall.net import HttpReply, HttpRequest
+from chivefall.platform._wire import JobBody, StepBody
+from chivefall.runtime import Clock, Future, spawn
+from chivefall.telemetry import LogEvent, log_event
+
+if TYPE_CHECKING:
+    from chivefall.filters import FilterChain
+    from chivefall.telemetry import Metrics
+
+__all__ = ["BatchHttpApi"]
+
+DEFAULT_DEADLINE_SECONDS = 3.0  # for a call that does not say how long its caller waits
+AUTHORIZATION_SCHEME = "Token "
+
+_OPERATIONS = {
+    "POST": BatchOperation.SUBMIT,
+    "GET": BatchOperation.STATUS,
+    "DELETE": BatchOperation.CANCEL,
+}
+_REFUSALS = {
+    NotRunReason.UNKNOWN_QUEUE: HTTPStatus.NOT_FOUND,
+    NotRunReason.UNKNOWN_KEY: HTTPStatus.UNAUTHORIZED,
+    NotRunReason.BAD_REQUEST: HTTPStatus.BAD_REQUEST,
+}
+
+
+class BatchHttpApi:
+    """Turns HTTP requests into batch requests and outcomes into replies."""
+
+    def __init__(self, clock: Clock, chain: FilterChain, metrics: Metrics) -> None:
+        self._clock = clock
+        self._chain = chain
+        self._metrics = metrics
+
+    def serve(self, req: HttpRequest) -> Future[HttpReply]:
+        """Return a future of the reply to a request."""
+        return spawn(self._serve(req), on_error=_log_error)
+
+    async def _serve(self, req: HttpRequest) -> HttpReply:
+        operation = _OPERATIONS.get(req.method)
+        if operation is None:
+            return _reply(HTTPStatus.METHOD_NOT_ALLOWED, {"error": "send GET, POST or DELETE"})
+        now = self._clock.now()
+        try:
+            ctx = _decode_request(req, operation, now)
+        except msgspec.MsgspecError as exc:
+            return _reply(HTTPStatus.BAD_REQUEST, {"error": f"the job cannot be read: {exc}"})
+        outcome = await self._chain.run(ctx)
+        reply = _encode(outcome)
+        self._note(ctx, outcome, reply)
+        return reply
+
+    def _note(self, ctx: BatchRequest, outcome: BatchOutcome, reply: HttpReply) -> None:
+        seconds = self._clock.now() - ctx.received_at
+        labels = {"operation": ctx.operation.value, "status": str(int(reply.status))}
+        self._metrics.batch_requests.inc(labels)
+        self._metrics.batch_seconds.observe({"operation": ctx.operation.value}, seconds)
+        log_event(
+            LogEvent.BATCH_ANSWERED,
+            operation=ctx.operation.value,
+            path=ctx.path,
+            status=int(reply.status),
+            outcome=type(outcome).__name__,
+            detail=getattr(outcome, "detail", ""),
+            state=outcome.state.value if isinstance(outcome, JobStatus) else "",
+            seconds=round(seconds, 4),
+        )
+
+
+def _decode_request(req: HttpRequest, operation: BatchOperation, now: float) -> BatchRequest:
+    deadline = req.headers.get("x-deadline-ms", "")
+    seconds = int(deadline) / 1000 if deadline.isdigit() else DEFAULT_DEADLINE_SECONDS
+    authorization = req.headers.get("authorization", "")
+    key = authorization.removeprefix(AUTHORIZATION_SCHEME)
+    spec = None
+    if operation is BatchOperation.SUBMIT:
+        spec = _spec(msgspec.json.decode(req.body, type=JobBody))
+    return BatchRequest(
+        operation,
+        req.headers.get("host", "").partition(":")[0],
+        req.path,
+        now,
+        now + seconds,
+        ApiKey(key) if key != authorization else None,
+        spec,
+    )
+
+
+def _spec(body: JobBody) -> BatchSpec:
+    return BatchSpec(
+        body.task_spec,
+        tuple(_step(step) for step in body.steps),
+        body.repeat_count,
+        body.first_run_ms / 1000,
+        body.interval_ms / 1000,
+    )
+
+
+def _step(body: StepBody) -> StepSpec:
+    return StepSpec(
+        body.count,
+        Resources(body.cpu, body.mem_mb, body.gpu),
+        body.est_runtime_ms / 1000,
+        tuple(body.after),
+        body.gang,
+        body.same_rack,
+        LabelId(body.constraints) if body.constraints else None,
+        RackId(body.affinity) if body.affinity else None,
+        body.anti_affinity,
+        body.checkpointing,
+        body.long_running,
+    )
+
+
+def _encode(outcome: BatchOutcome) -> HttpReply:
+    if isinstance(outcome, Accepted):
+        return _reply(HTTPStatus.OK, {})
+    if isinstance(outcome, JobStatus):
+        return _reply(HTTPStatus.OK, {"state": outcome.state.value})
+    if isinstance(outcome, PendingJobs):
+        return _reply(HTTPStatus.OK, {"pending": outcome.count})
+    if isinstance(outcome, JobMissing):
+        return _reply(HTTPStatus.GONE, {"error": "no such job was accepted"})
+    if isinstance(outcome, NotRun):
+        headers = {}
+        if outcome.retry_after is not None:
+            headers["Retry-After"] = str(max(1, math.ceil(outcome.retry_after)))
+        status = _REFUSALS.get(outcome.reason, HTTPStatus.SERVICE_UNAVAILABLE)
+        return _reply(status, {"error": outcome.detail}, headers)
+    # The request may have run, so the caller has to repeat it with the same id.
+    return _reply(HTTPStatus.GATEWAY_TIMEOUT, {"error": outcome.detail})
+
+
+def _reply(status: HTTPStatus, body: dict, headers: dict[str, str] | None = None) -> HttpReply:
+    return HttpReply(status, msgspec.json.encode(body), headers or {})
+
+
+def _log_error(exc: BaseException) -> None:
+    log_event(LogEvent.UNHANDLED_ERROR, controller="BatchHttpApi", error=repr(exc))
--- /dev/null
+++ b/chivefall/platform/_run_client.py
@@ -0,0 +1,170 @@
+"""Orders to the platform's workers."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from chivefall.batch import (
+    Checkpoint,
+    EndKind,
+    EndSequence,
+    Incarnation,
+    RunId,
+    RunNumber,
+    TaskKey,
+    WorkerEntry,
+)
+from chivefall.config import Address
+from chivefall.model import JobId
+from chivefall.net import HttpClient, HttpFailure, HttpResponse
+from chivefall.platform._wire import HoldBody
+from chivefall.workers import (
+    HoldOutcome,
+    NoAnswer,
+    OrderOutcome,
+    OtherLife,
+    Ran,
+    RefusalReason,
+    RunClient,
+    RunEnd,
+    RunOrder,
+    RunRefused,
+    RunReport,
+    RunStatus,
+)
+
+if TYPE_CHECKING:
+    from chivefall.model import Epoch
+
+__all__ = ["HttpRunClient"]
+
+_REASONS = {
+    "fence": RefusalReason.FENCED,
+    "old": RefusalReason.OUTDATED,
+    "late": RefusalReason.LATE,
+    "room": RefusalReason.NO_ROOM,
+    "ticket": RefusalReason.TICKET,
+}
+_UNHEALTHY = (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
+
+
+class _Answer(msgspec.Struct):
+    clock_ms: float = 0
+    reason: str = ""
+
+
+class HttpRunClient(RunClient):
+    """Gives orders over HTTP; an order names the worker's life it is meant for."""
+
+    def __init__(self, http: HttpClient, timeout: float) -> None:
+        self._http = http
+        self._timeout = timeout
+        self.calls = 0
+
+    async def start(self, worker: WorkerEntry, order: RunOrder, epoch: Epoch) -> OrderOutcome:
+        """Start a run; repeating the same order is harmless."""
+        body = {
+            **_run_body(order.run, epoch),
+            "task_spec": order.payload,
+            "deadline_ms": round(order.deadline * 1000),
+        }
+        if order.checkpoint:
+            body["checkpoint"] = order.checkpoint
+        return _order_outcome(await self._call(worker, "run-start", body, self._timeout))
+
+    async def stop(self, worker: WorkerEntry, run: RunId, epoch: Epoch) -> OrderOutcome:
+        """Stop a run; one that is not there yet will be refused."""
+        body = _run_body(run, epoch)
+        return _order_outcome(await self._call(worker, "run-stop", body, self._timeout))
+
+    async def hold(
+        self,
+        worker: WorkerEntry,
+        epoch: Epoch,
+        deadline: float | None,
+        acknowledged: EndSequence,
+        wait: float,
+    ) -> HoldOutcome:
+        """Extend all leases, acknowledge ends and return the report."""
+        body: dict[str, Any] = {"fence_token": epoch, "last_seen": acknowledged}
+        if deadline is not None:
+            body["deadline_ms"] = round(deadline * 1000)
+        if wait > 0:
+            body["wait_ms"] = round(wait * 1000)
+        reply = await self._call(worker, "hold", body, self._timeout + wait)
+        if not isinstance(reply, HttpResponse) or reply.status != HTTPStatus.OK:
+            outcome = _order_outcome(reply)
+            return NoAnswer("unreadable answer") if isinstance(outcome, Ran) else outcome
+        try:
+            return _report(msgspec.json.decode(reply.body, type=HoldBody))
+        except (msgspec.MsgspecError, ValueError, IndexError, TypeError) as exc:
+            return NoAnswer(f"unreadable answer: {exc}")
+
+    async def _call(
+        self, worker: WorkerEntry, call: str, body: dict[str, Any], timeout: float
+    ) -> HttpResponse | HttpFailure:
+        self.calls += 1
+        headers = {
+            "Content-Type": "application/json",
+            # The platform says instance for one life of a worker.
+            "X-Target-Instance": worker.worker_id,
+        }
+        return await self._http.request(
+            Address.parse(worker.address),
+            "POST",
+            f"/chivefall/{call}",
+            msgspec.json.encode(body),
+            headers,
+            timeout,
+        )
+
+
+def _run_body(run: RunId, epoch: Epoch) -> dict[str, Any]:
+    return {"task": _task_name(run), "run_id": run.number, "fence_token": epoch}
+
+
+def _task_name(run: RunId) -> str:
+    return f"{run.job}.{run.task.occurrence}.{run.task.step}.{run.task.index}"
+
+
+def _run(name: str, number: int) -> RunId:
+    job, occurrence, step, index = name.split(".")
+    return RunId(JobId(job), TaskKey(int(occurrence), int(step), int(index)), RunNumber(number))
+
+
+def _order_outcome(reply: HttpResponse | HttpFailure) -> OrderOutcome:
+    if isinstance(reply, HttpFailure):
+        return NoAnswer(reply.reason)
+    if reply.status == HTTPStatus.MISDIRECTED_REQUEST:
+        return OtherLife()
+    if reply.status in _UNHEALTHY:
+        return RunRefused(RefusalReason.UNHEALTHY, f"status {reply.status}")
+    if reply.status == HTTPStatus.BAD_REQUEST:
+        return RunRefused(RefusalReason.MALFORMED, reply.body[:200].decode("latin-1"))
+    try:
+        answer = msgspec.json.decode(reply.body, type=_Answer)
+    except msgspec.MsgspecError:
+        return NoAnswer(f"unreadable answer, status {reply.status}")
+    if reply.status == HTTPStatus.OK:
+        return Ran(answer.clock_ms / 1000)
+    if reply.status == HTTPStatus.CONFLICT and answer.reason in _REASONS:
+        return RunRefused(_REASONS[answer.reason])
+    return NoAnswer(f"unexpected status {reply.status}")
+
+
+def _report(body: HoldBody) -> RunReport:
+    return RunReport(
+        body.clock_ms / 1000,
+        Incarnation(body.born),
+        tuple(
+            RunStatus(_run(row[0], row[1]), Checkpoint(row[2]), row[3] / 100)
+            for row in body.running
+        ),
+        tuple(
+            RunEnd(EndSequence(row[0]), _run(row[1], row[2]), EndKind(row[3]), Checkpoint(row[4]))
+            for row in body.finished
+        ),
+    )
--- /dev/null
+++ b/chivefall/platform/_store.py
@@ -0,0 +1,266 @@
+"""The platform's key-value service."""
+
+from __future__ import annotations
+
+import base64
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any, TypeVar
+from urllib.parse import urlencode
+
+import msgspec
+
+from chivefall.net import HttpClient, HttpFailure, HttpResponse
+from chivefall.platform._wire import Item, LeaseBody, RangeBody, WatchBody
+from chivefall.store import (
+    ABSENT,
+    Changed,
+    Conflict,
+    Entry,
+    Found,
+    Granted,
+    HistoryLost,
+    LeaseExpired,
+    LeaseId,
+    LeaseOutcome,
+    Listed,
+    Mismatch,
+    Missing,
+    Put,
+    ReadOutcome,
+    Stored,
+    TransactionalStore,
+    TransactOutcome,
+    Unavailable,
+    Unchanged,
+    Unmodified,
+    Version,
+    WatchOutcome,
+    WriteOutcome,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+    from chivefall.config import Address
+
+__all__ = ["PlatformStore"]
+
+T = TypeVar("T")
+
+WATCH_MARGIN_SECONDS = 1.0  # beyond the wait before a watch counts as lost
+NO_LEASE = 0
+
+
+class _Stored(msgspec.Struct):
+    revision: int
+
+
+class _Conflict(msgspec.Struct):
+    items: list[Item] = []
+
+
+class PlatformStore(TransactionalStore):
+    """Client of the platform's key-value service.
+
+    Attributes
+    ----------
+    calls : int
+        Calls since the start; each is priced, a watch that waits as one.
+    """
+
+    def __init__(self, http: HttpClient, address: Address, timeout: float) -> None:
+        self._http = http
+        self._address = address
+        self._timeout = timeout
+        self.calls = 0
+
+    async def get(self, key: str, known: Version | None = None) -> ReadOutcome:
+        """Read one key; the answer has no value if it is at the known version."""
+        reply = await self._call("GET", "kv-key", query={"key": key})
+        if isinstance(reply, Unavailable):
+            return reply
+        if reply.status == HTTPStatus.NOT_FOUND:
+            return Missing()
+        item = _decode(reply, Item)
+        if item is None:
+            return _unexpected(reply)
+        if item.revision == known:
+            return Unmodified()
+        return Found(_entry(item))
+
+    async def list(self, prefix: str) -> Listed | Unavailable:
+        """Read all keys below a prefix.
+
+        Pages are not a snapshot, so the version is that of the first one; a
+        watch from there repeats what later pages already held.
+        """
+        entries: list[Entry] = []
+        version: Version | None = None
+        query = {"prefix": prefix}
+        while True:
+            reply = await self._call("GET", "kv-range", query=query)
+            if isinstance(reply, Unavailable):
+                return reply
+            page = _decode(reply, RangeBody)
+            if page is None:
+                return _unexpected(reply)
+            version = Version(page.at_rev) if version is None else version
+            entries += [_entry(item) for item in page.items]
+            if not page.has_more or not page.items:
+                return Listed(tuple(entries), version)
+            query = {"prefix": prefix, "after": page.items[-1].key}
+
+    async def put(
+        self, key: str, value: bytes, expected: Version, lease: LeaseId | None = None
+    ) -> WriteOutcome:
+        """Write a key if it is at the expected version."""
+        outcome = await self.transact({key: expected}, [Put(key, value, lease)])
+        return _single_outcome(key, outcome)
+
+    async def delete(self, key: str, expected: Version) -> WriteOutcome:
+        """Delete a key if it is at the expected version."""
+        return _single_outcome(key, await self.transact({key: expected}, (), [key]))
+
+    async def transact(
+        self,
+        conditions: Mapping[str, Version],
+        puts: Sequence[Put] = (),
+        removes: Sequence[str] = (),
+    ) -> TransactOutcome:
+        """Write and remove keys if every key of the conditions is at its version."""
+        body = {
+            "expected_rev": [
+                {"key": key, "revision": version} for key, version in conditions.items()
+            ],
+            "puts": [_put_body(put) for put in puts],
+            "remove": list(removes),
+        }
+        reply = await self._call("POST", "kv-txn", body)
+        if isinstance(reply, Unavailable):
+            return reply
+        if reply.status == HTTPStatus.NOT_FOUND:
+            return LeaseExpired()
+        if reply.status == HTTPStatus.PRECONDITION_FAILED:
+            conflict = _decode(reply, _Conflict, HTTPStatus.PRECONDITION_FAILED)
+            return _unexpected(reply) if conflict is None else _mismatch(conditions, conflict)
+        stored = _decode(reply, _Stored)
+        return _unexpected(reply) if stored is None else Stored(Version(stored.revision))
+
+    async def grant_lease(self, ttl: float) -> LeaseOutcome:
+        """Create a lease of ``ttl`` seconds."""
+        reply = await self._call("POST", "kv-lease", {"ttl_ms": round(ttl * 1000)})
+        body = None if isinstance(reply, Unavailable) else _decode(reply, LeaseBody)
+        if isinstance(reply, Unavailable):
+            return reply
+        if body is None:
+            return _unexpected(reply)
+        return Granted(LeaseId(str(body.lease_id)), body.ttl_ms / 1000)
+
+    async def renew_lease(self, lease: LeaseId) -> LeaseOutcome:
+        """Restart a lease's period."""
+        return _renewal(lease, await self._call("POST", f"kv-keep/{lease}"))
+
+    async def revoke_lease(self, lease: LeaseId) -> LeaseOutcome:
+        """End a lease and delete its keys."""
+        reply = await self._call("DELETE", f"kv-lease-end/{lease}")
+        if isinstance(reply, Unavailable):
+            return reply
+        return LeaseExpired() if reply.status == HTTPStatus.NOT_FOUND else Granted(lease, 0.0)
+
+    async def watch(self, prefix: str, after: Version, wait: float) -> WatchOutcome:
+        """Wait up to ``wait`` seconds for a change below a prefix after a version."""
+        query = {"prefix": prefix, "after": after, "wait_ms": round(wait * 1000)}
+        reply = await self._call(
+            "GET", "kv-watch", query=query, timeout=wait + WATCH_MARGIN_SECONDS
+        )
+        if isinstance(reply, Unavailable):
+            return reply
+        if reply.status == HTTPStatus.GONE:
+            return HistoryLost()
+        body = _decode(reply, WatchBody)
+        if body is None:
+            return _unexpected(reply)
+        version = Version(body.at_rev)
+        # Only the last event of a key tells what it is now.
+        latest = {item.key: item for item in body.events}
+        if not latest:
+            return Unchanged(version)
+        return Changed(
+            tuple(_entry(item) for item in latest.values() if not item.deleted),
+            tuple(item.key for item in latest.values() if item.deleted),
+            version,
+        )
+
+    async def _call(
+        self,
+        method: str,
+        call: str,
+        body: dict[str, Any] | None = None,
+        *,
+        query: dict[str, Any] | None = None,
+        timeout: float | None = None,
+    ) -> HttpResponse | Unavailable:
+        self.calls += 1
+        path = f"/chivefall/{call}" + (f"?{urlencode(query)}" if query else "")
+        data = b"" if body is None else msgspec.json.encode(body)
+        headers = {"Content-Type": "application/json"} if body is not None else {}
+        reply = await self._http.request(
+            self._address, method, path, data, headers, timeout or self._timeout
+        )
+        if isinstance(reply, HttpFailure):
+            return Unavailable(reply.reason, applied_unknown=reply.sent)
+        if reply.status in (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE):
+            return Unavailable(f"the store refused the call with status {reply.status}")
+        return reply
+
+
+def _put_body(put: Put) -> dict[str, Any]:
+    body: dict[str, Any] = {"key": put.key, "value": base64.b64encode(put.value).decode()}
+    if put.lease is not None:
+        body["lease_id"] = int(put.lease)
+    return body
+
+
+def _entry(item: Item) -> Entry:
+    return Entry(item.key, item.value, Version(item.revision))
+
+
+def _mismatch(conditions: Mapping[str, Version], conflict: _Conflict) -> Mismatch:
+    current: dict[str, Entry | None] = dict.fromkeys(conditions)
+    for item in conflict.items:
+        if item.revision != ABSENT and not item.deleted:
+            current[item.key] = _entry(item)
+    return Mismatch(current)
+
+
+def _single_outcome(key: str, outcome: TransactOutcome) -> WriteOutcome:
+    if isinstance(outcome, Mismatch):
+        return Conflict(outcome.current.get(key))
+    if isinstance(outcome, LeaseExpired):
+        return Unavailable("the lease of the key has ended")
+    return outcome
+
+
+def _renewal(lease: LeaseId, reply: HttpResponse | Unavailable) -> LeaseOutcome:
+    if isinstance(reply, Unavailable):
+        return reply
+    if reply.status == HTTPStatus.NOT_FOUND:
+        return LeaseExpired()
+    body = _decode(reply, LeaseBody)
+    return _unexpected(reply) if body is None else Granted(lease, body.ttl_ms / 1000)
+
+
+def _decode(reply: HttpResponse, kind: type[T], status: int = HTTPStatus.OK) -> T | None:
+    """Return the body of a reply with the status expected, or None."""
+    if reply.status != status:
+        return None
+    try:
+        return msgspec.json.decode(reply.body, type=kind)
+    except msgspec.MsgspecError:
+        return None
+
+
+def _unexpected(reply: HttpResponse) -> Unavailable:
+    return Unavailable(
+        f"unexpected reply of the store, status {reply.status}", applied_unknown=True
+    )
--- /dev/null
+++ b/chivefall/platform/_wire.py
@@ -0,0 +1,153 @@
+"""Bodies of the platform's messages, field by field as they travel."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+__all__ = [
+    "Capacity",
+    "CatalogBody",
+    "HoldBody",
+    "Item",
+    "JobBody",
+    "LeaseBody",
+    "RangeBody",
+    "StepBody",
+    "WatchBody",
+    "WorkerBody",
+]
+
+
+class Capacity(msgspec.Struct):
+    """Room of a worker or need of a task."""
+
+    cpu: int = 0  # thousandths of a core
+    mem_mb: int = 0
+    gpu: int = 0
+
+
+class StepBody(msgspec.Struct):
+    """A step of a submitted job; fields that are 0, false or empty are left out."""
+
+    count: int = 1
+    cpu: int = 0  # thousandths of a core
+    mem_mb: int = 0
+    gpu: int = 0
+    est_runtime_ms: float = 0
+    after: list[int] = []
+    gang: bool = False
+    same_rack: bool = False
+    constraints: str = ""  # one label, in spite of the plural
+    affinity: str = ""  # the rack where the data is, which is only a preference
+    anti_affinity: int = 0  # most tasks of the step on one worker
+    checkpointing: bool = False
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ""
+    target_ms: float = 0
+    fills: bool = False
+    may_miss: int = 0
+
+
+class JobBody(msgspec.Struct):
+    """A submitted job."""
+
+    task_spec: str = ""  # opaque text for the tasks, no description of them
+    steps: list[StepBody] = []
+    repeat_count: int = 0
+    first_run_ms: float = 0  # milliseconds since 1970
+    interval_ms: float = 0
+
+
+class _Route(msgspec.Struct):
+    """A queue of jobs; the platform calls it a route."""
+
+    name: str
+    host: str
+    prefix: str
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    target_latency_ms: float = 0
+    public: bool = False
+    advice: Any = None
+
+
+class _Service(msgspec.Struct):
+    name: str
+    health_path: str = ""
+    rejects_overload: bool = False
+    standby: bool = False
+
+
+class _Tenant(msgspec.Struct):
+    """A client account."""
+
+    name: str
+    api_keys: list[str] = []
+    guaranteed: Capacity | None = None
+
+
+class CatalogBody(msgspec.Struct):
+    """The desired state in full."""
+
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    tenants: list[_Tenant] = []
+
+
+class WorkerBody(msgspec.Struct):
+    """A worker's report about itself."""
+
+    service: str
+    addr: str
+    zone: str  # the failure domain
+    state: str
+    capacity: Capacity
+    labels: list[str]  # kind and rack
+    born: int = 0  # tells the lives of a worker apart, in milliseconds since 1970
+    remaining_ms: float = 0
+
+
+class HoldBody(msgspec.Struct):
+    """The answer to a hold."""
+
+    clock_ms: float
+    running: list[list[Any]] = []  # [task, run, checkpoint, percent, load]
+    finished: list[list[Any]] = []  # [number, task, run, how, checkpoint]
+    born: int = 0
+
+
+class Item(msgspec.Struct):
+    """A key of the store, or the deletion of one."""
+
+    key: str
+    revision: int = 0
+    value: bytes = b""  # base64 on the wire
+    deleted: bool = False
+
+
+class RangeBody(msgspec.Struct):
+    """A page of items."""
+
+    at_rev: int  # revision of the store, not of an item
+    items: list[Item] = []
+    has_more: bool = False
+
+
+class WatchBody(msgspec.Struct):
+    """Changes after a revision."""
+
+    at_rev: int
+    events: list[Item] = []
+
+
+class LeaseBody(msgspec.Struct):
+    """A lease of the store."""
+
+    ttl_ms: float
+    lease_id: int = 0
--- a/chivefall/store/_keys.py
+++ b/chivefall/store/_keys.py
@@ -2,24 +2,34 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from hashlib import blake2b
 from typing import TYPE_CHECKING
+from urllib.parse import quote
 from zlib import crc32
 
 if TYPE_CHECKING:
+    from chivefall.batch import QueueId
     from chivefall.model import AccountId, DomainId, IdempotencyKey, JobId, Revision
 
 __all__ = [
+    "BATCH_JOBS_PREFIX",
     "CLAIMS_SHARDS",
     "DOCUMENT_KEY",
     "HISTORY_PREFIX",
     "JOB_SHARDS",
+    "BatchPart",
+    "batch_key",
+    "batch_prefix",
     "claim_key",
     "claims_prefix",
     "history_key",
     "job_key",
     "jobs_prefix",
     "leader_key",
+    "parse_batch_key",
+    "waiting_key",
+    "waiting_prefix",
 ]
 
 DOCUMENT_KEY = "document"
@@ -67,3 +77,44 @@
 def claims_prefix(shard: int) -> str:
     """Return the prefix of one shard of the claims."""
     return f"claims/{shard:03x}"
+
+
+BATCH_JOBS_PREFIX = "batch/"
+
+
+class BatchPart(Enum):
+    """The keys of one batch job; each part has one writer."""
+
+    SPEC = "spec"
+    CANCEL = "cancel"
+    PROGRESS = "progress"
+
+
+def batch_prefix(job_id: JobId) -> str:
+    """Return the prefix of a batch job's keys."""
+    return f"{BATCH_JOBS_PREFIX}{quote(job_id, safe='')}/"
+
+
+def batch_key(job_id: JobId, part: BatchPart) -> str:
+    """Return the key of one part of a batch job."""
+    return f"{batch_prefix(job_id)}{part.value}"
+
+
+def parse_batch_key(key: str) -> tuple[str, BatchPart] | None:
+    """Return job id and part of a key, or None if it is not one of a batch job."""
+    _, _, rest = key.partition(BATCH_JOBS_PREFIX)
+    name, _, part = rest.rpartition("/")
+    try:
+        return name, BatchPart(part)
+    except ValueError:
+        return None
+
+
+def waiting_prefix(queue: QueueId) -> str:
+    """Return the prefix of the keys of a queue's jobs that have not started."""
+    return f"waiting/{quote(queue, safe='')}/"
+
+
+def waiting_key(queue: QueueId, job_id: JobId) -> str:
+    """Return the key that exists while a job has not started."""
+    return f"{waiting_prefix(queue)}{quote(job_id, safe='')}"
--- a/chivefall/store/_store.py
+++ b/chivefall/store/_store.py
@@ -4,7 +4,10 @@
 
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
-from typing import NewType, Union
+from typing import TYPE_CHECKING, NewType, Union
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
 
 __all__ = [
     "ABSENT",
@@ -13,14 +16,19 @@
     "Entry",
     "Found",
     "Granted",
+    "HistoryLost",
     "LeaseExpired",
     "LeaseId",
     "LeaseOutcome",
     "Listed",
+    "Mismatch",
     "Missing",
+    "Put",
     "ReadOutcome",
     "Store",
     "Stored",
+    "TransactOutcome",
+    "TransactionalStore",
     "Unavailable",
     "Unchanged",
     "Unmodified",
@@ -127,10 +135,38 @@
     version: Version
 
 
+@dataclass(frozen=True)
+class HistoryLost:
+    """The store forgot changes since the version given; list the prefix again."""
+
+
+@dataclass(frozen=True)
+class Put:
+    """A write within a transaction."""
+
+    key: str
+    value: bytes
+    lease: LeaseId | None = None
+
+
+@dataclass(frozen=True)
+class Mismatch:
+    """A condition of a transaction does not hold; nothing was written.
+
+    Attributes
+    ----------
+    current : dict
+        Every key of the conditions with its present entry, or None if it does not exist.
+    """
+
+    current: dict[str, Entry | None]
+
+
 ReadOutcome = Union[Found, Unmodified, Missing, Unavailable]
 WriteOutcome = Union[Stored, Conflict, Unavailable]
 LeaseOutcome = Union[Granted, LeaseExpired, Unavailable]
-WatchOutcome = Union[Changed, Unchanged, Unavailable]
+WatchOutcome = Union[Changed, Unchanged, HistoryLost, Unavailable]
+TransactOutcome = Union[Stored, Mismatch, LeaseExpired, Unavailable]
 
 
 class Store(ABC):
@@ -169,3 +205,16 @@
     @abstractmethod
     async def watch(self, prefix: str, after: Version, wait: float) -> WatchOutcome:
         """Wait up to ``wait`` seconds for a change below a prefix after a version."""
+
+
+class TransactionalStore(Store):
+    """A store that changes several keys at once under conditions."""
+
+    @abstractmethod
+    async def transact(
+        self,
+        conditions: Mapping[str, Version],
+        puts: Sequence[Put] = (),
+        removes: Sequence[str] = (),
+    ) -> TransactOutcome:
+        """Write and remove keys if every key of the conditions is at its version."""
--- a/chivefall/telemetry/_events.py
+++ b/chivefall/telemetry/_events.py
@@ -14,7 +14,7 @@
     """Number, name and meaning of each log event.
 
     1xxx process, 2xxx document, 3xxx membership and leadership, 4xxx workers,
-    5xxx jobs, 6xxx requests.
+    5xxx jobs, 6xxx requests, 7xxx batch jobs (70 catalog, 71 jobs, 72 runs, 73 fleet).
     """
 
     PROCESS_STARTED = (1001, "The instance is listening.")
@@ -53,6 +53,27 @@
     ENDPOINT_EJECTED = (6003, "An endpoint failed several times and gets no requests for a while.")
     CLAIM_UNSETTLED = (6011, "An idempotency claim cannot be completed or released.")
 
+    CATALOG_ADOPTED = (7001, "A version of the operators' desired state is in force.")
+    CATALOG_INVALID = (7002, "A stored version of the desired state cannot be used.")
+    DOMAINS_OUT = (7003, "The set of failure domains out of service changed.")
+    BATCH_ANSWERED = (7101, "A request about batch jobs was answered.")
+    BATCH_LOADED = (7102, "A new leader has read all batch jobs.")
+    BATCH_JOB_STATE = (7103, "A batch job changed its state.")
+    BATCH_RECORD_INVALID = (7104, "A stored record of a batch job cannot be used.")
+    BATCH_COMMIT_DELAYED = (7105, "Progress of batch jobs could not be written yet.")
+    ROUND_PLANNED = (7106, "A scheduling round decided on starts or stops.")
+    RUN_STARTED = (7201, "A worker confirmed the start of a run.")
+    RUN_NOT_STARTED = (7202, "A run did not start; its task waits again.")
+    RUN_UNCERTAIN = (7203, "A start was not answered; the run is stopped to be certain.")
+    RUN_ENDED = (7204, "A worker listed the end of a run.")
+    RUN_RELEASED = (7205, "A run cannot exist any more; its task waits again.")
+    RUN_STOPPED = (7206, "A run is told to stop.")
+    UNKNOWN_RUN_STOPPED = (7207, "A run that no record names was stopped.")
+    FLEET_CHANGED = (7301, "A worker's entry appeared, changed or was removed.")
+    WORKER_SUSPECTED = (7302, "A worker does not answer and gets no new runs.")
+    WORKER_ANSWERS = (7303, "A suspected worker answers again.")
+    HISTORY_LOST = (7304, "The store forgot its history; a prefix is listed again.")
+
     def __init__(self, number: int, meaning: str) -> None:
         self.number = number
         self.meaning = meaning
--- a/standins/memory_store.py
+++ b/standins/memory_store.py
@@ -15,10 +15,13 @@
     LeaseId,
     LeaseOutcome,
     Listed,
+    Mismatch,
     Missing,
+    Put,
     ReadOutcome,
-    Store,
     Stored,
+    TransactionalStore,
+    TransactOutcome,
     Unavailable,
     Unchanged,
     Unmodified,
@@ -29,7 +32,7 @@
 from standins.store_faults import CallKind, StoreFaults
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable, Mapping, Sequence
 
     from standins.memory import Gate
     from standins.store import KeyValueState
@@ -40,7 +43,7 @@
 LOST = Unavailable("the reply was lost", applied_unknown=True)
 
 
-class MemoryStore(Store):
+class MemoryStore(TransactionalStore):
     """A client of a shared key-value state, with the faults of the stand-in.
 
     A call takes effect on the clock of the state and returns on the clock of the
@@ -178,6 +181,30 @@
         await self._resume()
         return DOWN if self.faults.down else act()
 
+    async def transact(
+        self,
+        conditions: Mapping[str, Version],
+        puts: Sequence[Put] = (),
+        removes: Sequence[str] = (),
+    ) -> TransactOutcome:
+        """Write and remove keys if every key of the conditions is at its version."""
+
+        def act() -> TransactOutcome:
+            if not self._state.holds(conditions):
+                current = {key: self._state.get(key) for key in conditions}
+                return Mismatch(
+                    {
+                        key: Entry(key, item.value, Version(item.version)) if item else None
+                        for key, item in current.items()
+                    }
+                )
+            version = self._state.write_all(
+                [(put.key, put.value, put.lease) for put in puts], removes
+            )
+            return LeaseExpired() if version is None else Stored(Version(version))
+
+        return await self._call(CallKind.WRITE, act)
+
     async def _call(self, kind: CallKind, act: Callable[[], Any]) -> Any:
         self.calls += 1
         fut = spawn(self._exchange(kind, act))
--- a/standins/store.py
+++ b/standins/store.py
@@ -7,7 +7,7 @@
 import itertools
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qs, unquote
 
 import msgspec
@@ -19,6 +19,9 @@
 from standins._service import Service, json_reply
 from standins.store_faults import CallCounter, CallKind, StoreFaults, decode_faults
 
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
 __all__ = ["KeyValueState", "StoreService"]
 
 MAX_VALUE_BYTES = 1_000_000
@@ -68,6 +71,27 @@
         self._remove(key)
         return True
 
+    def holds(self, conditions: Mapping[str, int]) -> bool:
+        """Return whether every key is at its version; 0 for one that does not exist."""
+        return all(self._version_of(key) == expected for key, expected in conditions.items())
+
+    def write_all(
+        self, puts: Sequence[tuple[str, bytes, str | None]], removes: Sequence[str]
+    ) -> int | None:
+        """Write and remove keys under one version, or return None if a lease has expired."""
+        if any(lease is not None and lease not in self._leases for _, _, lease in puts):
+            return None
+        self.version += 1
+        for key, value, lease in puts:
+            self._items[key] = _Item(value, self.version, lease)
+            self._deleted.pop(key, None)
+        for key in removes:
+            if self._items.pop(key, None) is not None:
+                self._deleted[key] = self.version
+        for key in [*(item[0] for item in puts), *removes]:
+            self._notify(key)
+        return self.version
+
     def grant(self, ttl: float) -> str:
         """Create a lease and return its id."""
         lease = f"lease-{next(self._lease_numbers)}"
