End the leases of an unreachable worker at a known time

Cause: each unanswered hold moved the lease end that the leader had to assume forward, so the runs of a worker that was cut off were never released; and the first answer after a takeover did not count leases that the earlier leader gave. Change: no later lease end is sent while a worker does not answer, and the first answer is taken to follow a lease of the longest length. Test first red, then green.

--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -287,7 +287,7 @@
             wait = POLL_SECONDS if session.worker.synced and session.worker.placed else 0.0
             sent_at, told = self.clock.now(), session.acknowledged
             outcome = await self._client.hold(
-                session.worker.entry, epoch, self._next_deadline(session), told, wait
+                session.worker.entry, epoch, session.extend(HOLD_SECONDS, sent_at), told, wait
             )
             if session.closed or not self._is_current(epoch):
                 return
@@ -303,14 +303,6 @@
         """Return whether leases may be extended although another leader may exist."""
         return now < self._leader.valid_until + UNCONFIRMED_HOLD_SECONDS
 
-    def _next_deadline(self, session: Session) -> float | None:
-        """Return the lease end to send, on the worker's clock; None until it was read."""
-        if not session.knows_clock:
-            return None
-        deadline = session.worker_clock(self.clock.now()) + HOLD_SECONDS
-        session.deadline = max(session.deadline, deadline)
-        return deadline
-
     async def _wait_until_written(self, session: Session) -> None:
         """Wait a little until ends are written, so that the next poll acknowledges them."""
         limit = self.clock.now() + POLL_SECONDS
@@ -433,8 +425,9 @@
         if session is None or run not in session.worker.placed:
             return False
         for _ in range(START_ATTEMPTS):
-            deadline = session.worker_clock(self.clock.now()) + HOLD_SECONDS
-            session.deadline = max(session.deadline, deadline)
+            deadline = session.extend(HOLD_SECONDS, self.clock.now())
+            if deadline is None:
+                break
             order = RunOrder(run, payload, deadline, checkpoint)
             outcome = await self._client.start(session.worker.entry, order, self._epoch)
             if run not in session.worker.placed:
--- a/chivefall/controllers/batch/_session.py
+++ b/chivefall/controllers/batch/_session.py
@@ -10,6 +10,7 @@
 __all__ = ["Session"]
 
 NO_END = EndSequence(0)
+LONGEST_LEASE_SECONDS = 10.0  # the platform shortens longer ones
 SLOWEST_CLOCK = 0.98  # the platform lets a worker's clock run 2 % slow
 
 
@@ -36,6 +37,7 @@
     present_since: dict[RunId, float] = field(default_factory=dict)
     acknowledged: EndSequence = NO_END
     told: EndSequence = NO_END
+    _highest: EndSequence = NO_END
     open_ends: dict[EndSequence, RunEnd] = field(default_factory=dict)
     deadline: float = 0.0
     polling: bool = False
@@ -45,12 +47,24 @@
 
     def note_clock(self, clock: float, now: float) -> None:
         """Record the worker's clock in a reply that arrived now."""
+        if self._clock_at is None:
+            # An earlier leader may have extended the leases just before this reply.
+            self.deadline = max(self.deadline, clock + LONGEST_LEASE_SECONDS)
         self._clock_at = (clock, now)
 
-    @property
-    def knows_clock(self) -> bool:
-        """Return whether the worker's clock was read."""
-        return self._clock_at is not None
+    def extend(self, seconds: float, now: float) -> float | None:
+        """Return the lease end to send, on the worker's clock; None for no extension.
+
+        A worker that does not answer gets no later end than the one it may have
+        got already, so that its leases end at a known time.
+        """
+        if self._clock_at is None:
+            return None
+        if self.failures:
+            return self.deadline if self.deadline > self.worker_clock(now) else None
+        deadline = self.worker_clock(now) + seconds
+        self.deadline = max(self.deadline, deadline)
+        return deadline
 
     def worker_clock(self, now: float) -> float:
         """Return the worker's clock, at most 2 % of the last interval too high."""
@@ -73,10 +87,8 @@
     def acknowledge(self, sequence: EndSequence) -> None:
         """Record that an end is written to the store."""
         self.open_ends.pop(sequence, None)
-        below = min(self.open_ends, default=None)
-        self.acknowledged = EndSequence(
-            max(self.acknowledged, sequence if below is None else min(sequence, below - 1))
-        )
+        self._highest = max(self._highest, sequence)
+        self.acknowledged = EndSequence(min(self.open_ends, default=self._highest + 1) - 1)
 
     @property
     def has_work(self) -> bool:
--- /dev/null
+++ b/standins/run_workers.py
@@ -0,0 +1,309 @@
+"""Workers that start single runs under leases, for tests on a manual clock."""
+
+from __future__ import annotations
+
+import itertools
+from collections import defaultdict
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from chivefall.batch import (
+    NO_CHECKPOINT,
+    EndKind,
+    EndSequence,
+    Incarnation,
+    Resources,
+    RunId,
+    RunNumber,
+    TaskKey,
+    WorkerEntry,
+)
+from chivefall.model import Epoch, JobId, WorkerId
+from chivefall.runtime import Clock, Future, sleep, wait_for
+from chivefall.workers import (
+    HoldOutcome,
+    NoAnswer,
+    OrderOutcome,
+    OtherLife,
+    Ran,
+    RefusalReason,
+    RunClient,
+    RunEnd,
+    RunOrder,
+    RunRefused,
+    RunReport,
+    RunStatus,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ["MemoryRunClient", "RunWorker", "RunWorkers"]
+
+MAX_HOLD_SECONDS = 10.0
+LATE_SECONDS = 3.0  # from an unanswered order to its effect
+ANSWER_TIMEOUT_SECONDS = 0.8
+
+
+@dataclass
+class _Running:
+    started_at: float
+    seconds: float
+
+
+@dataclass
+class RunWorker:
+    """One life of a worker.
+
+    Attributes
+    ----------
+    seconds : float
+        Run time of every task.
+    fails : bool
+        Whether tasks end as failed.
+    hangs : bool
+        Whether tasks make no progress.
+    """
+
+    entry: WorkerEntry
+    clock: Clock
+    seconds: float = 2.0
+    fails: bool = False
+    hangs: bool = False
+    fence: Epoch = Epoch(0)  # noqa: RUF009 - an immutable number
+    lease_until: float = 0.0
+    running: dict[RunId, _Running] = field(default_factory=dict)
+    ends: list[RunEnd] = field(default_factory=list)
+    fenced_runs: dict[tuple[JobId, TaskKey], RunNumber] = field(default_factory=dict)
+    history: list[tuple[float, str, RunId]] = field(default_factory=list)
+    peak: Resources = field(default_factory=Resources)
+    rooms: dict[RunId, Resources] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self._sequence = itertools.count(1)
+        self._waiters: list[Future[None]] = []
+
+    def start(self, order: RunOrder, epoch: Epoch, room: Resources) -> OrderOutcome:
+        """Start a run."""
+        refusal = self._check(epoch)
+        if refusal is not None:
+            return refusal
+        run = order.run
+        if run in self.running:
+            return Ran(self.clock.now())
+        if run.number <= self.fenced_runs.get((run.job, run.task), 0):
+            return RunRefused(RefusalReason.OUTDATED)
+        if order.deadline < self.clock.now():
+            return RunRefused(RefusalReason.LATE)
+        self._extend(order.deadline)
+        self.rooms[run] = room
+        used = sum((self.rooms[name] for name in self.running), room)
+        self.peak = Resources(
+            max(self.peak.cpu, used.cpu),
+            max(self.peak.memory, used.memory),
+            max(self.peak.accelerators, used.accelerators),
+        )
+        self.running[run] = _Running(self.clock.now(), self.seconds)
+        self.history.append((self.clock.now(), "start", run))
+        if not self.hangs:
+            self.clock.call_later(self.seconds, lambda: self._finish(run))
+        return Ran(self.clock.now())
+
+    def stop(self, run: RunId, epoch: Epoch) -> OrderOutcome:
+        """Stop a run; one that is not there yet will be refused."""
+        refusal = self._check(epoch)
+        if refusal is not None:
+            return refusal
+        self._fence_run(run)
+        self._end(run, EndKind.STOPPED)
+        return Ran(self.clock.now())
+
+    def report(self, epoch: Epoch, deadline: float | None, seen: EndSequence) -> HoldOutcome:
+        """Extend the lease, forget ends and return the report."""
+        refusal = self._check(epoch)
+        if refusal is not None:
+            return refusal
+        if deadline is not None:
+            self._extend(deadline)
+        for end in self.ends:
+            if end.sequence <= seen:
+                self.history.append((self.clock.now(), "noted", end.run))
+        self.ends = [end for end in self.ends if end.sequence > seen]
+        return RunReport(
+            self.clock.now(),
+            self.entry.incarnation,
+            tuple(
+                RunStatus(run, NO_CHECKPOINT, self._share(item))
+                for run, item in self.running.items()
+            ),
+            tuple(self.ends),
+        )
+
+    def next_end(self) -> Future[None]:
+        """Return a future that is done at the next end."""
+        fut: Future[None] = Future()
+        self._waiters.append(fut)
+        return fut
+
+    def _share(self, item: _Running) -> float:
+        if self.hangs:
+            return 0.0
+        return min(1.0, (self.clock.now() - item.started_at) / item.seconds)
+
+    def _check(self, epoch: Epoch) -> RunRefused | None:
+        if epoch < self.fence:
+            return RunRefused(RefusalReason.FENCED)
+        self.fence = epoch
+        return None
+
+    def _extend(self, deadline: float) -> None:
+        limit = min(deadline, self.clock.now() + MAX_HOLD_SECONDS)
+        if limit > self.lease_until:
+            self.lease_until = limit
+            self.clock.call_later(limit - self.clock.now(), self._lapse)
+
+    def _lapse(self) -> None:
+        if self.clock.now() >= self.lease_until:
+            for run in list(self.running):
+                self._end(run, EndKind.LAPSED)
+
+    def _finish(self, run: RunId) -> None:
+        self._end(run, EndKind.FAILED if self.fails else EndKind.DONE)
+
+    def _fence_run(self, run: RunId) -> None:
+        key = (run.job, run.task)
+        self.fenced_runs[key] = max(run.number, self.fenced_runs.get(key, RunNumber(0)))
+
+    def _end(self, run: RunId, kind: EndKind) -> None:
+        if self.running.pop(run, None) is None:
+            return
+        self._fence_run(run)
+        self.history.append((self.clock.now(), kind.value, run))
+        self.ends.append(RunEnd(EndSequence(next(self._sequence)), run, kind, NO_CHECKPOINT))
+        waiters, self._waiters = self._waiters, []
+        for fut in waiters:
+            fut.set_result(None)
+
+
+class RunWorkers:
+    """All workers of a test, by id; shared by the clients of several instances."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.workers: dict[WorkerId, RunWorker] = {}
+        self.room_of: Callable[[RunId], Resources] = lambda _: Resources()
+
+    def add(self, entry: WorkerEntry) -> RunWorker:
+        """Add a worker or a new life of one."""
+        worker = RunWorker(entry, self.clock)
+        self.workers[entry.worker_id] = worker
+        return worker
+
+    def encode(self, worker: RunWorker) -> bytes:
+        """Return a worker's entry as the tests' codec reads it."""
+        return msgspec.json.encode(worker.entry)
+
+    def starts_of(self, job: JobId) -> dict[TaskKey, list[tuple[float, RunId]]]:
+        """Return the starts of a job's tasks in order of time."""
+        starts: dict[TaskKey, list[tuple[float, RunId]]] = defaultdict(list)
+        for worker in self.workers.values():
+            for time, kind, run in worker.history:
+                if kind == "start" and run.job == job:
+                    starts[run.task].append((time, run))
+        return {task: sorted(rows, key=lambda row: row[0]) for task, rows in starts.items()}
+
+
+class MemoryRunClient(RunClient):
+    """The calls of one instance, with faults that it alone sees.
+
+    Attributes
+    ----------
+    cut : set of WorkerId
+        Workers that are not reached.
+    late : set of WorkerId
+        Workers that leave starts unanswered and carry them out later.
+    latency : float
+        Seconds until a call arrives.
+    """
+
+    def __init__(self, workers: RunWorkers) -> None:
+        self._workers = workers
+        self._clock = workers.clock
+        self.cut: set[WorkerId] = set()
+        self.late: set[WorkerId] = set()
+        self.silent_instance = False
+        self.latency = 0.0
+
+    async def start(self, worker: WorkerEntry, order: RunOrder, epoch: Epoch) -> OrderOutcome:
+        """Start a run."""
+        state = await self._reach(worker)
+        if not isinstance(state, RunWorker):
+            return state
+        room = self._workers.room_of(order.run)
+        if worker.worker_id in self.late:
+            self._clock.call_later(LATE_SECONDS, lambda: state.start(order, epoch, room))
+            await sleep(self._clock, ANSWER_TIMEOUT_SECONDS)
+            return NoAnswer("the worker is told not to answer")
+        return state.start(order, epoch, room)
+
+    async def stop(self, worker: WorkerEntry, run: RunId, epoch: Epoch) -> OrderOutcome:
+        """Stop a run."""
+        state = await self._reach(worker)
+        return state.stop(run, epoch) if isinstance(state, RunWorker) else state
+
+    async def hold(
+        self,
+        worker: WorkerEntry,
+        epoch: Epoch,
+        deadline: float | None,
+        acknowledged: EndSequence,
+        wait: float,
+    ) -> HoldOutcome:
+        """Extend all leases and return the report."""
+        state = await self._reach(worker)
+        if not isinstance(state, RunWorker):
+            return state
+        outcome = state.report(epoch, deadline, acknowledged)
+        if isinstance(outcome, RunReport) and not outcome.ends and wait > 0:
+            await wait_for(self._clock, state.next_end(), wait, None)
+            state = await self._reach(worker)
+            if not isinstance(state, RunWorker):
+                return state
+            outcome = state.report(epoch, None, acknowledged)
+        return outcome
+
+    async def _reach(self, worker: WorkerEntry) -> RunWorker | OrderOutcome:
+        if self.latency:
+            await sleep(self._clock, self.latency)
+        state = self._workers.workers.get(worker.worker_id)
+        if state is None or worker.worker_id in self.cut or self.silent_instance:
+            await sleep(self._clock, ANSWER_TIMEOUT_SECONDS)
+            return NoAnswer("the worker is cut off")
+        if state.entry.incarnation != worker.incarnation:
+            return OtherLife()
+        return state
+
+
+def entry_of(
+    name: str,
+    *,
+    rack: str = "r1",
+    room: Resources | None = None,
+    incarnation: int = 1,
+    **fields,
+) -> WorkerEntry:
+    """Return a ready worker of the service ``pool``."""
+    values = {
+        "worker_id": name,
+        "service": "pool",
+        "address": "127.0.0.1:1",
+        "domain": fields.pop("domain", "zarcero"),
+        "incarnation": Incarnation(incarnation),
+        "status": fields.pop("status", "ready"),
+        "capacity": msgspec.to_builtins(room or Resources(32_000, 131_072, 8)),
+        "rack": rack,
+        **fields,
+    }
+    return msgspec.convert(values, WorkerEntry)
--- /dev/null
+++ b/tests/batch/deployment.py
@@ -0,0 +1,181 @@
+"""Instances, store and workers of a batch deployment on a manual clock."""
+
+from __future__ import annotations
+
+import msgspec
+
+from chivefall.batch import (
+    ApiKey,
+    BatchOperation,
+    BatchOutcome,
+    BatchRequest,
+    BatchSpec,
+    Catalog,
+    ClientAccount,
+    JobState,
+    JobStatus,
+    PlatformCodec,
+    Queue,
+    QueueId,
+    Resources,
+    RunId,
+    Service,
+    StepSpec,
+    WorkerEntry,
+)
+from chivefall.batch_application import BatchApplication, BatchConnections
+from chivefall.config import Settings, Timing
+from chivefall.errors import MessageError
+from chivefall.model import AccountId, DomainId, InstanceId, JobId, ServiceId, WorkerId
+from chivefall.runtime import ManualClock, spawn
+from standins.memory_store import MemoryStore
+from standins.run_workers import MemoryRunClient, RunWorker, RunWorkers, entry_of
+from standins.store import KeyValueState
+
+CATALOG_KEY = "op/config"
+WORKER_PREFIX = "servers/"
+KEY = ApiKey("key-1")
+SERVICE = ServiceId("pool")
+URGENT = Queue(QueueId("urgent"), "host", "/urgent/", SERVICE, 0, 2, 1.5, 0.25)
+NORMAL = Queue(QueueId("normal"), "host", "/normal/", SERVICE, 1, 2, 3.0, 1.0)
+ACCOUNT = ClientAccount(AccountId("farm"), frozenset({KEY}), 16)
+STEP = 0.01
+
+
+class PlainCodec(PlatformCodec):
+    """Reads entries that the tests write as plain JSON of the project's own types."""
+
+    catalog_key = CATALOG_KEY
+    operator_prefix = "op/"
+    worker_prefix = WORKER_PREFIX
+
+    def __init__(self) -> None:
+        self.catalogs: dict[bytes, Catalog] = {}
+
+    def decode_catalog(self, value: bytes) -> Catalog:
+        if value not in self.catalogs:
+            raise MessageError("no such catalog", "write it with Deployment.set_catalog")
+        return self.catalogs[value]
+
+    def domain_out(self, key: str) -> DomainId | None:
+        name = key.removeprefix("op/evacuate/")
+        return DomainId(name) if name != key else None
+
+    def worker_id(self, key: str) -> WorkerId:
+        return WorkerId(key.removeprefix(WORKER_PREFIX))
+
+    def decode_worker(self, key: str, value: bytes) -> WorkerEntry | None:
+        del key
+        return msgspec.json.decode(value, type=WorkerEntry)
+
+
+class Instance:
+    """One instance with its own connections."""
+
+    def __init__(self, deployment: Deployment, name: str) -> None:
+        self.store = MemoryStore(deployment.state, deployment.clock, timeout=1.0)
+        self.store.faults.delay = 0.002
+        self.client = MemoryRunClient(deployment.workers)
+        addresses = [f"127.0.0.1:{port}" for port in (1, 2, 3)]
+        timing = Timing(leader_lease=3.0, leader_renewal=1.0, store_timeout=1.0)
+        cfg = Settings(InstanceId(name), "region", DomainId("zarcero"), *addresses, timing=timing)
+        connections = BatchConnections(deployment.clock, self.store, self.client, deployment.codec)
+        self.application = BatchApplication(cfg, connections)
+        self.application.start_controllers()
+
+    @property
+    def leads(self) -> bool:
+        return self.application.leader.leads
+
+    def kill(self) -> None:
+        """End the process without any message."""
+        self.store.down = True
+        self.client.silent_instance = True
+        for controller in self.application.registry:
+            controller._stopped = True
+        self.application.scheduler._close()
+
+
+class Deployment:
+    """A store, workers and instances that share a manual clock."""
+
+    def __init__(self, instances: int = 1, workers: int = 4, room: Resources | None = None) -> None:
+        self.clock = ManualClock()
+        self.state = KeyValueState(self.clock)
+        self.codec = PlainCodec()
+        self.workers = RunWorkers(self.clock)
+        self.workers.room_of = self._room_of
+        self.specs: dict[JobId, BatchSpec] = {}
+        self.set_catalog(1, (URGENT, NORMAL), (ACCOUNT,))
+        for number in range(workers):
+            self.add_worker(entry_of(f"w{number}", room=room))
+        self.instances: list[Instance] = []
+        for number in range(instances):
+            self.add_instance(f"i{number}")
+        self.run(2.5)
+
+    def add_instance(self, name: str) -> Instance:
+        self.instances.append(Instance(self, name))
+        return self.instances[-1]
+
+    def set_catalog(self, version: int, queues=(), accounts=()) -> None:
+        """Write a desired state as the operators do."""
+        value = f"catalog {version}".encode()
+        self.codec.catalogs[value] = Catalog(version, queues, (Service(SERVICE),), accounts)
+        self.write(CATALOG_KEY, value)
+
+    def write(self, key: str, value: bytes) -> None:
+        self.state.write_all([(key, value, None)], [])
+
+    def delete(self, key: str) -> None:
+        self.state.write_all([], [key])
+
+    def add_worker(self, entry: WorkerEntry) -> RunWorker:
+        worker = self.workers.add(entry)
+        self.list_worker(worker)
+        return worker
+
+    def list_worker(self, worker: RunWorker) -> None:
+        self.write(WORKER_PREFIX + worker.entry.worker_id, self.workers.encode(worker))
+
+    def worker(self, name: str) -> RunWorker:
+        return self.workers.workers[WorkerId(name)]
+
+    @property
+    def leader(self) -> Instance:
+        leading = [item for item in self.instances if item.leads and not item.store.down]
+        return max(leading, key=lambda item: item.application.leader.epoch)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass, with the events of the loop."""
+        steps = max(1, round(seconds / STEP))
+        for _ in range(steps):
+            self.clock.advance(STEP)
+            for item in self.instances:
+                while len(item.application):
+                    item.application.flush()
+
+    def call(self, operation: BatchOperation, path: str, spec=None, **fields) -> BatchOutcome:
+        """Send a request to an instance and return its outcome."""
+        instance = fields.pop("instance", None) or self.instances[0]
+        now = self.clock.now()
+        ctx = BatchRequest(operation, "host", path, now, now + 3.0, fields.pop("key", KEY), spec)
+        fut = spawn(instance.application.chain.run(ctx))
+        for _ in range(400):
+            if fut.done():
+                break
+            self.run(STEP)
+        return fut.result()
+
+    def submit(self, name: str, *steps: StepSpec, queue: Queue = NORMAL, **fields) -> BatchOutcome:
+        spec = BatchSpec("payload", steps)
+        self.specs[JobId(name)] = spec
+        return self.call(BatchOperation.SUBMIT, queue.prefix + name, spec, **fields)
+
+    def state_of(self, name: str, queue: Queue = NORMAL, **fields) -> JobState:
+        outcome = self.call(BatchOperation.STATUS, queue.prefix + name, **fields)
+        assert isinstance(outcome, JobStatus), outcome
+        return outcome.state
+
+    def _room_of(self, run: RunId) -> Resources:
+        return self.specs[run.job].steps[run.task.step].room
--- /dev/null
+++ b/tests/batch/test_whole_path.py
@@ -0,0 +1,239 @@
+"""Batch jobs from submission to completion, and faults of instances, store and workers."""
+
+from __future__ import annotations
+
+import unittest
+
+from chivefall.batch import BatchOperation, JobMissing, JobState, JobStatus, PendingJobs
+from chivefall.batch import Resources, StepSpec
+from chivefall.model import Accepted, JobId, NotRun, NotRunReason
+from tests.batch.deployment import NORMAL, URGENT, Deployment
+
+ROOM = Resources(4000, 16_000, 2)
+WORKER_ROOM = Resources(32_000, 131_072, 8)
+
+
+def step(count: int = 1, **fields) -> StepSpec:
+    return StepSpec(count, fields.pop("room", ROOM), 2.0, **fields)
+
+
+class WholePath(unittest.TestCase):
+    def test_job_completes_and_is_pending_until_it_starts(self) -> None:
+        sut = Deployment()
+        self.assertEqual(sut.submit("a1", step(3), step(2, after=(0,))), Accepted(JobId("a1")))
+        sut.run(3.0)
+        self.assertIs(sut.state_of("a1"), JobState.RUNNING)
+        sut.run(3.0)
+        self.assertIs(sut.state_of("a1"), JobState.COMPLETED)
+        pending = sut.call(BatchOperation.STATUS, NORMAL.prefix)
+        self.assertEqual(pending, PendingJobs(0))
+
+    def test_later_step_waits_for_every_task_of_the_earlier_one(self) -> None:
+        sut = Deployment()
+        sut.worker("w1").seconds = 4.0
+        sut.submit("a1", step(8), step(1, after=(0,)))
+        sut.run(10.0)
+        starts = sut.workers.starts_of(JobId("a1"))
+        last_end = max(
+            time
+            for worker in sut.workers.workers.values()
+            for time, kind, run in worker.history
+            if kind == "done" and run.task.step == 0
+        )
+        self.assertGreaterEqual(starts[(0, 1, 0)][0][0], last_end)
+
+    def test_repeated_submission_is_one_job(self) -> None:
+        sut = Deployment()
+        sut.submit("a1", step())
+        sut.run(4.0)
+        self.assertEqual(sut.submit("a1", step()), Accepted(JobId("a1")))
+        sut.run(4.0)
+        self.assertEqual(len(sut.workers.starts_of(JobId("a1"))[(0, 0, 0)]), 1)
+
+    def test_unknown_job_queue_and_key(self) -> None:
+        sut = Deployment()
+        self.assertEqual(sut.call(BatchOperation.STATUS, "/normal/ff"), JobMissing())
+        for fields, reason in (
+            ({"path": "/other/ff"}, NotRunReason.UNKNOWN_QUEUE),
+            ({"path": "/normal/ff", "key": "stolen"}, NotRunReason.UNKNOWN_KEY),
+            ({"path": "/normal/zz"}, NotRunReason.BAD_REQUEST),
+        ):
+            outcome = sut.call(BatchOperation.STATUS, **fields)
+            self.assertIsInstance(outcome, NotRun)
+            self.assertIs(outcome.reason, reason)
+
+    def test_cancelled_job_is_stopped(self) -> None:
+        sut = Deployment()
+        sut.submit("a1", step(4))
+        sut.run(0.5)
+        outcome = sut.call(BatchOperation.CANCEL, "/normal/a1")
+        self.assertEqual(outcome, JobStatus(JobState.CANCELLED))
+        sut.run(0.5)
+        self.assertFalse(any(worker.running for worker in sut.workers.workers.values()))
+        self.assertIs(sut.state_of("a1"), JobState.CANCELLED)
+
+    def test_job_fails_after_its_attempts(self) -> None:
+        sut = Deployment(workers=1)
+        sut.worker("w0").fails = True
+        sut.submit("a1", step())
+        sut.run(20.0)
+        self.assertIs(sut.state_of("a1"), JobState.FAILED)
+        starts = sut.workers.starts_of(JobId("a1"))
+        self.assertEqual(len(starts[(0, 0, 0)]), NORMAL.max_attempts)
+
+    def test_worker_is_never_over_its_room(self) -> None:
+        sut = Deployment(workers=2)
+        for number in range(6):
+            sut.submit(f"a{number}", step(4))
+        sut.run(15.0)
+        for worker in sut.workers.workers.values():
+            self.assertLessEqual(worker.peak.accelerators, WORKER_ROOM.accelerators)
+            self.assertLessEqual(worker.peak.memory, WORKER_ROOM.memory)
+
+    def test_urgent_gang_takes_the_room_of_less_urgent_tasks(self) -> None:
+        sut = Deployment(workers=2)
+        for worker in sut.workers.workers.values():
+            worker.seconds = 30.0
+        sut.submit("a1", step(8))
+        sut.run(1.0)
+        sut.submit("b1", step(8, gang=True), queue=URGENT)
+        sut.run(1.0)
+        starts = sut.workers.starts_of(JobId("b1"))
+        self.assertEqual(len(starts), 8)
+
+
+class Faults(unittest.TestCase):
+    def assert_no_second_run(self, sut: Deployment, name: str) -> None:
+        """Check that no run of a task begins while another goes on or after one is done."""
+        spans: dict = {}
+        for worker in sut.workers.workers.values():
+            for time, kind, run in worker.history:
+                if run.job != name or kind == "noted":
+                    continue
+                span = spans.setdefault(run, [time, float("inf"), kind])
+                if kind != "start":
+                    span[1:] = [time, kind]
+        by_task: dict = {}
+        for run, span in spans.items():
+            by_task.setdefault(run.task, []).append(span)
+        for task, rows in by_task.items():
+            rows.sort()
+            for earlier, later in zip(rows, rows[1:], strict=False):
+                self.assertLessEqual(earlier[1], later[0], f"two runs of {task} at once")
+                self.assertNotEqual(earlier[2], "done", f"{task} was started after its end")
+
+    def test_next_leader_adopts_runs(self) -> None:
+        sut = Deployment(instances=3)
+        for worker in sut.workers.workers.values():
+            worker.seconds = 8.0
+        sut.submit("a1", step(6))
+        sut.run(1.0)
+        sut.leader.kill()
+        sut.run(14.0)
+        live = sut.leader
+        self.assertIs(sut.state_of("a1", instance=live), JobState.COMPLETED)
+        self.assert_no_second_run(sut, "a1")
+
+    def test_new_leader_that_loses_a_worker_waits_for_leases_of_its_predecessor(self) -> None:
+        # Guards against a lease end computed from this leader's own calls alone: the
+        # runs of a worker that answered once were started again while they went on.
+        sut = Deployment(instances=2, workers=2)
+        for worker in sut.workers.workers.values():
+            worker.seconds = 7.0
+        sut.submit("a1", step(6))
+        sut.run(2.0)
+        first = sut.leader
+        other = next(item for item in sut.instances if item is not first)
+        first.kill()
+        other.client.latency = 0.05
+        while not any(w.synced for w in other.application.fleet.fleet.workers.values()):
+            sut.run(0.01)
+        other.client.cut.add("w0")
+        other.client.cut.add("w1")
+        sut.run(4.0)
+        other.client.cut.clear()
+        sut.run(20.0)
+        self.assertIs(sut.state_of("a1", instance=other), JobState.COMPLETED)
+        self.assert_no_second_run(sut, "a1")
+
+    def test_unreachable_worker_loses_its_runs_only_after_its_lease(self) -> None:
+        sut = Deployment(workers=2)
+        sut.worker("w0").seconds = sut.worker("w1").seconds = 5.0
+        sut.submit("a1", step(8))
+        sut.run(1.0)
+        sut.leader.client.cut.add("w0")
+        cut_at = sut.clock.now()
+        sut.run(25.0)
+        self.assertIs(sut.state_of("a1"), JobState.COMPLETED)
+        repeats = [rows[1][0] for rows in sut.workers.starts_of(JobId("a1")).values() if rows[1:]]
+        self.assertEqual(len(repeats), 4)
+        lapsed_at = sut.worker("w0").lease_until
+        self.assertGreater(lapsed_at, cut_at + 5.0)
+        self.assertGreaterEqual(min(repeats), lapsed_at)
+
+    def test_late_start_is_fenced_before_the_task_runs_elsewhere(self) -> None:
+        sut = Deployment(workers=2)
+        sut.leader.client.late.add("w0")
+        sut.submit("a1", step(4))
+        sut.run(1.0)
+        sut.leader.client.late.clear()
+        sut.run(15.0)
+        self.assertIs(sut.state_of("a1"), JobState.COMPLETED)
+        self.assert_no_second_run(sut, "a1")
+
+    def test_worker_that_starts_again_under_its_id_frees_its_runs(self) -> None:
+        sut = Deployment(workers=1)
+        sut.worker("w0").seconds = 5.0
+        sut.submit("a1", step(2))
+        sut.run(1.0)
+        entry = sut.worker("w0").entry
+        replaced = type(entry)(**{**entry.__dict__, "incarnation": 2})
+        sut.add_worker(replaced)
+        sut.run(4.0)
+        self.assertIs(sut.state_of("a1"), JobState.COMPLETED)
+
+    def test_ends_wait_for_the_store(self) -> None:
+        sut = Deployment(workers=1)
+        sut.submit("a1", step())
+        sut.run(0.5)
+        leader = sut.leader
+        leader.store.down = True
+        sut.run(3.0)
+        noted = [row for row in sut.worker("w0").history if row[1] == "noted"]
+        self.assertEqual(noted, [], "an end was acknowledged before it was written")
+        leader.store.down = False
+        sut.run(5.0)
+        self.assertIs(sut.state_of("a1"), JobState.COMPLETED)
+        self.assert_no_second_run(sut, "a1")
+
+    def test_lost_replies_of_the_store_change_nothing(self) -> None:
+        sut = Deployment(workers=2)
+        sut.leader.store.lose_replies = 3
+        sut.submit("a1", step(4), step(2, after=(0,)))
+        sut.leader.store.lose_replies = 2
+        sut.run(14.0)
+        self.assertIs(sut.state_of("a1"), JobState.COMPLETED)
+        self.assert_no_second_run(sut, "a1")
+
+    def test_revoked_key_is_refused_although_the_watch_is_behind(self) -> None:
+        sut = Deployment()
+        sut.state._notify = lambda _: None  # watches hear nothing
+        sut.set_catalog(2, (URGENT, NORMAL), ())
+        outcome = sut.submit("a1", step())
+        self.assertIsInstance(outcome, NotRun)
+        self.assertIs(outcome.reason, NotRunReason.UNKNOWN_KEY)
+
+    def test_domain_out_of_service_gets_no_start(self) -> None:
+        sut = Deployment()
+        sut.write("op/evacuate/zarcero", b"{}")
+        sut.run(0.1)
+        sut.submit("a1", step())
+        sut.run(3.0)
+        self.assertEqual(sut.workers.starts_of(JobId("a1")), {})
+        sut.delete("op/evacuate/zarcero")
+        sut.run(4.0)
+        self.assertIs(sut.state_of("a1"), JobState.COMPLETED)
+
+
+if __name__ == "__main__":
+    unittest.main()
