Acknowledge an end only when the job's record is written

The new session saw the unacknowledged end again, the scheduler had applied it already and so took it for an old one, and the end was acknowledged although its record was not written. The next leader found neither run nor end and ran the task again. Change: a session with open ends is kept, and an end that was applied waits for the record. The test fails without either change.

--- a/chivefall/batch_daemon.py
+++ b/chivefall/batch_daemon.py
@@ -7,16 +7,19 @@
 from typing import TYPE_CHECKING
 
 from circuits import BaseComponent, handler
+from circuits.core.events import signal
 from circuits.core.pollers import EPoll
 
 from chivefall.batch_application import BatchApplication, BatchConnections
 from chivefall.config import Address
+from chivefall.controllers._settings import SettingsController
 from chivefall.net import HttpClient, HttpReply, HttpRequest, HttpServer
 from chivefall.platform import BatchHttpApi, HttpRunClient, PlatformStore, UsersPlatformCodec
 from chivefall.runtime import Future, LoopClock
 from chivefall.telemetry import LogEvent, log_event
 
 if TYPE_CHECKING:
+    from pathlib import Path
     from types import FrameType
 
     from chivefall.config import Settings
@@ -37,7 +40,7 @@
 
     channel = "daemon"
 
-    def __init__(self, cfg: Settings) -> None:
+    def __init__(self, cfg: Settings, path: Path) -> None:
         super().__init__()
         self.cfg = cfg
         self._stopping_at: float | None = None
@@ -48,12 +51,15 @@
         self.http = HttpClient(self.clock).register(self)
         timing = cfg.timing
         self.store = PlatformStore(self.http, Address.parse(cfg.store), timing.store_timeout)
+        self.workers = HttpRunClient(self.http, timing.worker_timeout)
+        self.settings = SettingsController(self.clock, path, cfg, self._adopt_settings)
+        self.settings.register(self)
         self.application = BatchApplication(
             cfg,
             BatchConnections(
                 self.clock,
                 self.store,
-                HttpRunClient(self.http, timing.worker_timeout),
+                self.workers,
                 UsersPlatformCodec(),
             ),
         ).register(self)
@@ -75,13 +81,25 @@
         content, kind = self.application.metrics.render()
         return _done(HttpReply(HTTPStatus.OK, content, content_type=kind))
 
+    def _adopt_settings(self, cfg: Settings) -> None:
+        """Put changed time limits in force; addresses change only with a restart."""
+        self.cfg = cfg
+        self.store.timeout = cfg.timing.store_timeout
+        self.workers.timeout = cfg.timing.worker_timeout
+
     @handler("started", channel="*")
     def _on_started(self, *_: object) -> None:
+        # circuits turns SIGINT and SIGTERM into events, but SIGHUP would end the process.
+        signals.signal(signals.SIGHUP, lambda signo, frame: self.fire(signal(signo, frame)))
+        self.settings.start()
         self.application.start_controllers()
         log_event(LogEvent.PROCESS_STARTED, instance=self.cfg.instance, listen=self.cfg.listen)
 
     @handler("signal", channel="*")
     def _on_signal(self, signo: int, _frame: FrameType | None) -> None:
+        if signo == signals.SIGHUP:
+            self.settings.reload("SIGHUP")
+            return
         if signo not in (signals.SIGTERM, signals.SIGINT) or self._stopping_at is not None:
             return
         log_event(LogEvent.PROCESS_STOPPING, signal=signals.Signals(signo).name)
@@ -117,6 +135,7 @@
             return
         self._ended = True
         self.application.stop_controllers()
+        self.settings.stop()
         self.http.close_all()
         log_event(LogEvent.PROCESS_STOPPED, instance=self.cfg.instance)
         self.root.stop()
--- a/chivefall/cli/_main.py
+++ b/chivefall/cli/_main.py
@@ -40,7 +40,7 @@
     if cfg.batch is not None:
         from chivefall.batch_daemon import BatchDaemon  # noqa: PLC0415
 
-        BatchDaemon(cfg).run()
+        BatchDaemon(cfg, settings).run()
         return
     from chivefall.daemon import Daemon  # noqa: PLC0415
 
--- /dev/null
+++ b/chivefall/controllers/_settings.py
@@ -0,0 +1,78 @@
+"""Reload of the settings file on a signal or when its content changes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from chivefall.config import parse_settings
+from chivefall.controllers._base import Controller
+from chivefall.errors import ConfigError
+from chivefall.telemetry import LogEvent, log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from pathlib import Path
+
+    from chivefall.config import Settings
+    from chivefall.runtime import Clock
+
+__all__ = ["SettingsController"]
+
+CHECK_SECONDS = 1.0  # between looks at the file, which may change without a signal
+
+
+class SettingsController(Controller):
+    """Keeps the settings in force; an invalid file leaves the old ones in force.
+
+    Parameters
+    ----------
+    path : Path
+        The settings file.
+    cfg : Settings
+        Settings at the start.
+    adopt : callable
+        Called with changed settings that are valid.
+    """
+
+    def __init__(
+        self, clock: Clock, path: Path, cfg: Settings, adopt: Callable[[Settings], None]
+    ) -> None:
+        super().__init__(clock)
+        self._path = path
+        self._adopt = adopt
+        self._text: str | None = None
+        self.cfg = cfg
+
+    def start(self) -> None:
+        """Begin to look at the file."""
+        self.every(CHECK_SECONDS, lambda _: self.reload("the file changed"))
+
+    def reload(self, cause: str) -> None:
+        """Read the file and put its settings in force if they changed and are valid."""
+        try:
+            text = self._path.read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as exc:
+            self._reject(f"{self._path} cannot be read: {exc}", None)
+            return
+        if text == self._text:
+            return
+        try:
+            cfg = parse_settings(text, str(self._path))
+        except ConfigError as exc:
+            self._reject(str(exc), text)
+            return
+        self._text = text
+        if cfg == self.cfg:
+            return
+        changed = [key for key in cfg.__dataclass_fields__ if _differs(cfg, self.cfg, key)]
+        self.cfg = cfg
+        self._adopt(cfg)
+        log_event(LogEvent.SETTINGS_RELOADED, cause=cause, changed=changed)
+
+    def _reject(self, reason: str, text: str | None) -> None:
+        self._text = text
+        log_event(LogEvent.SETTINGS_REJECTED, reason=reason)
+
+
+def _differs(new: Settings, old: Settings, key: str) -> bool:
+    return getattr(new, key) != getattr(old, key)
--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -194,10 +194,10 @@
         log_event(
             LogEvent.FLEET_CHANGED, worker=name, change="unlisted", runs=len(session.worker.placed)
         )
-        if not session.worker.placed:
-            self._forget(session)
-        else:
+        if session.has_work:
             self._poll(session)
+        else:
+            self._forget(session)
 
     def _forget(self, session: Session) -> None:
         session.closed = True
@@ -282,7 +282,8 @@
         while not session.closed and session.has_work and self._is_current(epoch):
             if not self._may_hold(self.clock.now()):
                 await sleep(self.clock, RETRY_SECONDS)
-                self._check_lapse(session)
+                if not session.closed and self._is_current(epoch):
+                    self._check_lapse(session)
                 continue
             wait = POLL_SECONDS if session.worker.synced and session.worker.placed else 0.0
             sent_at, told = self.clock.now(), session.acknowledged
--- a/chivefall/controllers/batch/_records.py
+++ b/chivefall/controllers/batch/_records.py
@@ -37,3 +37,8 @@
     is_waiting: bool = True
     shown: JobState = JobState.QUEUED
     final_since: float | None = None
+
+    @property
+    def is_unwritten(self) -> bool:
+        """Return whether the job's present state is not known to be written."""
+        return self.dirty or bool(self.attempted)
--- a/chivefall/controllers/batch/_scheduler.py
+++ b/chivefall/controllers/batch/_scheduler.py
@@ -14,6 +14,7 @@
     Placed,
     Queue,
     RunId,
+    StepSpec,
     TaskKey,
     decode_submission,
     encode_progress,
@@ -104,7 +105,13 @@
             lambda *change: self._apply(epoch, *change),
             lambda: self._is_current(epoch),
         )
-        self.run_task(mirror.run())
+        self.run_task(self._follow(epoch, mirror))
+
+    async def _follow(self, epoch: Epoch, mirror: PrefixMirror) -> None:
+        """Read the jobs once their queues are known."""
+        while self._is_current(epoch) and not self._catalog.is_known:
+            await sleep(self.clock, ROUND_INTERVAL_SECONDS)
+        await mirror.run()
 
     @handler("leadership_lost", channel="*")
     def _on_lost(self, _reason: str) -> None:
@@ -158,6 +165,16 @@
         queue = self._find_queue(submission.queue)
         attempts = queue.max_attempts if queue is not None else 1
         self.jobs[job_id] = TrackedJob(BatchJob(submission, attempts))
+        log_event(
+            LogEvent.BATCH_JOB_READ,
+            job=job_id,
+            queue=submission.queue,
+            priority=None if queue is None else queue.priority,
+            account=submission.account,
+            age=round(self.clock.now() - submission.submitted_at, 3),
+            occurrences=submission.spec.occurrences,
+            steps=[_describe(step) for step in submission.spec.steps],
+        )
 
     def _restore(self, job_id: JobId, entry: Entry) -> None:
         tracked = self.jobs.get(job_id)
@@ -341,8 +358,14 @@
     def run_ended(self, run: RunId, kind: EndKind, checkpoint: Checkpoint) -> bool:
         """Apply an end; return whether it has to be written before it is acknowledged."""
         tracked = self.jobs.get(run.job)
-        if tracked is None or not tracked.job.end(run, kind, checkpoint):
+        if tracked is None:
             return False
+        if not tracked.job.end(run, kind, checkpoint):
+            if not tracked.is_unwritten:
+                return False
+            # The end may have been applied before and wait to be written.
+            tracked.once_written.append(lambda: self._fleet.acknowledge(run))
+            return True
         if tracked.job.state is JobState.FAILED:
             self._stop_all(tracked.job)
         self._mark(tracked, lambda: self._fleet.acknowledge(run))
@@ -482,3 +505,15 @@
         if isinstance(outcome, Stored) and self._is_current(epoch):
             for tracked in old:
                 self.jobs.pop(tracked.job.job_id, None)
+
+
+def _describe(step: StepSpec) -> str:
+    """Return a step in short for the log: tasks, room, run time and what binds the place."""
+    room = step.room
+    kind = "gang" if step.gang else "tasks"
+    near = step.data_rack or ("one rack" if step.same_rack else "anywhere")
+    return (
+        f"{step.count} {kind} of {room.cpu}m {room.memory}MB {room.accelerators}acc "
+        f"{step.run_time:.3g}s at {near} label {step.label or '-'} "
+        f"max {step.max_per_worker or '-'} checkpoints {'yes' if step.checkpointed else 'no'}"
+    )
--- a/chivefall/platform/_run_client.py
+++ b/chivefall/platform/_run_client.py
@@ -61,7 +61,7 @@
 
     def __init__(self, http: HttpClient, timeout: float) -> None:
         self._http = http
-        self._timeout = timeout
+        self.timeout = timeout
         self.calls = 0
 
     async def start(self, worker: WorkerEntry, order: RunOrder, epoch: Epoch) -> OrderOutcome:
@@ -73,12 +73,12 @@
         }
         if order.checkpoint:
             body["checkpoint"] = order.checkpoint
-        return _order_outcome(await self._call(worker, "run-start", body, self._timeout))
+        return _order_outcome(await self._call(worker, "run-start", body, self.timeout))
 
     async def stop(self, worker: WorkerEntry, run: RunId, epoch: Epoch) -> OrderOutcome:
         """Stop a run; one that is not there yet will be refused."""
         body = _run_body(run, epoch)
-        return _order_outcome(await self._call(worker, "run-stop", body, self._timeout))
+        return _order_outcome(await self._call(worker, "run-stop", body, self.timeout))
 
     async def hold(
         self,
@@ -94,7 +94,7 @@
             body["deadline_ms"] = round(deadline * 1000)
         if wait > 0:
             body["wait_ms"] = round(wait * 1000)
-        reply = await self._call(worker, "hold", body, self._timeout + wait)
+        reply = await self._call(worker, "hold", body, self.timeout + wait)
         if not isinstance(reply, HttpResponse) or reply.status != HTTPStatus.OK:
             outcome = _order_outcome(reply)
             return NoAnswer("unreadable answer") if isinstance(outcome, Ran) else outcome
--- a/chivefall/platform/_store.py
+++ b/chivefall/platform/_store.py
@@ -71,7 +71,7 @@
     def __init__(self, http: HttpClient, address: Address, timeout: float) -> None:
         self._http = http
         self._address = address
-        self._timeout = timeout
+        self.timeout = timeout
         self.calls = 0
 
     async def get(self, key: str, known: Version | None = None) -> ReadOutcome:
@@ -205,7 +205,7 @@
         data = b"" if body is None else msgspec.json.encode(body)
         headers = {"Content-Type": "application/json"} if body is not None else {}
         reply = await self._http.request(
-            self._address, method, path, data, headers, timeout or self._timeout
+            self._address, method, path, data, headers, timeout or self.timeout
         )
         if isinstance(reply, HttpFailure):
             return Unavailable(reply.reason, applied_unknown=reply.sent)
--- a/chivefall/platform/_wire.py
+++ b/chivefall/platform/_wire.py
@@ -109,7 +109,7 @@
     state: str
     capacity: Capacity
     labels: list[str]  # kind and rack
-    born: int = 0  # tells the lives of a worker apart, in milliseconds since 1970
+    born: int  # tells the lives of a worker apart, in milliseconds since 1970
     remaining_ms: float = 0
 
 
--- a/standins/run_workers.py
+++ b/standins/run_workers.py
@@ -72,7 +72,7 @@
     seconds: float = 2.0
     fails: bool = False
     hangs: bool = False
-    fence: Epoch = Epoch(0)  # noqa: RUF009 - an immutable number
+    fence: Epoch = Epoch(0)
     lease_until: float = 0.0
     running: dict[RunId, _Running] = field(default_factory=dict)
     ends: list[RunEnd] = field(default_factory=list)
--- a/tests/batch/__init__.py
+++ b/tests/batch/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of batch jobs."""
--- a/tests/batch/test_whole_path.py
+++ b/tests/batch/test_whole_path.py
@@ -3,9 +3,17 @@
 from __future__ import annotations
 
 import unittest
+from itertools import pairwise
 
-from chivefall.batch import BatchOperation, JobMissing, JobState, JobStatus, PendingJobs
-from chivefall.batch import Resources, StepSpec
+from chivefall.batch import (
+    BatchOperation,
+    JobMissing,
+    JobState,
+    JobStatus,
+    PendingJobs,
+    Resources,
+    StepSpec,
+)
 from chivefall.model import Accepted, JobId, NotRun, NotRunReason
 from tests.batch.deployment import NORMAL, URGENT, Deployment
 
@@ -14,6 +22,7 @@
 
 
 def step(count: int = 1, **fields) -> StepSpec:
+    """Return a step of small tasks."""
     return StepSpec(count, fields.pop("room", ROOM), 2.0, **fields)
 
 
@@ -118,7 +127,7 @@
             by_task.setdefault(run.task, []).append(span)
         for task, rows in by_task.items():
             rows.sort()
-            for earlier, later in zip(rows, rows[1:], strict=False):
+            for earlier, later in pairwise(rows):
                 self.assertLessEqual(earlier[1], later[0], f"two runs of {task} at once")
                 self.assertNotEqual(earlier[2], "done", f"{task} was started after its end")
 
@@ -206,6 +215,26 @@
         self.assertIs(sut.state_of("a1"), JobState.COMPLETED)
         self.assert_no_second_run(sut, "a1")
 
+    def test_unwritten_end_stays_unacknowledged_while_its_worker_is_listed_anew(self) -> None:
+        # Guards against a fault in which the entry of an idle worker lapsed in an outage
+        # of the store: the end was listed to a new session, taken for an old one and
+        # acknowledged although it was not written, and the next leader ran the task again.
+        sut = Deployment(workers=1)
+        sut.submit("a1", step())
+        sut.run(0.5)
+        sut.leader.store.faults.refuse_writes = True
+        sut.run(2.0)
+        sut.delete("servers/w0")
+        sut.run(0.5)
+        sut.list_worker(sut.worker("w0"))
+        sut.run(0.4)
+        noted = [row for row in sut.worker("w0").history if row[1] == "noted"]
+        self.assertEqual(noted, [], "an end was acknowledged before it was written")
+        sut.leader.store.faults.refuse_writes = False
+        sut.run(3.0)
+        self.assertIs(sut.state_of("a1"), JobState.COMPLETED)
+        self.assert_no_second_run(sut, "a1")
+
     def test_lost_replies_of_the_store_change_nothing(self) -> None:
         sut = Deployment(workers=2)
         sut.leader.store.lose_replies = 3
--- a/tests/platform/__init__.py
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the platform's formats."""
