--- a/chivefall/batch_application.py
+++ b/chivefall/batch_application.py
@@ -61,7 +61,9 @@
         add = self.registry.add
         self.catalog = add(CatalogController(clock, store, codec))
         self.submissions = add(SubmissionController(clock, store, self.catalog))
-        self.leader = add(LeaderController(clock, cfg, store, lambda _: Epoch(0), scope=cfg.region))
+        self.leader = add(
+            LeaderController(clock, cfg, store, lambda _: Epoch(0), cfg.region, watches=True)
+        )
         self.fleet = add(
             FleetController(clock, cfg, store, connections.workers, codec, self.leader)
         )
--- a/chivefall/controllers/_leader.py
+++ b/chivefall/controllers/_leader.py
@@ -6,21 +6,26 @@
 import secrets
 from enum import Enum
 from typing import TYPE_CHECKING
+from zlib import crc32
 
 from chivefall.controllers._base import Controller
 from chivefall.events import leadership_gained, leadership_lost
 from chivefall.model import DomainId, Epoch
+from chivefall.runtime import sleep
 from chivefall.store import (
     ABSENT,
+    Changed,
     Conflict,
     Found,
     Granted,
     LeaseExpired,
     LeaseId,
     Missing,
+    ReadOutcome,
     Store,
     Stored,
     Unavailable,
+    Version,
     leader_key,
 )
 from chivefall.telemetry import LogEvent, log_event
@@ -33,6 +38,9 @@
 
 __all__ = ["LeaderController", "LeaderState"]
 
+WATCH_SECONDS = 2.0  # one wait of a follower for the end of the present leadership
+MAX_STAGGER_SECONDS = 0.1  # spreads the candidates after a removal; their order is fixed
+
 
 class LeaderState(Enum):
     """Whether this instance leads its failure domain.
@@ -61,6 +69,9 @@
         lately, or 0.
     scope : str, optional
         What is led; the failure domain of the settings by default.
+    watches : bool
+        Whether a follower watches the leader key instead of reading it at each
+        interval, so that it follows a leader that is gone at once.
     """
 
     def __init__(
@@ -70,11 +81,15 @@
         store: Store,
         heard_epoch: Callable[[float], Epoch],
         scope: str | None = None,
+        *,
+        watches: bool = False,
     ) -> None:
         super().__init__(clock)
         self._cfg = cfg
         self._store = store
         self._heard_epoch = heard_epoch
+        self._watches = watches
+        self._stagger = MAX_STAGGER_SECONDS * crc32(cfg.instance.encode()) / 2**32
         self._key = leader_key(DomainId(scope) if scope else cfg.failure_domain)
         self._name = f"{cfg.instance} {secrets.token_hex(8)} ".encode()
         self._attempts = itertools.count(1)
@@ -183,6 +198,8 @@
         found = await self._store.get(self._key)
         if isinstance(found, Found):
             self._defer_to(found.entry.value)
+            if self._watches and not self.leads and not self._stopped:
+                found = await self._await_removal(found.entry.version)
         if not isinstance(found, Missing) or self._stopped:
             return
         asked_at = self.clock.now()
@@ -201,6 +218,15 @@
         else:
             await self._store.revoke_lease(granted.lease)
 
+    async def _await_removal(self, version: Version) -> ReadOutcome:
+        """Watch the leader key for a while and return what it is then."""
+        outcome = await self._store.watch(self._key, version, WATCH_SECONDS)
+        if not isinstance(outcome, Changed):
+            return Unavailable("the leader key is unchanged")
+        # Candidates that all saw the removal would otherwise ask for leases at once.
+        await sleep(self.clock, self._stagger)
+        return await self._store.get(self._key)
+
     def _defer_to(self, value: bytes) -> None:
         """Step down if the leader key belongs to another process.
 
--- a/chivefall/platform/_store.py
+++ b/chivefall/platform/_store.py
@@ -48,7 +48,7 @@
 T = TypeVar("T")
 
 WATCH_MARGIN_SECONDS = 1.0  # beyond the wait before a watch counts as lost
-NO_LEASE = 0
+LEASE_CALL_SHARE = 0.4  # of the time limit of other calls
 
 
 class _Stored(msgspec.Struct):
@@ -74,6 +74,11 @@
         self.timeout = timeout
         self.calls = 0
 
+    @property
+    def _lease_timeout(self) -> float:
+        """Return the time limit of lease calls, which have to be repeated before the lease ends."""
+        return self.timeout * LEASE_CALL_SHARE
+
     async def get(self, key: str, known: Version | None = None) -> ReadOutcome:
         """Read one key; the answer has no value if it is at the known version."""
         reply = await self._call("GET", "kv-key", query={"key": key})
@@ -148,7 +153,9 @@
 
     async def grant_lease(self, ttl: float) -> LeaseOutcome:
         """Create a lease of ``ttl`` seconds."""
-        reply = await self._call("POST", "kv-lease", {"ttl_ms": round(ttl * 1000)})
+        reply = await self._call(
+            "POST", "kv-lease", {"ttl_ms": round(ttl * 1000)}, timeout=self._lease_timeout
+        )
         body = None if isinstance(reply, Unavailable) else _decode(reply, LeaseBody)
         if isinstance(reply, Unavailable):
             return reply
@@ -158,7 +165,8 @@
 
     async def renew_lease(self, lease: LeaseId) -> LeaseOutcome:
         """Restart a lease's period."""
-        return _renewal(lease, await self._call("POST", f"kv-keep/{lease}"))
+        reply = await self._call("POST", f"kv-keep/{lease}", timeout=self._lease_timeout)
+        return _renewal(lease, reply)
 
     async def revoke_lease(self, lease: LeaseId) -> LeaseOutcome:
         """End a lease and delete its keys."""
