--- a/chivefall/batch/__init__.py
+++ b/chivefall/batch/__init__.py
@@ -9,6 +9,7 @@
     recorded_state,
     restore_progress,
 )
+from chivefall.batch._displacement import Displacement, DisplacementReason, find_displacements
 from chivefall.batch._fleet import Fleet, Placed, Worker
 from chivefall.batch._job import Assignment, BatchJob, EndKind, Submission, Task, TaskState
 from chivefall.batch._model import (
@@ -61,6 +62,8 @@
     "Checkpoint",
     "ClientAccount",
     "DeadlinePolicy",
+    "Displacement",
+    "DisplacementReason",
     "EndKind",
     "EndSequence",
     "Fleet",
@@ -91,6 +94,7 @@
     "decode_submission",
     "encode_progress",
     "encode_submission",
+    "find_displacements",
     "recorded_state",
     "restore_progress",
 ]
--- a/chivefall/batch/_fleet.py
+++ b/chivefall/batch/_fleet.py
@@ -15,6 +15,9 @@
 __all__ = ["Fleet", "Placed", "Worker"]
 
 
+MAX_STRIKES = 3  # beyond which a worker is avoided no longer each time
+
+
 @dataclass(frozen=True)
 class Placed:
     """Room that a run holds, from its assignment until its end is known."""
@@ -34,8 +37,12 @@
         Whether the worker told this leader what it runs.
     suspect : bool
         Whether the last call to it failed.
-    failures, successes : int
-        Ends of runs since the last change of suspicion.
+    avoided_until : float
+        Time until which no tasks start, in seconds since the epoch.
+    strikes : int
+        Failed, stalled or slow runs since the last one that was done in good time.
+    leaves_at : float
+        Time by which a draining worker may be gone; infinite for others.
     """
 
     entry: WorkerEntry
@@ -45,6 +52,8 @@
     placed: dict[RunId, Placed] = field(default_factory=dict)
     used: Resources = field(default_factory=Resources)
     avoided_until: float = 0.0
+    strikes: int = 0
+    leaves_at: float = float("inf")
 
     @property
     def worker_id(self) -> WorkerId:
@@ -62,6 +71,12 @@
             self.placed[run] = placed
             self.used += placed.room
 
+    def strike(self, seconds: float, now: float) -> None:
+        """Avoid the worker for a while, longer with each time in a row."""
+        self.strikes += 1
+        factor = 2 ** (min(self.strikes, MAX_STRIKES) - 1)
+        self.avoided_until = max(self.avoided_until, now + seconds * factor)
+
     def release(self, run: RunId) -> bool:
         """Give a run's room back; return whether it held any."""
         placed = self.placed.pop(run, None)
--- a/chivefall/batch/_job.py
+++ b/chivefall/batch/_job.py
@@ -85,6 +85,9 @@
         Runs that failed.
     progress : float
         Share of the work that the last report of the current run showed, 0 to 1.
+    progress_at, reported_at : float
+        Times of the last change of that share and of the last report, in seconds
+        since the epoch.
     """
 
     key: TaskKey
@@ -95,6 +98,8 @@
     assignment: Assignment | None = None
     started_at: float = 0.0
     progress: float = 0.0
+    progress_at: float = 0.0
+    reported_at: float = 0.0
     stopping: bool = False
 
 
@@ -115,6 +120,7 @@
         self.cancelled = False
         self.failed = False
         self.started = False
+        self.failed_on: set[WorkerId] = set()
         spec = submission.spec
         self._tasks: dict[tuple[int, int], list[Task]] = {
             (occurrence, number): [
@@ -200,22 +206,29 @@
             task.state = TaskState.ASSIGNED
             task.assignment = Assignment(worker, life, task.runs)
             task.started_at, task.progress, task.stopping = now, 0.0, False
+            task.progress_at = task.reported_at = now
             runs.append(RunId(self.job_id, task.key, task.runs))
         self.started = True
         return runs
 
-    def confirm_running(self, key: TaskKey, number: RunNumber) -> None:
+    def confirm_running(self, key: TaskKey, number: RunNumber, now: float) -> None:
         """Record that a run was seen on its worker."""
         task = self._current(key, number)
-        if task is not None:
+        if task is not None and task.state is TaskState.ASSIGNED:
             task.state = TaskState.RUNNING
+            task.progress_at = now
 
-    def note_progress(self, run: RunId, checkpoint: Checkpoint, share: float) -> None:
+    def note_progress(self, run: RunId, checkpoint: Checkpoint, share: float, now: float) -> None:
         """Record what a worker reports of a run that goes on."""
         task = self._current(run.task, run.number)
         if task is None:
             return
-        task.progress = share
+        if share != task.progress:
+            task.progress_at = now
+        task.progress, task.reported_at = share, now
+        self._note_checkpoint(task, checkpoint)
+
+    def _note_checkpoint(self, task: Task, checkpoint: Checkpoint) -> None:
         if checkpoint and not self.step_of(task.key).gang:
             task.checkpoint = checkpoint
         elif checkpoint:
@@ -228,8 +241,7 @@
         task = self._current(run.task, run.number)
         if task is None:
             return False
-        if checkpoint:
-            self.note_progress(run, checkpoint, task.progress)
+        self._note_checkpoint(task, checkpoint)
         if kind is EndKind.DONE:
             members = self._members(task) if self.step_of(task.key).gang else [task]
             for member in members:
@@ -237,6 +249,7 @@
             self._release(task)
             return True
         if kind is EndKind.FAILED:
+            self.failed_on.add(task.assignment.worker)
             self._count_failure(task, run.number)
             if self._failures_of(task) >= self.max_attempts and not self._is_long_running(task):
                 self.failed = True
--- a/chivefall/batch/_policy.py
+++ b/chivefall/batch/_policy.py
@@ -170,6 +170,9 @@
 
     def _place(self, group: _Group) -> None:
         workers = self._fleet.usable(group.step, group.queue.service, self._now)
+        # A second failure on another worker tells a bad task from a bad worker.
+        others = [item for item in workers if item.worker_id not in group.job.failed_on]
+        workers = others or workers
         if not workers:
             return
         rooms = Rooms(self._free, self._step_counts(group, workers))
--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -5,7 +5,16 @@
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
-from chivefall.batch import EndKind, Fleet, Incarnation, Placed, RunId, Worker
+from chivefall.batch import (
+    DisplacementReason,
+    EndKind,
+    Fleet,
+    Incarnation,
+    Placed,
+    RunId,
+    Worker,
+    WorkerStatus,
+)
 from chivefall.controllers._base import Controller
 from chivefall.controllers.batch._mirror import PrefixMirror
 from chivefall.controllers.batch._session import Session
@@ -37,11 +46,13 @@
 
 A new leader needs about 4.5 s, and the last poll may be 2 s old.
 """
-POLL_SECONDS = 1.5  # longest wait of one poll, below the platform's 2 s
+POLL_SECONDS = 0.75  # longest wait of one poll; also the age of what is known of progress
 RETRY_SECONDS = 0.4  # between calls to a worker that does not answer
 START_ATTEMPTS = 2  # a repeated start is harmless; gangs wait 3 s for their members
 STOP_SETTLE_SECONDS = 1.2  # a stop takes at most 0.9 s
 SUSPECT_FAILURES = 2  # calls in a row
+FAILED_SECONDS = 0.5  # avoidance after a failed run, doubled with each one in a row
+HELD_UP_SECONDS = 3.0  # avoidance after a stalled or slow run, doubled likewise
 AVOID_SECONDS = 2.0  # no starts on a worker that refused one for want of room or health
 ORPHAN_SECONDS = 22.5
 """After a takeover, runs of workers that were never reached are gone.
@@ -184,6 +195,9 @@
             )
         session.worker.entry = entry
         session.worker.listed = True
+        session.worker.leaves_at = float("inf")
+        if entry.status is WorkerStatus.DRAINING:
+            session.worker.leaves_at = self.clock.now() + entry.remaining
         self._poll(session)
 
     def _note_unlisted(self, name: WorkerId) -> None:
@@ -354,6 +368,7 @@
             kind=end.kind.value,
             sequence=end.sequence,
         )
+        self._note_result(session, end.kind)
         if not self._listener.run_ended(end.run, end.kind, end.checkpoint):
             session.acknowledge(end.sequence)
         self._listener.fleet_changed()
@@ -365,6 +380,14 @@
                 if end.run == run:
                     session.acknowledge(sequence)
 
+    def _note_result(self, session: Session, kind: EndKind) -> None:
+        """Avoid a worker on which several runs in a row failed."""
+        worker = session.worker
+        if kind is EndKind.DONE:
+            worker.strikes = 0
+        elif kind is EndKind.FAILED:
+            worker.strike(FAILED_SECONDS, self.clock.now())
+
     def _note_answer(self, session: Session) -> None:
         session.failures = 0
         if session.worker.suspect:
@@ -402,6 +425,12 @@
             self._forget(session)
         self._listener.fleet_changed()
 
+    def avoid(self, worker_id: WorkerId, reason: DisplacementReason, now: float) -> None:
+        """Start nothing for a while on a worker that holds runs up."""
+        worker = self.fleet.workers.get(worker_id)
+        if worker is not None and reason is not DisplacementReason.LEAVING:
+            worker.strike(HELD_UP_SECONDS, now)
+
     # Orders.
 
     def reserve(self, worker_id: WorkerId, run: RunId, placed: Placed) -> None:
--- a/chivefall/controllers/batch/_scheduler.py
+++ b/chivefall/controllers/batch/_scheduler.py
@@ -18,6 +18,7 @@
     TaskKey,
     decode_submission,
     encode_progress,
+    find_displacements,
     restore_progress,
 )
 from chivefall.controllers._base import Controller
@@ -29,13 +30,17 @@
 from chivefall.runtime import sleep
 from chivefall.store import (
     BATCH_JOBS_PREFIX,
+    WAITING_PREFIX,
     BatchPart,
+    Listed,
     Mismatch,
     Put,
     Stored,
     Version,
     batch_key,
+    batch_prefix,
     parse_batch_key,
+    parse_waiting_key,
     waiting_key,
 )
 from chivefall.telemetry import LogEvent, log_event
@@ -51,7 +56,8 @@
 __all__ = ["BatchScheduler"]
 
 ROUND_DELAY_SECONDS = 0.01  # collects what arrives together into one round
-ROUND_INTERVAL_SECONDS = 0.5  # for decisions that depend on time alone
+ROUND_INTERVAL_SECONDS = 0.25  # for decisions that depend on time alone
+MISSED_CHECK_SECONDS = 0.5  # between looks for jobs that the watch has not delivered
 JOBS_PER_COMMIT = 10  # a job takes three of the store's 32 entries
 COMMIT_RETRY_SECONDS = 0.1
 KEEP_FINAL_SECONDS = 180.0  # the platform asks for 120 s of answers for a final job
@@ -79,6 +85,8 @@
         self._loaded = False
         self._round_due = False
         self._committing = False
+        self._looking = False
+        self._next_look = 0.0
         self.jobs: dict[JobId, TrackedJob] = {}
         self._last_queues: dict[str, Queue] = {}
         catalog.on_change(self.fleet_changed)
@@ -203,7 +211,7 @@
         for task in job.active_tasks():
             where = task.assignment
             run = RunId(job.job_id, task.key, where.number)
-            task.started_at = self.clock.now()
+            task.started_at = task.progress_at = task.reported_at = self.clock.now()
             self._fleet.adopt(run, self._placed(job, task.key), where.worker, where.incarnation)
         if job.state.is_final:
             self._stop_all(job)
@@ -221,6 +229,28 @@
             self._last_queues[name] = found
         return found or self._last_queues.get(name)
 
+    def _look_for_missed(self, now: float) -> None:
+        """Read waiting jobs that the watch has not delivered; it may fall silent for a second."""
+        if self._looking or now < self._next_look or not self._may_plan(now):
+            return
+        self._next_look = now + MISSED_CHECK_SECONDS
+        self._looking = True
+        epoch = self._epoch
+        done = self.run_task(self._read_missed(epoch))
+        done.add_done_callback(lambda _: setattr(self, "_looking", False))
+
+    async def _read_missed(self, epoch: Epoch) -> None:
+        listed = await self._store.list(WAITING_PREFIX)
+        if not isinstance(listed, Listed) or not self._is_current(epoch):
+            return
+        for entry in listed.entries:
+            job_id = parse_waiting_key(entry.key)
+            if job_id in self.jobs:
+                continue
+            found = await self._store.list(batch_prefix(job_id))
+            if isinstance(found, Listed):
+                self._apply(epoch, found.entries, (), False)
+
     # Rounds.
 
     def fleet_changed(self) -> None:
@@ -230,6 +260,8 @@
 
     def _tick(self, now: float) -> None:
         self._remove_old(now)
+        self._displace(now)
+        self._look_for_missed(now)
         self._request_round()
 
     def _request_round(self) -> None:
@@ -248,6 +280,22 @@
         if plan.starts or plan.stops:
             self._carry_out(plan, now)
 
+    def _displace(self, now: float) -> None:
+        """Stop runs that do better elsewhere, and avoid the workers that hold them up."""
+        if not self._may_plan(now):
+            return
+        jobs = (tracked.job for tracked in self.jobs.values())
+        for found in find_displacements(jobs, self._fleet.fleet, now):
+            log_event(
+                LogEvent.RUN_DISPLACED,
+                run=str(found.run),
+                worker=found.worker,
+                reason=found.reason.value,
+                progress=round(found.progress, 2),
+            )
+            self._fleet.avoid(found.worker, found.reason, now)
+            self._stop(found.run)
+
     def _may_plan(self, now: float) -> bool:
         """Return whether starts can be recorded and rest on knowledge that is in force."""
         return (
@@ -347,13 +395,13 @@
         """Note that a run was seen on its worker."""
         tracked = self.jobs.get(run.job)
         if tracked is not None:
-            tracked.job.confirm_running(run.task, run.number)
+            tracked.job.confirm_running(run.task, run.number, self.clock.now())
 
     def run_progressed(self, run: RunId, checkpoint: Checkpoint, share: float) -> None:
         """Note what a worker reports of a run."""
         tracked = self.jobs.get(run.job)
         if tracked is not None:
-            tracked.job.note_progress(run, checkpoint, share)
+            tracked.job.note_progress(run, checkpoint, share, self.clock.now())
 
     def run_ended(self, run: RunId, kind: EndKind, checkpoint: Checkpoint) -> bool:
         """Apply an end; return whether it has to be written before it is acknowledged."""
--- a/chivefall/store/_keys.py
+++ b/chivefall/store/_keys.py
@@ -5,12 +5,14 @@
 from enum import Enum
 from hashlib import blake2b
 from typing import TYPE_CHECKING
-from urllib.parse import quote
+from urllib.parse import quote, unquote
 from zlib import crc32
 
+from chivefall.model import JobId
+
 if TYPE_CHECKING:
     from chivefall.batch import QueueId
-    from chivefall.model import AccountId, DomainId, IdempotencyKey, JobId, Revision
+    from chivefall.model import AccountId, DomainId, IdempotencyKey, Revision
 
 __all__ = [
     "BATCH_JOBS_PREFIX",
@@ -18,6 +20,7 @@
     "DOCUMENT_KEY",
     "HISTORY_PREFIX",
     "JOB_SHARDS",
+    "WAITING_PREFIX",
     "BatchPart",
     "batch_key",
     "batch_prefix",
@@ -28,6 +31,7 @@
     "jobs_prefix",
     "leader_key",
     "parse_batch_key",
+    "parse_waiting_key",
     "waiting_key",
     "waiting_prefix",
 ]
@@ -80,6 +84,7 @@
 
 
 BATCH_JOBS_PREFIX = "batch/"
+WAITING_PREFIX = "waiting/"
 
 
 class BatchPart(Enum):
@@ -112,9 +117,14 @@
 
 def waiting_prefix(queue: QueueId) -> str:
     """Return the prefix of the keys of a queue's jobs that have not started."""
-    return f"waiting/{quote(queue, safe='')}/"
+    return f"{WAITING_PREFIX}{quote(queue, safe='')}/"
 
 
 def waiting_key(queue: QueueId, job_id: JobId) -> str:
     """Return the key that exists while a job has not started."""
     return f"{waiting_prefix(queue)}{quote(job_id, safe='')}"
+
+
+def parse_waiting_key(key: str) -> JobId:
+    """Return the job of a key that exists while it has not started."""
+    return JobId(unquote(key.rpartition("/")[2]))
--- a/chivefall/telemetry/_events.py
+++ b/chivefall/telemetry/_events.py
@@ -73,6 +73,7 @@
     RUN_ENDED = (7204, "A worker listed the end of a run.")
     RUN_RELEASED = (7205, "A run cannot exist any more; its task waits again.")
     RUN_STOPPED = (7206, "A run is told to stop.")
+    RUN_DISPLACED = (7208, "A run is stopped because it does better on another worker.")
     UNKNOWN_RUN_STOPPED = (7207, "A run that no record names was stopped.")
     FLEET_CHANGED = (7301, "A worker's entry appeared, changed or was removed.")
     WORKER_SUSPECTED = (7302, "A worker does not answer and gets no new runs.")
