--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -289,7 +289,9 @@
         session.polling = False
         if not session.worker.listed and not session.has_work:
             self._forget(session)
-        self._poll(session)
+        elif session.has_work:
+            # Not at once, so that an error that repeats does not fill the loop.
+            self.clock.call_later(ACKNOWLEDGE_CHECK_SECONDS, lambda: self._poll(session))
 
     async def _poll_while_busy(self, session: Session) -> None:
         epoch = self._epoch
--- a/chivefall/controllers/batch/_mirror.py
+++ b/chivefall/controllers/batch/_mirror.py
@@ -72,7 +72,17 @@
                 log_event(LogEvent.HISTORY_LOST, prefix=self._prefix, after=self._version)
                 self._version = None
             else:
-                self._take(outcome, asked_at)
+                await self._take_or_list_again(outcome, asked_at)
+
+    async def _take_or_list_again(self, outcome, asked_at: float) -> None:
+        try:
+            self._take(outcome, asked_at)
+        except Exception as exc:  # noqa: BLE001 - logged; a copy that stops following is worse
+            log_event(
+                LogEvent.UNHANDLED_ERROR, controller=f"mirror {self._prefix}", error=repr(exc)
+            )
+            self._version = None
+            await sleep(self._clock, RETRY_SECONDS)
 
     def _take(self, outcome, asked_at: float) -> None:
         self._version = outcome.version
--- a/chivefall/controllers/batch/_scheduler.py
+++ b/chivefall/controllers/batch/_scheduler.py
@@ -447,8 +447,9 @@
     def _commits_ended(self) -> None:
         self._committing = False
         if self._epoch is not None and any(job.dirty for job in self.jobs.values()):
-            tracked = next(job for job in self.jobs.values() if job.dirty)
-            self._mark(tracked)
+            self._committing = True
+            epoch = self._epoch
+            self.clock.call_later(COMMIT_RETRY_SECONDS, lambda: self._begin_commits(epoch))
 
     async def _commit_all(self, epoch: Epoch) -> None:
         while self._is_current(epoch):
