Explain a job from logs; find all displaced runs before any is stopped

Lines on standard output carry the instance, the id, the version and the age of the desired state that decided.

--- a/chivefall/batch/_displacement.py
+++ b/chivefall/batch/_displacement.py
@@ -50,11 +50,16 @@
     progress: float
 
 
-def find_displacements(
-    jobs: Iterable[BatchJob], fleet: Fleet, now: float
-) -> Iterator[Displacement]:
-    """Yield the runs to stop at the time ``now``."""
+def find_displacements(jobs: Iterable[BatchJob], fleet: Fleet, now: float) -> list[Displacement]:
+    """Return the runs to stop at the time ``now``.
+
+    All are found before any is stopped, since a stop changes what is judged.
+    """
     groups = list(_judged_groups(jobs, now))
+    return list(_displacements(groups, fleet, now))
+
+
+def _displacements(groups: list[_Group], fleet: Fleet, now: float) -> Iterator[Displacement]:
     slow = _find_slow_workers(groups, now)
     for group in groups:
         for task in group.running:
--- a/chivefall/batch_daemon.py
+++ b/chivefall/batch_daemon.py
@@ -63,7 +63,8 @@
                 UsersPlatformCodec(),
             ),
         ).register(self)
-        api = BatchHttpApi(self.clock, self.application.chain, self.application.metrics)
+        application = self.application
+        api = BatchHttpApi(self.clock, application.chain, application.catalog, application.metrics)
         self.servers = {
             name: HttpServer(Address.parse(listen), serve, self.clock, channel=name).register(self)
             for name, listen, serve in (
--- /dev/null
+++ b/chivefall/cli/_explain.py
@@ -0,0 +1,41 @@
+"""The command that explains a batch job from logs."""
+
+from __future__ import annotations
+
+import itertools
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from chivefall.telemetry import read_story
+
+__all__ = ["explain"]
+
+EXIT_NOT_FOUND = 1
+
+
+def explain(
+    job: Annotated[str, typer.Argument(help="Id of the job, or of one of its runs.")],
+    logs: Annotated[
+        list[Path] | None, typer.Argument(help="Log files; standard input without any.")
+    ] = None,
+) -> None:
+    """Print what happened to a batch job, and the first event that may have caused a failure."""
+    files = [path.open(encoding="utf-8", errors="replace") for path in logs or []]
+    try:
+        story = read_story(itertools.chain(*files) if files else sys.stdin, job)
+    finally:
+        for file in files:
+            file.close()
+    for gap in story.missing():
+        typer.echo(f"missing: {gap}")
+    if not story.lines:
+        typer.echo(f"no line names {job}")
+        raise typer.Exit(EXIT_NOT_FOUND)
+    origin = story.lines[0].at
+    for line in story.lines:
+        typer.echo(line.text(origin))
+    cause = story.first_cause()
+    typer.echo(f"first cause: {cause.text(origin).strip()}" if cause else "no trouble was logged")
--- a/chivefall/cli/_main.py
+++ b/chivefall/cli/_main.py
@@ -8,7 +8,7 @@
 import typer
 
 from chivefall import __version__
-from chivefall.cli import _document, _domains, _jobs
+from chivefall.cli import _document, _domains, _explain, _jobs
 from chivefall.config import load_settings
 from chivefall.errors import ChivefallError
 
@@ -23,6 +23,8 @@
 app.add_typer(_domains.app, name="domain")
 app.add_typer(_jobs.app, name="job")
 
+app.command(name="explain")(_explain.explain)
+
 
 @app.callback()
 def _root() -> None:
@@ -36,7 +38,7 @@
     from chivefall.telemetry import open_log  # noqa: PLC0415
 
     cfg = load_settings(settings)
-    open_log(cfg.log_file)
+    open_log(cfg.log_file, cfg.instance)
     if cfg.batch is not None:
         from chivefall.batch_daemon import BatchDaemon  # noqa: PLC0415
 
--- a/chivefall/platform/_http_api.py
+++ b/chivefall/platform/_http_api.py
@@ -28,6 +28,7 @@
 from chivefall.telemetry import LogEvent, log_event
 
 if TYPE_CHECKING:
+    from chivefall.controllers.batch import CatalogController
     from chivefall.filters import FilterChain
     from chivefall.telemetry import Metrics
 
@@ -51,9 +52,12 @@
 class BatchHttpApi:
     """Turns HTTP requests into batch requests and outcomes into replies."""
 
-    def __init__(self, clock: Clock, chain: FilterChain, metrics: Metrics) -> None:
+    def __init__(
+        self, clock: Clock, chain: FilterChain, catalog: CatalogController, metrics: Metrics
+    ) -> None:
         self._clock = clock
         self._chain = chain
+        self._catalog = catalog
         self._metrics = metrics
 
     def serve(self, req: HttpRequest) -> Future[HttpReply]:
@@ -75,7 +79,8 @@
         return reply
 
     def _note(self, ctx: BatchRequest, outcome: BatchOutcome, reply: HttpReply) -> None:
-        seconds = self._clock.now() - ctx.received_at
+        now = self._clock.now()
+        seconds = now - ctx.received_at
         labels = {"operation": ctx.operation.value, "status": str(int(reply.status))}
         self._metrics.batch_requests.inc(labels)
         self._metrics.batch_seconds.observe({"operation": ctx.operation.value}, seconds)
@@ -83,6 +88,9 @@
             LogEvent.BATCH_ANSWERED,
             operation=ctx.operation.value,
             path=ctx.path,
+            job=ctx.path.rpartition("/")[2],
+            catalog=self._catalog.catalog.version,
+            catalog_age=round(self._catalog.age(now), 3),
             status=int(reply.status),
             outcome=type(outcome).__name__,
             detail=getattr(outcome, "detail", ""),
--- a/chivefall/telemetry/_output.py
+++ b/chivefall/telemetry/_output.py
@@ -89,8 +89,9 @@
 class LogWriter:
     """Writes messages as JSON lines to a descriptor that may not be read."""
 
-    def __init__(self, descriptor: int) -> None:
+    def __init__(self, descriptor: int, instance: str) -> None:
         self._descriptor = descriptor
+        self._instance = instance
         self._buffer = LineBuffer()
         self._limit = RateLimit()
         self._reported_drops = 0
@@ -118,6 +119,7 @@
             self._add(_note("1008:log_dropped", 0.0, count=new))
 
     def _add(self, message: dict[str, Any]) -> None:
+        message["instance"] = self._instance
         self._buffer.add(msgspec.json.encode(message, enc_hook=repr) + b"\n")
 
 
@@ -125,16 +127,18 @@
     return {"message_type": f"chivefall:{kind}", "timestamp": now, **fields}
 
 
-def open_log(target: str) -> None:
+def open_log(target: str, instance: str = "") -> None:
     """Write all log events to a file, ``stdout``, or to standard error for ``-``.
 
+    Lines on standard output carry the name of the instance.
+
     Raises
     ------
     ConfigError
         If the file cannot be opened.
     """
     if target == STANDARD_OUTPUT:
-        add_destinations(LogWriter(sys.stdout.fileno()))
+        add_destinations(LogWriter(sys.stdout.fileno(), instance))
         return
     if target == STANDARD_ERROR:
         to_file(sys.stderr)
