Choose victims worker by worker; rank urgent work within guarantees first

Change: victims are found for one worker at a time, a gang's loss counts once, and the rack with the smallest loss is chosen; small tasks fill the fullest workers first; an account's oldest urgent jobs within its guarantee come before all other work and may stop urgent work beyond a guarantee. Tests name the load patterns.

--- a/chivefall/batch/_model.py
+++ b/chivefall/batch/_model.py
@@ -122,7 +122,7 @@
     index: int
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, order=True)
 class RunId:
     """One start of one task."""
 
--- a/chivefall/batch/_placement.py
+++ b/chivefall/batch/_placement.py
@@ -110,8 +110,8 @@
     ]
     if whole and sum(slots for slots, _ in open_workers) < count:
         return []
-    if not whole:
-        open_workers.sort(key=_fullest_first)
+    # Whole workers stay free for tasks that need all accelerators of one.
+    open_workers.sort(key=_fullest_first)
     for slots, worker in open_workers:
         taken = min(slots, count - len(chosen))
         if taken <= 0:
--- a/chivefall/batch/_policy.py
+++ b/chivefall/batch/_policy.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from collections import defaultdict
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from chivefall.batch._fleet import Worker
 from chivefall.batch._job import BatchJob, Task, TaskState
 from chivefall.batch._model import (
     Incarnation,
@@ -15,20 +18,21 @@
     TaskKey,
 )
 from chivefall.batch._placement import Rooms, by_rack, place_gang, place_some, rack_capacity, take
-from chivefall.model import WorkerId
+from chivefall.model import AccountId, JobId, WorkerId
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Iterable, Mapping
 
-    from chivefall.batch._fleet import Fleet, Worker
+    from chivefall.batch._fleet import Fleet
     from chivefall.batch._model import (
         Resources,
     )
-    from chivefall.model import RackId
 
 __all__ = ["BatchPolicy", "Candidate", "DeadlinePolicy", "Plan", "Start", "chain_seconds"]
 
 URGENT_PRIORITY = 0
+GUARANTEED_RANK = 0  # urgent work within its account's guarantee; it may stop all other work
+URGENT_RANK = 1  # other urgent work; it may stop work that is not urgent
 MAX_RESERVATIONS = 4  # blocked gangs that keep room in one round; more would idle the fleet
 REMOTE_FACTOR = 3.0  # run time away from the data or over several racks, against near
 ACCELERATOR_CORES = 8  # cores that one accelerator counts as when work is compared
@@ -79,8 +83,26 @@
     """Decides what a scheduling round does."""
 
     @abstractmethod
-    def plan(self, candidates: Iterable[Candidate], fleet: Fleet, now: float) -> Plan:
-        """Return the starts and stops of one round at the time ``now``."""
+    def plan(
+        self,
+        candidates: Iterable[Candidate],
+        fleet: Fleet,
+        now: float,
+        guarantees: Mapping[AccountId, int] | None = None,
+    ) -> Plan:
+        """Return the starts and stops of one round.
+
+        Parameters
+        ----------
+        candidates : iterable of Candidate
+            All jobs that have not ended.
+        fleet : Fleet
+            Workers with the room that runs hold.
+        now : float
+            Time of the round, in seconds since the epoch.
+        guarantees : mapping, optional
+            Accelerators that an account's urgent jobs get at any time.
+        """
 
 
 @dataclass
@@ -93,10 +115,11 @@
     occurrence: int
     tasks: list[Task]
     due: float
+    rank: int
 
     @property
     def urgent(self) -> bool:
-        return self.queue.priority == URGENT_PRIORITY
+        return self.rank <= URGENT_RANK
 
     def latest_start(self) -> float:
         """Return when the group has to start to complete in time."""
@@ -104,36 +127,45 @@
 
 
 class DeadlinePolicy(BatchPolicy):
-    """Urgent queues first, then the group that has to start soonest.
+    """Urgent work within a guarantee first, then urgent work, then what has to start soonest.
 
     A gang that does not fit keeps the room of the rack that suits it best, so
     that tasks behind it do not take what becomes free. An urgent group that does
     not fit stops the runs whose loss is smallest.
     """
 
-    def plan(self, candidates: Iterable[Candidate], fleet: Fleet, now: float) -> Plan:
+    def plan(
+        self,
+        candidates: Iterable[Candidate],
+        fleet: Fleet,
+        now: float,
+        guarantees: Mapping[AccountId, int] | None = None,
+    ) -> Plan:
         """Return the starts and stops of one round at the time ``now``."""
-        return _Round(fleet, now).run(candidates)
+        return _Round(fleet, now, guarantees or {}).run(candidates)
 
 
 class _Round:
     """The working state of one round."""
 
-    def __init__(self, fleet: Fleet, now: float) -> None:
+    def __init__(self, fleet: Fleet, now: float, guarantees: Mapping[AccountId, int]) -> None:
         self._fleet = fleet
         self._now = now
+        self._guarantees = guarantees
+        self._ranks: dict[JobId, int] = {}
         self._free: dict[WorkerId, Resources] = {
             name: worker.free for name, worker in fleet.workers.items()
         }
         self._plan = Plan()
         self._reservations = 0
-        self._jobs: dict[str, BatchJob] = {}
+        self._jobs: dict[JobId, BatchJob] = {}
         self._stopping: set[RunId] = set()
 
     def run(self, candidates: Iterable[Candidate]) -> Plan:
         """Return the plan of the round."""
         found = list(candidates)
         self._jobs = {item.job.job_id: item.job for item in found}
+        self._ranks = self._rank_jobs(found)
         self._stopping = {
             run
             for worker in self._fleet.workers.values()
@@ -144,6 +176,23 @@
             self._place(group)
         return self._plan
 
+    def _rank_jobs(self, candidates: Sequence[Candidate]) -> dict[JobId, int]:
+        """Return how jobs come before each other; an account's oldest urgent jobs are covered."""
+        ranks: dict[JobId, int] = {}
+        needed: dict[AccountId, int] = defaultdict(int)
+        for item in sorted(candidates, key=lambda item: item.job.submission.submitted_at):
+            job = item.job
+            ranks[job.job_id] = URGENT_RANK + item.queue.priority
+            if item.queue.priority != URGENT_PRIORITY or job.state.is_final:
+                continue
+            account = job.submission.account
+            needed[account] += sum(
+                step.count * step.room.accelerators for step in job.submission.spec.steps[:1]
+            )
+            if needed[account] <= self._guarantees.get(account, 0):
+                ranks[job.job_id] = GUARANTEED_RANK
+        return ranks
+
     def _gives_way_already(self, run: RunId) -> bool:
         job = self._jobs.get(run.job)
         task = job.task(run.task) if job is not None else None
@@ -160,13 +209,15 @@
                     continue  # Members of an earlier run have not ended yet.
                 begin = max(job.submission.submitted_at, spec.due_at(occurrence))
                 objective = item.queue.stretch * chain_seconds(job) + item.queue.target_latency
-                groups.append(_Group(job, item.queue, step, occurrence, waiting, begin + objective))
+                due, rank = begin + objective, self._ranks[job.job_id]
+                groups.append(_Group(job, item.queue, step, occurrence, waiting, due, rank))
         return groups
 
     def _order(self, group: _Group) -> tuple:
         objective = group.due - group.job.submission.submitted_at
         worthless = self._now > group.due + (LATE_FACTOR - 1.0) * objective
-        return (not group.urgent, worthless, group.latest_start(), group.job.job_id)
+        rank = min(group.rank, URGENT_RANK + 1)
+        return (rank, worthless, group.latest_start(), group.job.job_id)
 
     def _place(self, group: _Group) -> None:
         workers = self._fleet.usable(group.step, group.queue.service, self._now)
@@ -220,57 +271,60 @@
 
     def _make_room(self, group: _Group, workers: Sequence[Worker], missing: int) -> None:
         """Keep room for a blocked group; an urgent one stops runs if that is not enough."""
-        rack = self._best_rack(group, workers, missing)
-        if rack is None:
-            return
-        members = by_rack(workers)[rack] if rack else list(workers)
-        rooms = Rooms(self._free, {})
-        future = {
-            worker.worker_id: self._free[worker.worker_id] + self._leaving_room(worker)
-            for worker in members
-        }
         if group.urgent:
-            self._stop_for(group, members, missing, future)
-        elif self._reservations >= MAX_RESERVATIONS:
+            members = self._stop_for(group, workers, missing)
+        elif self._reservations < MAX_RESERVATIONS:
+            members = self._rack_to_wait_for(group, workers, missing)
+        else:
             return
-        self._reservations += 1
-        left = missing
-        for worker in sorted(members, key=lambda item: item.worker_id):
-            # The room of runs that go on is promised as well, so that it is not filled again.
-            whole = worker.entry.capacity.count_of(group.step.room)
-            count = min(left, whole)
-            if count:
+        self._reservations += bool(members)
+        self._reserve(group, members, missing)
+
+    def _reserve(self, group: _Group, members: Sequence[Worker], missing: int) -> None:
+        """Promise room to a group, also room of runs that go on, so that it is not filled again."""
+        rooms = Rooms(self._free, {})
+        unit = group.step.room
+        for worker in sorted(
+            members, key=lambda item: (-self._future(item).count_of(unit), item.worker_id)
+        ):
+            count = min(missing, worker.entry.capacity.count_of(unit))
+            if count > 0:
                 take(rooms, worker, group.step, count)
-                left -= count
-            if not left:
-                break
+                missing -= count
 
-    def _leaving_room(self, worker: Worker) -> Resources:
-        total = worker.used - worker.used
+    def _future(self, worker: Worker) -> Resources:
+        """Return the room of a worker once the runs that are told to stop have ended."""
+        room = self._free[worker.worker_id]
         for run, placed in worker.placed.items():
             if run in self._stopping:
-                total += placed.room
-        return total
+                room += placed.room
+        return room
 
-    def _best_rack(
+    def _rack_to_wait_for(
         self, group: _Group, workers: Sequence[Worker], missing: int
-    ) -> RackId | str | None:
-        """Return the rack to wait for, "" for all workers, or None if none is large enough."""
-        capacity = rack_capacity(workers, group.step)
-        if group.step.data_rack is not None and capacity.get(group.step.data_rack, 0) >= missing:
-            return group.step.data_rack
-        racks = [rack for rack, count in capacity.items() if count >= missing]
-        if not racks or not group.step.gang:
-            return "" if sum(capacity.values()) >= missing else None
-        grouped = by_rack(workers)
-        return min(racks, key=lambda rack: (self._occupied(group, grouped[rack]), rack))
-
-    def _occupied(self, group: _Group, members: Sequence[Worker]) -> float:
-        """Return the work that has to end before the group fits, as a measure to compare."""
-        slots = sum(
-            (self._free[worker.worker_id] + self._leaving_room(worker)).count_of(group.step.room)
-            for worker in members
-        )
+    ) -> Sequence[Worker]:
+        """Return the workers on which a blocked gang fits soonest, or none if it never fits."""
+        choices = self._places_for(group, workers, missing)
+        return min(choices, key=lambda members: self._work_ahead(group, members), default=())
+
+    def _places_for(
+        self, group: _Group, workers: Sequence[Worker], missing: int
+    ) -> list[Sequence[Worker]]:
+        """Return the sets of workers on which a group could run, each large enough."""
+        step = group.step
+        capacity = rack_capacity(workers, step)
+        if step.data_rack is not None and capacity.get(step.data_rack, 0) >= missing:
+            return [by_rack(workers)[step.data_rack]]
+        if step.gang:
+            racks = [rack for rack, count in capacity.items() if count >= missing]
+            if racks:
+                grouped = by_rack(workers)
+                return [grouped[rack] for rack in sorted(racks)]
+        return [workers] if sum(capacity.values()) >= missing else []
+
+    def _work_ahead(self, group: _Group, members: Sequence[Worker]) -> float:
+        """Return a measure of the work that has to end before the group fits."""
+        slots = sum(self._future(worker).count_of(group.step.room) for worker in members)
         loss = sum(
             self._loss(run)
             for worker in members
@@ -280,7 +334,7 @@
         return loss / (1.0 + slots)
 
     def _loss(self, run: RunId) -> float:
-        """Return the core-seconds that stopping a run would lose."""
+        """Return the core-seconds that stopping a run would lose, for its whole gang."""
         job = self._jobs.get(run.job)
         task = job.task(run.task) if job is not None else None
         if task is None:
@@ -293,46 +347,70 @@
         members = step.count if step.gang else 1
         return seconds * cores * members
 
-    def _stop_for(
-        self,
-        group: _Group,
-        members: Sequence[Worker],
-        missing: int,
-        future: dict[WorkerId, Resources],
-    ) -> None:
-        """Plan stops of less urgent runs until the group fits on the workers given."""
-        victims = sorted(
-            (
-                (self._loss(run), run, worker, placed.room)
+    def _stop_for(self, group: _Group, workers: Sequence[Worker], missing: int) -> Sequence[Worker]:
+        """Stop the runs whose loss is smallest until the group fits; return its workers."""
+        best: _Victims | None = None
+        for members in self._places_for(group, workers, missing):
+            victims = self._find_victims(group, members, missing)
+            if victims is not None and (best is None or victims.loss < best.loss):
+                best = victims
+        if best is None:
+            return ()
+        self._stopping |= best.runs
+        self._plan.stops += sorted(best.runs)
+        return best.members
+
+    def _find_victims(
+        self, group: _Group, members: Sequence[Worker], missing: int
+    ) -> _Victims | None:
+        """Return runs to stop so that the group fits on the workers, or None if none suffice."""
+        unit = group.step.room
+        future = {worker.worker_id: self._future(worker) for worker in members}
+        found = _Victims(members, 0.0, set())
+        while sum(room.count_of(unit) for room in future.values()) < missing:
+            choices = [
+                choice
                 for worker in members
-                for run, placed in worker.placed.items()
-                if placed.priority > group.queue.priority and run not in self._stopping
-            ),
-            key=lambda item: (item[0], item[1].job, item[1].task),
+                if (choice := self._cheapest(group, worker, future[worker.worker_id], found.runs))
+            ]
+            if not choices:
+                return None
+            loss, runs = min(choices, key=lambda choice: (choice[0], sorted(choice[1])))
+            found.loss += loss
+            for run in self._with_gangs(runs) - found.runs:
+                found.runs.add(run)
+                for worker in members:
+                    placed = worker.placed.get(run)
+                    if placed is not None:
+                        future[worker.worker_id] += placed.room
+        return found
+
+    def _cheapest(
+        self, group: _Group, worker: Worker, room: Resources, chosen: set[RunId]
+    ) -> tuple[float, set[RunId]] | None:
+        """Return loss and runs that make room for one more task on a worker, or None."""
+        unit = group.step.room
+        wanted = room.count_of(unit) + 1
+        total, runs, gangs = 0.0, set(), set()
+        victims = sorted(
+            (self._loss(run), run)
+            for run in worker.placed
+            if run not in chosen
+            and run not in self._stopping
+            and self._ranks.get(run.job, URGENT_RANK) > group.rank
         )
-        chosen: set[RunId] = set()
-
-        def slots() -> int:
-            return sum(room.count_of(group.step.room) for room in future.values())
-
-        for _, run, worker, room in victims:
-            if slots() >= missing:
-                break
-            if run in chosen:
-                continue
-            before = future[worker.worker_id].count_of(group.step.room)
-            after = (future[worker.worker_id] + room).count_of(group.step.room)
-            future[worker.worker_id] += room
-            chosen.add(run)
-            if after == before and len(worker.placed) == 1:
-                chosen.discard(run)
-        if slots() < missing:
-            return  # Stopping these runs would not be enough.
-        for run in self._with_gangs(chosen):
-            self._stopping.add(run)
-            self._plan.stops.append(run)
-
-    def _with_gangs(self, runs: set[RunId]) -> list[RunId]:
+        for loss, run in victims:
+            gang = (run.job, run.task.occurrence, run.task.step)
+            total += 0.0 if gang in gangs else loss
+            if self._jobs[run.job].step_of(run.task).gang:
+                gangs.add(gang)
+            runs.add(run)
+            room += worker.placed[run].room
+            if room.count_of(unit) >= wanted:
+                return total, runs
+        return None
+
+    def _with_gangs(self, runs: set[RunId]) -> set[RunId]:
         """Return the runs with all members of their gangs, which would end broken."""
         found = set(runs)
         for run in runs:
@@ -343,4 +421,19 @@
                     for task in job.group(run.task.occurrence, run.task.step)
                     if task.assignment is not None
                 )
-        return sorted(found, key=lambda run: (run.job, run.task))
+        return found
+
+
+@dataclass
+class _Victims:
+    """Runs to stop for a group on some workers.
+
+    Attributes
+    ----------
+    loss : float
+        Core-seconds of work that the stops lose.
+    """
+
+    members: Sequence[Worker]
+    loss: float
+    runs: set[RunId]
--- a/chivefall/controllers/batch/_scheduler.py
+++ b/chivefall/controllers/batch/_scheduler.py
@@ -276,7 +276,9 @@
         if not self._may_plan(now):
             return
         self._fleet.fleet.domains_out = self._catalog.domains_out
-        plan = self._policy.plan(self._candidates(), self._fleet.fleet, now)
+        accounts = self._catalog.catalog.accounts.values()
+        guarantees = {item.name: item.guaranteed_accelerators for item in accounts}
+        plan = self._policy.plan(self._candidates(), self._fleet.fleet, now, guarantees)
         if plan.starts or plan.stops:
             self._carry_out(plan, now)
 
--- a/tests/batch/test_policy.py
+++ b/tests/batch/test_policy.py
@@ -40,10 +40,18 @@
                 name = f"{rack}-{number}"
                 self.fleet.workers[name] = Worker(entry_of(name, rack=rack), synced=True)
         self.candidates: list[Candidate] = []
-
-    def add(self, name: str, step: StepSpec, queue: Queue = NORMAL, age: float = 0.0) -> BatchJob:
+        self.guarantees: dict[AccountId, int] = {}
+
+    def add(
+        self,
+        name: str,
+        step: StepSpec,
+        queue: Queue = NORMAL,
+        age: float = 0.0,
+        account: str = "a",
+    ) -> BatchJob:
         spec = BatchSpec("", (step,))
-        submission = Submission(JobId(name), queue.name, AccountId("a"), NOW - age, spec)
+        submission = Submission(JobId(name), queue.name, AccountId(account), NOW - age, spec)
         job = BatchJob(submission, 2)
         self.candidates.append(Candidate(job, queue))
         return job
@@ -58,7 +66,7 @@
             job.confirm_running(key, run.number, NOW - age)
 
     def plan(self, now: float = NOW) -> Plan:
-        return DeadlinePolicy().plan(self.candidates, self.fleet, now)
+        return DeadlinePolicy().plan(self.candidates, self.fleet, now, self.guarantees)
 
     def started(self, plan: Plan, name: str) -> list[str]:
         return [
@@ -99,6 +107,38 @@
         plan = self.plan()
         self.assertEqual([run.job for run in plan.stops], ["old-r2-3"])
 
+    def test_only_runs_whose_room_is_used_are_stopped(self) -> None:
+        """Load: urgent tasks of whole workers meet small tasks on every worker.
+
+        Guards against stops on many workers none of which becomes empty.
+        """
+        filler = self.add("filler", StepSpec(16, SMALL, 30.0))
+        self.occupy(filler, [name for name in self.fleet.workers for _ in range(2)])
+        whole = Resources(3000, 20_000, 8)
+        self.add("urgent", StepSpec(2, whole, 2.0, gang=True, same_rack=True), URGENT)
+        stopped = {filler.task(run.task).assignment.worker for run in self.plan().stops}
+        self.assertEqual(len(stopped), 2)
+        self.assertEqual(len(self.plan().stops), 4)
+
+    def test_urgent_work_within_its_guarantee_stops_urgent_work_beyond_one(self) -> None:
+        """Load: one account floods its urgent queue while another one needs its guarantee."""
+        self.guarantees = {AccountId("b"): 8}
+        for name in self.fleet.workers:
+            self.occupy(self.add(f"old-{name}", StepSpec(1, LARGE, 30.0), URGENT), [name], 0)
+        step = StepSpec(1, LARGE, 2.0)
+        self.add("own", step, URGENT, account="b")
+        self.assertEqual(len(self.plan().stops), 1)
+        self.candidates.pop()
+        self.add("beyond", step, URGENT)
+        self.assertEqual(self.plan().stops, [])
+
+    def test_small_tasks_leave_whole_workers_free(self) -> None:
+        """Load: scattered small jobs, then work that needs all accelerators of workers."""
+        gang = self.add("a", StepSpec(2, SMALL, 5.0, gang=True))
+        self.occupy(gang, ["r1-3", "r2-3"])
+        self.add("b", StepSpec(2, SMALL, 5.0, gang=True))
+        self.assertEqual(set(self.started(self.plan(), "b")) - {"r1-3", "r2-3"}, set())
+
     def test_room_that_is_about_to_come_free_is_not_made_twice(self) -> None:
         """Guards against a second round that stops more runs while the first ones still end."""
         for name in self.fleet.workers:
