Order the stop of a run when its worker reports it

Cause (read in the code, test first red): a stop that is decided while a new leader reads the records finds no session with the worker and is dropped, so a cancelled job ran on. Change: a report of a run that is to end orders the stop again.

--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -86,6 +86,10 @@
     def knows_run(self, run: RunId) -> bool:
         """Return whether a run is the current one of its task."""
 
+    @abstractmethod
+    def wants_stop(self, run: RunId) -> bool:
+        """Return whether a run is to end, so that a stop is ordered when it is seen."""
+
     @abstractmethod
     def fleet_changed(self) -> None:
         """Note that room or workers changed."""
@@ -356,6 +360,9 @@
         if run not in session.present_since:
             session.present_since[run] = self.clock.now()
         self._listener.run_confirmed(run)
+        if self._listener.wants_stop(run):
+            # Its worker may not have been known when the stop was decided.
+            self.order_stop(session.worker.worker_id, run)
 
     def _note_end(self, session: Session, end: RunEnd) -> None:
         if end.sequence in session.open_ends or end.sequence <= session.acknowledged:
@@ -509,8 +516,10 @@
     def order_stop(self, worker_id: WorkerId, run: RunId) -> None:
         """Stop a run and repeat that until the worker confirms it or the run is gone."""
         session = self._sessions.get(worker_id)
-        if session is not None:
-            self.run_task(self._stop_until_confirmed(session, run))
+        if session is not None and run not in session.stopping:
+            session.stopping.add(run)
+            done = self.run_task(self._stop_until_confirmed(session, run))
+            done.add_done_callback(lambda _: session.stopping.discard(run))
 
     async def _stop_until_confirmed(self, session: Session, run: RunId) -> None:
         epoch = self._epoch
--- a/chivefall/controllers/batch/_scheduler.py
+++ b/chivefall/controllers/batch/_scheduler.py
@@ -393,6 +393,12 @@
             and task.assignment.number == run.number
         )
 
+    def wants_stop(self, run: RunId) -> bool:
+        """Return whether a run is to end."""
+        tracked = self.jobs.get(run.job)
+        task = self._task_of(run)
+        return task is not None and (task.stopping or tracked.job.state.is_final)
+
     def run_confirmed(self, run: RunId) -> None:
         """Note that a run was seen on its worker."""
         tracked = self.jobs.get(run.job)
--- a/chivefall/controllers/batch/_session.py
+++ b/chivefall/controllers/batch/_session.py
@@ -29,6 +29,8 @@
         Highest end that is written to the store without a gap.
     open_ends : dict
         Ends listed but not written yet.
+    stopping : set of RunId
+        Runs whose stop is ordered and not confirmed yet.
     deadline : float
         Highest lease end that was ever sent, on the worker's clock.
     """
@@ -40,6 +42,7 @@
     _highest: EndSequence = NO_END
     open_ends: dict[EndSequence, RunEnd] = field(default_factory=dict)
     deadline: float = 0.0
+    stopping: set[RunId] = field(default_factory=set)
     polling: bool = False
     closed: bool = False
     failures: int = 0
--- a/tests/batch/test_whole_path.py
+++ b/tests/batch/test_whole_path.py
@@ -143,6 +143,21 @@
         self.assertIs(sut.state_of("a1", instance=live), JobState.COMPLETED)
         self.assert_no_second_run(sut, "a1")
 
+    def test_job_cancelled_between_two_leaders_is_stopped(self) -> None:
+        # Guards against a stop that is decided while the records are read, before the
+        # new leader knows any worker, and is never ordered.
+        sut = Deployment(instances=2)
+        for worker in sut.workers.workers.values():
+            worker.seconds = 30.0
+        sut.submit("a1", step(4))
+        sut.run(1.0)
+        first = sut.leader
+        other = next(item for item in sut.instances if item is not first)
+        first.kill()
+        sut.call(BatchOperation.CANCEL, "/normal/a1", instance=other)
+        sut.run(6.0)
+        self.assertFalse(any(worker.running for worker in sut.workers.workers.values()))
+
     def test_new_leader_that_loses_a_worker_waits_for_leases_of_its_predecessor(self) -> None:
         # Guards against a lease end computed from this leader's own calls alone: the
         # runs of a worker that answered once were started again while they went on.
