--- a/chivefall/net/__init__.py
+++ b/chivefall/net/__init__.py
@@ -2,12 +2,23 @@
 
 from __future__ import annotations
 
-from chivefall.net._codec import decode_outcome, encode_outcome
-from chivefall.net._http_client import HttpClient, HttpFailure, HttpResponse
-from chivefall.net._http_server import HttpReply, HttpRequest, HttpServer
-from chivefall.net._messages import CallerRequest, CallerResponse, Envelope, Heartbeat, PeerMessage
-from chivefall.net._peer_base import PeerFailure, Peers
-from chivefall.net._peers import NngPeers
+from typing import TYPE_CHECKING
+
+from chivefall._lazy import lazy_attributes
+
+if TYPE_CHECKING:
+    from chivefall.net._codec import decode_outcome, encode_outcome
+    from chivefall.net._http_client import HttpClient, HttpFailure, HttpResponse
+    from chivefall.net._http_server import HttpReply, HttpRequest, HttpServer
+    from chivefall.net._messages import (
+        CallerRequest,
+        CallerResponse,
+        Envelope,
+        Heartbeat,
+        PeerMessage,
+    )
+    from chivefall.net._peer_base import PeerFailure, Peers
+    from chivefall.net._peers import NngPeers
 
 __all__ = [
     "CallerRequest",
@@ -27,3 +38,25 @@
     "decode_outcome",
     "encode_outcome",
 ]
+
+__getattr__ = lazy_attributes(
+    __name__,
+    {
+        "CallerRequest": "_messages",
+        "CallerResponse": "_messages",
+        "Envelope": "_messages",
+        "Heartbeat": "_messages",
+        "HttpClient": "_http_client",
+        "HttpFailure": "_http_client",
+        "HttpReply": "_http_server",
+        "HttpRequest": "_http_server",
+        "HttpResponse": "_http_client",
+        "HttpServer": "_http_server",
+        "NngPeers": "_peers",
+        "PeerFailure": "_peer_base",
+        "PeerMessage": "_messages",
+        "Peers": "_peer_base",
+        "decode_outcome": "_codec",
+        "encode_outcome": "_codec",
+    },
+)
