Ask idle workers each second and start nothing on one that did not answer

Change: a poll each second for workers without runs, spread out for large fleets; one missing answer stops new starts; leases of 5.5 s, since a takeover takes 2.5 s at most. Test first red.

--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -41,16 +41,18 @@
 
 __all__ = ["FleetController", "RunListener"]
 
-HOLD_SECONDS = 8.0
+HOLD_SECONDS = 5.5
 """Lease of runs beyond each call; the platform's limit is 10 s.
 
-A new leader needs about 4.5 s, and the last poll may be 2 s old.
+A new leader needs 2.5 s at most while the store answers, and the last poll may be
+0.75 s old. The runs of a worker that is cut off wait for the rest of it.
 """
 POLL_SECONDS = 0.75  # longest wait of one poll; also the age of what is known of progress
 RETRY_SECONDS = 0.4  # between calls to a worker that does not answer
 START_ATTEMPTS = 2  # a repeated start is harmless; gangs wait 3 s for their members
 STOP_SETTLE_SECONDS = 1.2  # a stop takes at most 0.9 s
-SUSPECT_FAILURES = 2  # calls in a row
+PROBES_PER_SECOND = 150.0  # of workers without runs; a call takes the leader 0.5 ms
+MIN_PROBE_SECONDS = 1.0  # between calls to a worker without runs
 FAILED_SECONDS = 0.5  # avoidance after a failed run, doubled with each one in a row
 HELD_UP_SECONDS = 3.0  # avoidance after a stalled or slow run, doubled likewise
 AVOID_SECONDS = 2.0  # no starts on a worker that refused one for want of room or health
@@ -296,6 +298,27 @@
         elif session.has_work:
             # Not at once, so that an error that repeats does not fill the loop.
             self.clock.call_later(ACKNOWLEDGE_CHECK_SECONDS, lambda: self._poll(session))
+        elif not session.closed:
+            self._probe_later(session)
+
+    def _probe_interval(self) -> float:
+        """Return the seconds between two calls to a worker without runs."""
+        return max(MIN_PROBE_SECONDS, len(self._sessions) / PROBES_PER_SECOND)
+
+    def _probe_later(self, session: Session) -> None:
+        """Ask a worker without runs again after a while, so that a cut is noticed early."""
+        if session.probe_planned:
+            return
+        session.probe_planned = True
+        epoch = self._epoch
+
+        def probe() -> None:
+            session.probe_planned = False
+            if self._epoch == epoch and not session.closed and not self.is_stopped:
+                session.probe_due = True
+                self._poll(session)
+
+        self.clock.call_later(self._probe_interval(), probe)
 
     async def _poll_while_busy(self, session: Session) -> None:
         epoch = self._epoch
@@ -312,6 +335,7 @@
             )
             if session.closed or not self._is_current(epoch):
                 return
+            session.probe_due = False
             if isinstance(outcome, RunReport):
                 session.told = max(session.told, told)
                 self._note_report(session, outcome, sent_at)
@@ -411,20 +435,26 @@
         if isinstance(outcome, RunRefused) and outcome.reason is RefusalReason.FENCED:
             self._leader.step_down("a worker knows a higher epoch")
             return
+        self._suspect(session, str(getattr(outcome, "reason", "")))
+        self._check_lapse(session)
+
+    def _suspect(self, session: Session, reason: str) -> None:
+        """Start nothing on a worker until it answers again."""
         session.failures += 1
-        if session.failures >= SUSPECT_FAILURES and not session.worker.suspect:
+        if not session.worker.suspect:
             session.worker.suspect = True
-            reason = getattr(outcome, "reason", "")
             log_event(
                 LogEvent.WORKER_SUSPECTED,
                 worker=session.worker.worker_id,
-                reason=str(reason),
+                reason=reason,
                 runs=len(session.worker.placed),
             )
-        self._check_lapse(session)
 
     def _check_lapse(self, session: Session) -> None:
         """Release the runs of a worker whose leases have certainly ended."""
+        if not session.worker.listed and not session.worker.placed:
+            self._forget(session)
+            return
         lapse_at = session.lapse_at()
         if lapse_at is None or self.clock.now() <= lapse_at:
             return
@@ -478,8 +508,9 @@
                 self._note_refused(session, run, outcome)
                 return False
         log_event(LogEvent.RUN_UNCERTAIN, run=_text(run), worker=worker_id)
-        session.failures += 1
+        self._suspect(session, "a start was not answered")
         self.order_stop(worker_id, run)
+        self._poll(session)
         return False
 
     def _note_started(self, session: Session, run: RunId, outcome: Ran) -> None:
--- a/chivefall/controllers/batch/_session.py
+++ b/chivefall/controllers/batch/_session.py
@@ -44,6 +44,8 @@
     deadline: float = 0.0
     stopping: set[RunId] = field(default_factory=set)
     polling: bool = False
+    probe_planned: bool = False
+    probe_due: bool = False
     closed: bool = False
     failures: int = 0
     _clock_at: tuple[float, float] | None = None
@@ -98,6 +100,8 @@
         """Return whether the worker has to be asked again soon."""
         return bool(
             not self.worker.synced
+            or self.probe_due
+            or self.worker.suspect
             or self.worker.placed
             or self.open_ends
             or self.told < self.acknowledged
--- a/tests/batch/test_whole_path.py
+++ b/tests/batch/test_whole_path.py
@@ -195,6 +195,16 @@
         self.assertGreater(lapsed_at, cut_at + 5.0)
         self.assertGreaterEqual(min(repeats), lapsed_at)
 
+    def test_cut_of_an_idle_worker_is_noticed_before_a_start(self) -> None:
+        # Guards against starts on workers that were cut off while they ran nothing: each
+        # waited for the last lease (incident inc-0e1e of kotvica-ops).
+        sut = Deployment(workers=4)
+        sut.leader.client.cut.update({"w0", "w1"})
+        sut.run(3.0)
+        sut.submit("a1", step(4, gang=True), queue=URGENT)
+        sut.run(4.0)
+        self.assertIs(sut.state_of("a1", URGENT), JobState.COMPLETED)
+
     def test_late_start_is_fenced_before_the_task_runs_elsewhere(self) -> None:
         sut = Deployment(workers=2)
         sut.leader.client.late.add("w0")
