Measure requests, calls, starts, rounds and ends; fuzz the whole core against an oracle

Histograms and counters of batch jobs on the metrics address, with gauges for the age of the desired state, leadership, workers and room. The stateful test runs three instances, four workers and a store with random faults against an oracle that reads only what callers and workers saw; it found nothing new in this run.

--- a/chivefall/batch_application.py
+++ b/chivefall/batch_application.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from circuits import BaseComponent
 
-from chivefall.batch import DeadlinePolicy, PlatformCodec
+from chivefall.batch import DeadlinePolicy, JobState, PlatformCodec, Resources
 from chivefall.controllers._leader import LeaderController
 from chivefall.controllers.batch import (
     BatchScheduler,
@@ -27,7 +28,7 @@
 from chivefall.registry import Registry
 from chivefall.runtime import Clock
 from chivefall.store import TransactionalStore
-from chivefall.telemetry import Metrics
+from chivefall.telemetry import BatchMetrics
 from chivefall.workers import RunClient
 
 if TYPE_CHECKING:
@@ -55,7 +56,7 @@
         super().__init__()
         self.clock = connections.clock
         self.draining = False
-        self.metrics = Metrics()
+        self.metrics = BatchMetrics()
         self.registry = Registry()
         clock, store, codec = connections.clock, connections.store, connections.codec
         add = self.registry.add
@@ -65,10 +66,12 @@
             LeaderController(clock, cfg, store, lambda _: Epoch(0), cfg.region, watches=True)
         )
         self.fleet = add(
-            FleetController(clock, cfg, store, connections.workers, codec, self.leader)
+            FleetController(clock, store, connections.workers, codec, self.leader, self.metrics)
         )
         self.scheduler = add(
-            BatchScheduler(clock, store, DeadlinePolicy(), self.catalog, self.leader, self.fleet)
+            BatchScheduler(
+                clock, store, DeadlinePolicy(), self.catalog, self.leader, self.fleet, self.metrics
+            )
         )
         self.chain = FilterChain(
             [
@@ -80,9 +83,27 @@
             ],
             clock.now,
         )
+        self.metrics.sample_with(self._sample)
         for controller in self.registry:
             controller.register(self)
 
+    def _sample(self) -> None:
+        """Set the gauges that describe the controllers' state."""
+        metrics = self.metrics
+        metrics.catalog_age.set({}, self.catalog.age(self.clock.now()))
+        metrics.catalog_version.set({}, self.catalog.catalog.version)
+        metrics.leading.set({}, int(self.leader.leads))
+        states = Counter(tracked.job.state for tracked in self.scheduler.jobs.values())
+        for state in JobState:
+            metrics.jobs.set({"state": state.value}, states[state])
+        workers = list(self.fleet.fleet.workers.values())
+        for condition in ("listed", "synced", "suspect"):
+            count = sum(getattr(worker, condition) for worker in workers)
+            metrics.workers.set({"condition": condition}, count)
+        free = sum((worker.free for worker in workers if worker.listed), Resources())
+        for resource in ("cpu", "memory", "accelerators"):
+            metrics.free.set({"resource": resource}, getattr(free, resource))
+
     def is_ready(self, now: float) -> bool:
         """Return whether the instance wants new connections."""
         return not self.draining and self.catalog.is_fresh(now)
--- a/chivefall/batch_daemon.py
+++ b/chivefall/batch_daemon.py
@@ -64,6 +64,13 @@
             ),
         ).register(self)
         application = self.application
+        metrics = application.metrics
+        self.store.observe = lambda call, seconds: metrics.store_seconds.observe(
+            {"call": call}, seconds
+        )
+        self.workers.observe = lambda call, seconds: metrics.worker_seconds.observe(
+            {"call": call}, seconds
+        )
         api = BatchHttpApi(self.clock, application.chain, application.catalog, application.metrics)
         self.servers = {
             name: HttpServer(Address.parse(listen), serve, self.clock, channel=name).register(self)
--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -32,11 +32,11 @@
 
 if TYPE_CHECKING:
     from chivefall.batch import Checkpoint, PlatformCodec, WorkerEntry
-    from chivefall.config import Settings
     from chivefall.controllers._leader import LeaderController
     from chivefall.model import Epoch, WorkerId
     from chivefall.runtime import Clock
     from chivefall.store import Entry, Store
+    from chivefall.telemetry import BatchMetrics
     from chivefall.workers import OrderOutcome, RunClient, RunEnd
 
 __all__ = ["FleetController", "RunListener"]
@@ -103,14 +103,14 @@
     def __init__(
         self,
         clock: Clock,
-        cfg: Settings,
         store: Store,
         client: RunClient,
         codec: PlatformCodec,
         leader: LeaderController,
+        metrics: BatchMetrics,
     ) -> None:
         super().__init__(clock)
-        self._cfg = cfg
+        self._metrics = metrics
         self._store = store
         self._client = client
         self._codec = codec
@@ -401,6 +401,7 @@
             kind=end.kind.value,
             sequence=end.sequence,
         )
+        self._metrics.run_ends.inc({"kind": end.kind.value})
         self._note_result(session, end.kind)
         if not self._listener.run_ended(end.run, end.kind, end.checkpoint):
             session.acknowledge(end.sequence)
--- a/chivefall/controllers/batch/_scheduler.py
+++ b/chivefall/controllers/batch/_scheduler.py
@@ -52,6 +52,7 @@
     from chivefall.model import Epoch
     from chivefall.runtime import Clock
     from chivefall.store import Entry, TransactionalStore
+    from chivefall.telemetry import BatchMetrics
 
 __all__ = ["BatchScheduler"]
 
@@ -74,8 +75,10 @@
         catalog: CatalogController,
         leader: LeaderController,
         fleet: FleetController,
+        metrics: BatchMetrics,
     ) -> None:
         super().__init__(clock)
+        self._metrics = metrics
         self._store = store
         self._policy = policy
         self._catalog = catalog
@@ -279,6 +282,7 @@
         accounts = self._catalog.catalog.accounts.values()
         guarantees = {item.name: item.guaranteed_accelerators for item in accounts}
         plan = self._policy.plan(self._candidates(), self._fleet.fleet, now, guarantees)
+        self._metrics.round_seconds.observe({}, self.clock.now() - now)
         if plan.starts or plan.stops:
             self._carry_out(plan, now)
 
@@ -295,6 +299,7 @@
                 reason=found.reason.value,
                 progress=round(found.progress, 2),
             )
+            self._metrics.displacements.inc({"reason": found.reason.value})
             self._fleet.avoid(found.worker, found.reason, now)
             self._stop(found.run)
 
@@ -510,6 +515,7 @@
             tracked.is_waiting = False
         if state is not tracked.shown:
             tracked.shown = state
+            self._measure(tracked, state)
             log_event(
                 LogEvent.BATCH_JOB_STATE,
                 job=tracked.job.job_id,
@@ -520,6 +526,16 @@
         if state.is_final and tracked.final_since is None:
             tracked.final_since = self.clock.now()
 
+    def _measure(self, tracked: TrackedJob, state: JobState) -> None:
+        submission = tracked.job.submission
+        queue = self._find_queue(submission.queue)
+        labels = {"priority": str(queue.priority if queue is not None else "unknown")}
+        seconds = self.clock.now() - submission.submitted_at
+        if state is JobState.RUNNING:
+            self._metrics.start_seconds.observe(labels, seconds)
+        elif state.is_final:
+            self._metrics.completion_seconds.observe({**labels, "state": state.value}, seconds)
+
     def _resolve(self, batch: list[TrackedJob], outcome: Mismatch) -> None:
         """Find out which earlier attempts took effect although no reply came."""
         leader = outcome.current.get(self._leader.key)
--- a/chivefall/net/_http_client.py
+++ b/chivefall/net/_http_client.py
@@ -43,7 +43,7 @@
 
     def __init__(self, clock: Clock) -> None:
         super().__init__(channel=f"http-client-{next(_channel_numbers)}")
-        self._clock = clock
+        self.clock = clock
         self._active: dict[socket.socket, Connection] = {}
         self._idle: dict[Address, list[Connection]] = {}
         self._open: dict[Address, int] = defaultdict(int)
@@ -100,7 +100,7 @@
         conn.framer = MessageFramer(Limits(body=max_body), responses=True)
         data = encode_request(address, method, path, body, headers or {})
         conn.outgoing.append(memoryview(data))
-        conn.timer = self._clock.call_later(
+        conn.timer = self.clock.call_later(
             timeout, lambda: self._fail(conn, f"no response from {address} in {timeout:.3g} s")
         )
         self._active[conn.sock] = conn
@@ -221,7 +221,7 @@
         idle = self._idle.setdefault(conn.address, [])
         if reusable and len(idle) < MAX_IDLE_CONNECTIONS:
             idle.append(conn)
-            conn.timer = self._clock.call_later(IDLE_SECONDS, lambda: self._drop_idle(conn))
+            conn.timer = self.clock.call_later(IDLE_SECONDS, lambda: self._drop_idle(conn))
         else:
             self._discard(conn)
         fut.set_result(response)
--- a/chivefall/platform/_http_api.py
+++ b/chivefall/platform/_http_api.py
@@ -30,7 +30,7 @@
 if TYPE_CHECKING:
     from chivefall.controllers.batch import CatalogController
     from chivefall.filters import FilterChain
-    from chivefall.telemetry import Metrics
+    from chivefall.telemetry import BatchMetrics
 
 __all__ = ["BatchHttpApi"]
 
@@ -53,7 +53,7 @@
     """Turns HTTP requests into batch requests and outcomes into replies."""
 
     def __init__(
-        self, clock: Clock, chain: FilterChain, catalog: CatalogController, metrics: Metrics
+        self, clock: Clock, chain: FilterChain, catalog: CatalogController, metrics: BatchMetrics
     ) -> None:
         self._clock = clock
         self._chain = chain
@@ -82,8 +82,8 @@
         now = self._clock.now()
         seconds = now - ctx.received_at
         labels = {"operation": ctx.operation.value, "status": str(int(reply.status))}
-        self._metrics.batch_requests.inc(labels)
-        self._metrics.batch_seconds.observe({"operation": ctx.operation.value}, seconds)
+        self._metrics.requests.inc(labels)
+        self._metrics.request_seconds.observe({"operation": ctx.operation.value}, seconds)
         log_event(
             LogEvent.BATCH_ANSWERED,
             operation=ctx.operation.value,
--- a/chivefall/platform/_run_client.py
+++ b/chivefall/platform/_run_client.py
@@ -37,6 +37,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from chivefall.model import Epoch
 
 __all__ = ["HttpRunClient"]
@@ -57,12 +59,19 @@
 
 
 class HttpRunClient(RunClient):
-    """Gives orders over HTTP; an order names the worker's life it is meant for."""
+    """Gives orders over HTTP; an order names the worker's life it is meant for.
+
+    Attributes
+    ----------
+    observe : callable
+        Called with the name and the seconds of each call that does not wait.
+    """
 
     def __init__(self, http: HttpClient, timeout: float) -> None:
         self._http = http
         self.timeout = timeout
         self.calls = 0
+        self.observe: Callable[[str, float], None] = lambda _call, _seconds: None
 
     async def start(self, worker: WorkerEntry, order: RunOrder, epoch: Epoch) -> OrderOutcome:
         """Start a run; repeating the same order is harmless."""
@@ -112,7 +121,8 @@
             # The platform says instance for one life of a worker.
             "X-Target-Instance": worker.worker_id,
         }
-        return await self._http.request(
+        begun_at = self._http.clock.now()
+        reply = await self._http.request(
             Address.parse(worker.address),
             "POST",
             f"/chivefall/{call}",
@@ -120,6 +130,9 @@
             headers,
             timeout,
         )
+        if "wait_ms" not in body:
+            self.observe(call, self._http.clock.now() - begun_at)
+        return reply
 
 
 def _run_body(run: RunId, epoch: Epoch) -> dict[str, Any]:
--- a/chivefall/platform/_store.py
+++ b/chivefall/platform/_store.py
@@ -39,7 +39,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping, Sequence
+    from collections.abc import Callable, Mapping, Sequence
 
     from chivefall.config import Address
 
@@ -66,6 +66,8 @@
     ----------
     calls : int
         Calls since the start; each is priced, a watch that waits as one.
+    observe : callable
+        Called with the name and the seconds of each call but watches, which wait.
     """
 
     def __init__(self, http: HttpClient, address: Address, timeout: float) -> None:
@@ -73,6 +75,7 @@
         self._address = address
         self.timeout = timeout
         self.calls = 0
+        self.observe: Callable[[str, float], None] = lambda _call, _seconds: None
 
     @property
     def _lease_timeout(self) -> float:
@@ -212,9 +215,12 @@
         path = f"/chivefall/{call}" + (f"?{urlencode(query)}" if query else "")
         data = b"" if body is None else msgspec.json.encode(body)
         headers = {"Content-Type": "application/json"} if body is not None else {}
+        begun_at = self._http.clock.now()
         reply = await self._http.request(
             self._address, method, path, data, headers, timeout or self.timeout
         )
+        if not call.startswith("kv-watch"):
+            self.observe(call.partition("/")[0], self._http.clock.now() - begun_at)
         if isinstance(reply, HttpFailure):
             return Unavailable(reply.reason, applied_unknown=reply.sent)
         if reply.status in (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE):
--- a/chivefall/telemetry/_metrics.py
+++ b/chivefall/telemetry/_metrics.py
@@ -12,7 +12,6 @@
 __all__ = ["Metrics"]
 
 START_DELAY_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1.0, 1.8, 5.0, 30.0, 300.0)
-BATCH_REQUEST_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0)
 
 
 class Metrics:
@@ -37,16 +36,6 @@
             registry=self._registry,
         )
 
-        self.batch_requests = self._counter(
-            "batch_requests_total", "Requests about batch jobs by operation and status."
-        )
-        self.batch_seconds = Histogram(
-            "chivefall_batch_request_seconds",
-            "Seconds from a request about batch jobs to its answer, by operation.",
-            buckets=BATCH_REQUEST_BUCKETS_S,
-            registry=self._registry,
-        )
-
     def _counter(self, name: str, doc: str) -> Counter:
         return Counter(f"chivefall_{name}", doc, registry=self._registry)
 
--- a/standins/run_workers.py
+++ b/standins/run_workers.py
@@ -78,6 +78,7 @@
     ends: list[RunEnd] = field(default_factory=list)
     fenced_runs: dict[tuple[JobId, TaskKey], RunNumber] = field(default_factory=dict)
     history: list[tuple[float, str, RunId]] = field(default_factory=list)
+    lapses: list[float] = field(default_factory=list)
     peak: Resources = field(default_factory=Resources)
     rooms: dict[RunId, Resources] = field(default_factory=dict)
 
@@ -141,6 +142,12 @@
             tuple(self.ends),
         )
 
+    def crash(self) -> None:
+        """End all runs without a word, as a machine that loses power."""
+        for run in list(self.running):
+            self._end(run, EndKind.BROKEN)
+        self.ends = []
+
     def next_end(self) -> Future[None]:
         """Return a future that is done at the next end."""
         fut: Future[None] = Future()
@@ -166,6 +173,7 @@
 
     def _lapse(self) -> None:
         if self.clock.now() >= self.lease_until:
+            self.lapses.append(self.clock.now())
             for run in list(self.running):
                 self._end(run, EndKind.LAPSED)
 
@@ -193,11 +201,16 @@
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.workers: dict[WorkerId, RunWorker] = {}
+        self.past: list[RunWorker] = []
         self.room_of: Callable[[RunId], Resources] = lambda _: Resources()
 
     def add(self, entry: WorkerEntry) -> RunWorker:
-        """Add a worker or a new life of one."""
+        """Add a worker or a new life of one, which ends all runs of the old life."""
         worker = RunWorker(entry, self.clock)
+        old = self.workers.get(entry.worker_id)
+        if old is not None:
+            self.past.append(old)
+            old.crash()
         self.workers[entry.worker_id] = worker
         return worker
 
@@ -208,7 +221,7 @@
     def starts_of(self, job: JobId) -> dict[TaskKey, list[tuple[float, RunId]]]:
         """Return the starts of a job's tasks in order of time."""
         starts: dict[TaskKey, list[tuple[float, RunId]]] = defaultdict(list)
-        for worker in self.workers.values():
+        for worker in [*self.past, *self.workers.values()]:
             for time, kind, run in worker.history:
                 if kind == "start" and run.job == job:
                     starts[run.task].append((time, run))
--- /dev/null
+++ b/tests/batch/test_fuzz.py
@@ -0,0 +1,222 @@
+"""Random faults against an oracle that reads only what callers and workers saw."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import dataclass, replace
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from chivefall.batch import BatchOperation, JobState, JobStatus, Resources, RunId, StepSpec
+from chivefall.model import Accepted, NotRun
+from tests.batch.deployment import ACCOUNT, NORMAL, URGENT, Deployment
+
+ROOM = Resources(4000, 16_000, 2)
+EVACUATION_SECONDS = 5.0  # from the operators' write to the last start in the domain
+CANCEL_SECONDS = 3.0
+SETTLE_SECONDS = 90.0
+
+
+@dataclass
+class Span:
+    """One run as its worker saw it."""
+
+    run: RunId
+    begin: float
+    end: float = float("inf")
+    kind: str = "running"
+    noted: float | None = None
+    lapsed: bool = False
+
+
+def spans_of(sut: Deployment) -> list[Span]:
+    """Return all runs of all lives of all workers."""
+    spans = []
+    for worker in [*sut.workers.past, *sut.workers.workers.values()]:
+        own: dict[RunId, Span] = {}
+        for time, kind, run in worker.history:
+            if kind == "start":
+                own[run] = Span(run, time)
+            elif kind == "noted":
+                span = own[run]
+                span.noted = time
+                span.lapsed = any(span.end <= lapse <= time for lapse in worker.lapses)
+            else:
+                own[run].end, own[run].kind = time, kind
+        spans += own.values()
+    return spans
+
+
+class BatchMachine(RuleBasedStateMachine):
+    """Three instances, four workers, and everything that may fail."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.sut = Deployment(instances=3)
+        self.accepted: set[str] = set()
+        self.refused: set[str] = set()
+        self.cancelled: dict[str, float] = {}
+        self.out_since: float | None = None
+        self.key_valid = True
+        self.version = 1
+        self.incarnation = 1
+        self.number = 0
+
+    def live(self):
+        return [item for item in self.sut.instances if not item.client.silent_instance]
+
+    @rule(
+        count=st.integers(1, 6),
+        gang=st.booleans(),
+        second=st.booleans(),
+        urgent=st.booleans(),
+        where=st.integers(0, 2),
+    )
+    def submit(self, count: int, gang: bool, second: bool, urgent: bool, where: int) -> None:
+        self.number += 1
+        name = f"{self.number:016x}"
+        steps = [StepSpec(count, ROOM, 2.0, gang=gang)]
+        if second:
+            steps.append(StepSpec(1, ROOM, 2.0, after=(0,)))
+        queue = URGENT if urgent else NORMAL
+        live = self.live()
+        outcome = self.sut.submit(name, *steps, queue=queue, instance=live[where % len(live)])
+        if isinstance(outcome, Accepted):
+            assert self.key_valid, "a job was accepted under a revoked key"
+            self.accepted.add(name)
+        elif isinstance(outcome, NotRun):
+            self.refused.add(name)
+
+    @rule(index=st.integers(0, 50))
+    def cancel(self, index: int) -> None:
+        names = sorted(self.accepted - self.cancelled.keys())
+        if not names:
+            return
+        name = names[index % len(names)]
+        outcome = self.sut.call(BatchOperation.CANCEL, f"/normal/{name}", instance=self.live()[0])
+        if outcome == JobStatus(JobState.CANCELLED):
+            self.cancelled[name] = self.sut.clock.now()
+
+    @rule(seconds=st.floats(0.1, 4.0))
+    def wait(self, seconds: float) -> None:
+        self.sut.run(seconds)
+
+    @rule()
+    def kill_leader(self) -> None:
+        leaders = [item for item in self.live() if item.leads]
+        if leaders and len(self.live()) > 1:
+            leaders[0].kill()
+            self.sut.add_instance(f"i{len(self.sut.instances)}")
+            self.sut.run(0.1)
+
+    @rule(where=st.integers(0, 2), down=st.booleans())
+    def cut_store(self, where: int, down: bool) -> None:
+        live = self.live()
+        live[where % len(live)].store.down = down
+
+    @rule(count=st.integers(1, 3))
+    def lose_replies(self, count: int) -> None:
+        for item in self.live():
+            item.store.lose_replies = count
+
+    @rule(name=st.sampled_from(["w0", "w1", "w2", "w3"]), cut=st.booleans())
+    def cut_worker(self, name: str, cut: bool) -> None:
+        for item in self.live():
+            (item.client.cut.add if cut else item.client.cut.discard)(name)
+
+    @rule(name=st.sampled_from(["w0", "w1", "w2", "w3"]), late=st.booleans())
+    def late_worker(self, name: str, late: bool) -> None:
+        for item in self.live():
+            (item.client.late.add if late else item.client.late.discard)(name)
+
+    @rule(name=st.sampled_from(["w0", "w1", "w2", "w3"]))
+    def restart_worker(self, name: str) -> None:
+        self.incarnation += 1
+        entry = self.sut.worker(name).entry
+        self.sut.add_worker(replace(entry, incarnation=self.incarnation))
+
+    @rule(name=st.sampled_from(["w0", "w1", "w2", "w3"]))
+    def list_worker_anew(self, name: str) -> None:
+        self.sut.delete(f"servers/{name}")
+        self.sut.run(0.05)
+        self.sut.list_worker(self.sut.worker(name))
+
+    @rule(out=st.booleans())
+    def evacuate(self, out: bool) -> None:
+        if out and self.out_since is None:
+            self.sut.write("op/evacuate/zarcero", b"{}")
+            self.out_since = self.sut.clock.now()
+        elif not out and self.out_since is not None:
+            self.sut.delete("op/evacuate/zarcero")
+            self.out_since = None
+
+    @rule(valid=st.booleans())
+    def change_key(self, valid: bool) -> None:
+        self.version += 1
+        self.key_valid = valid
+        self.sut.set_catalog(self.version, (URGENT, NORMAL), (ACCOUNT,) if valid else ())
+
+    @invariant()
+    def one_run_at_a_time(self) -> None:
+        by_task: dict = {}
+        for span in spans_of(self.sut):
+            by_task.setdefault((span.run.job, span.run.task), []).append(span)
+        for task, spans in by_task.items():
+            spans.sort(key=lambda item: item.begin)
+            for number, later in enumerate(spans):
+                for earlier in spans[:number]:
+                    assert earlier.end <= later.begin, f"two runs of {task} at once"
+                    noted = earlier.noted is not None and not earlier.lapsed
+                    done = earlier.kind == "done" and noted
+                    assert not done, f"{task} was started after an end that was noted"
+
+    @invariant()
+    def only_accepted_jobs_run(self) -> None:
+        for span in spans_of(self.sut):
+            assert span.run.job not in self.refused, "a job that was refused ran"
+
+    @invariant()
+    def nothing_starts_where_it_must_not(self) -> None:
+        for span in spans_of(self.sut):
+            cancelled_at = self.cancelled.get(span.run.job, float("inf"))
+            assert span.begin <= cancelled_at + CANCEL_SECONDS, "a cancelled job started"
+            out = self.out_since is not None and span.begin > self.out_since + EVACUATION_SECONDS
+            assert not out, "a task started in a domain out of service"
+
+    @invariant()
+    def room_is_kept(self) -> None:
+        for worker in self.sut.workers.workers.values():
+            assert worker.peak.accelerators <= worker.entry.capacity.accelerators
+
+    def teardown(self) -> None:
+        if not hasattr(self, "sut"):
+            return
+        self.evacuate(out=False)
+        self.change_key(valid=True)
+        for item in self.live():
+            item.store.down, item.store.lose_replies = False, 0
+            item.client.cut.clear()
+            item.client.late.clear()
+        self.sut.run(SETTLE_SECONDS)
+        self.one_run_at_a_time()
+        for name in self.accepted:
+            state = self.sut.state_of(name, instance=self.live()[0])
+            expected = (JobState.CANCELLED, JobState.COMPLETED)
+            if name not in self.cancelled:
+                expected = (JobState.COMPLETED,)
+            assert state in expected, f"{name} ended {state}"
+
+
+BatchFuzzTest = BatchMachine.TestCase
+BatchFuzzTest.settings = settings(
+    max_examples=25,
+    stateful_step_count=25,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
+
+if __name__ == "__main__":
+    unittest.main()
