Let urgent work throw away at most four times its own

Change: urgent work stops runs only if their loss is at most four times its own declared work, unless it is within its account's guarantee and has waited 1 s.

--- a/chivefall/batch/_policy.py
+++ b/chivefall/batch/_policy.py
@@ -42,6 +42,12 @@
 
 The platform's bound for its start is 2.7 s, of which a stop takes 0.9 s at most.
 """
+MAX_LOSS_FACTOR = 4.0
+"""Work that an urgent group may throw away, against its own, unless it must start now.
+
+At the users' weights an urgent job that is late costs about as much as four times its
+work done again.
+"""
 CHECKPOINT_LOSS_S = 1.0  # seconds of work that a stop loses although the task checkpoints
 
 
@@ -75,6 +81,17 @@
     queue: Queue
 
 
+def _cores(room: Resources) -> float:
+    """Return room in cores, with accelerators counted as the users do."""
+    return room.cpu / 1000 + ACCELERATOR_CORES * room.accelerators
+
+
+def _work(group: _Group) -> float:
+    """Return the declared work of a group in core-seconds."""
+    step = group.step
+    return _cores(step.room) * len(group.tasks) * step.run_time
+
+
 def chain_seconds(job: BatchJob) -> float:
     """Return the declared run time of the longest chain of steps, in seconds."""
     ends: list[float] = []
@@ -348,19 +365,20 @@
         seconds = max(0.0, self._now - task.started_at)
         if step.checkpointed:
             seconds = min(seconds, CHECKPOINT_LOSS_S)
-        cores = step.room.cpu / 1000 + ACCELERATOR_CORES * step.room.accelerators
         members = step.count if step.gang else 1
-        return seconds * cores * members
+        return seconds * _cores(step.room) * members
 
     def _stop_for(self, group: _Group, workers: Sequence[Worker], missing: int) -> Sequence[Worker]:
         """Stop the runs whose loss is smallest until the group fits; return its workers."""
-        lowest = URGENT_RANK + 1
-        best = self._find_cheapest_place(group, workers, missing, lowest)
+        best = self._find_cheapest_place(group, workers, missing, URGENT_RANK + 1)
         waited = self._now - group.job.submission.submitted_at
-        if best is None and waited >= PATIENCE_SECONDS:
-            best = self._find_cheapest_place(group, workers, missing, group.rank + 1)
+        must_start = group.rank == GUARANTEED_RANK and waited >= PATIENCE_SECONDS
+        if best is None and must_start:
+            best = self._find_cheapest_place(group, workers, missing, URGENT_RANK)
         if best is None:
             return ()
+        if best.loss > MAX_LOSS_FACTOR * _work(group) and not must_start:
+            return best.members
         self._stopping |= best.runs
         self._plan.stops += sorted(best.runs)
         return best.members
--- a/tests/batch/test_policy.py
+++ b/tests/batch/test_policy.py
@@ -107,6 +107,16 @@
         plan = self.plan()
         self.assertEqual([run.job for run in plan.stops], ["old-r2-3"])
 
+    def test_small_urgent_work_does_not_throw_a_long_gang_away(self) -> None:
+        """Load: urgent single tasks meet gangs without checkpoints that ran for long."""
+        gang = self.add("gang", StepSpec(8, LARGE, 30.0, gang=True))
+        self.occupy(gang, list(self.fleet.workers), age=25.0)
+        self.add("urgent", StepSpec(1, LARGE, 2.0), URGENT)
+        self.assertEqual(self.plan().stops, [])
+        # A guarantee holds at any price, after the wait that its bound allows.
+        self.guarantees = {AccountId("a"): 8}
+        self.assertEqual(len(self.plan(NOW + 1.1).stops), 8)
+
     def test_only_runs_whose_room_is_used_are_stopped(self) -> None:
         """Load: urgent tasks of whole workers meet small tasks on every worker.
 
