--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -494,8 +494,12 @@
         session = self._sessions.get(worker_id)
         if session is None or run not in session.worker.placed:
             return False
-        for _ in range(START_ATTEMPTS):
+        for attempt in range(START_ATTEMPTS):
             deadline = session.extend(HOLD_SECONDS, self.clock.now())
+            if deadline is None and attempt == 0:
+                # Nothing was sent, so the run cannot exist.
+                self._release(session, run, "its worker stopped answering before the start")
+                return False
             if deadline is None:
                 break
             order = RunOrder(run, payload, deadline, checkpoint)
--- a/tests/batch/test_whole_path.py
+++ b/tests/batch/test_whole_path.py
@@ -195,6 +195,19 @@
         self.assertGreater(lapsed_at, cut_at + 5.0)
         self.assertGreaterEqual(min(repeats), lapsed_at)
 
+    def test_start_that_was_never_sent_frees_its_task_at_once(self) -> None:
+        # Guards against a wait for leases of a run that cannot exist, since its worker
+        # stopped answering before the start (incident inc-0e1e of kotvica-ops).
+        sut = Deployment(workers=1)
+        sut.leader.client.cut.add("w0")
+        sut.run(8.0)
+        worker = sut.leader.application.fleet.fleet.workers["w0"]
+        worker.suspect = False
+        sut.submit("a1", step())
+        sut.run(0.2)
+        tracked = sut.leader.application.scheduler.jobs["a1"]
+        self.assertEqual(tracked.job.active_tasks(), [])
+
     def test_cut_of_an_idle_worker_is_noticed_before_a_start(self) -> None:
         # Guards against starts on workers that were cut off while they ran nothing: each
         # waited for the last lease (incident inc-0e1e of kotvica-ops).
