Decode rows of reports into typed fields; refuse kinds of work that are not served

Steps that fill what others leave and queues with placement advice are refused at once; long-running tasks start again however they end and are never stopped for others. Decoders of the platform are fuzzed against arbitrary and mutated messages.

--- a/chivefall/batch/_job.py
+++ b/chivefall/batch/_job.py
@@ -242,6 +242,9 @@
         if task is None:
             return False
         self._note_checkpoint(task, checkpoint)
+        if self._is_long_running(task):
+            self._release(task)
+            return True
         if kind is EndKind.DONE:
             members = self._members(task) if self.step_of(task.key).gang else [task]
             for member in members:
@@ -251,7 +254,7 @@
         if kind is EndKind.FAILED:
             self.failed_on.add(task.assignment.worker)
             self._count_failure(task, run.number)
-            if self._failures_of(task) >= self.max_attempts and not self._is_long_running(task):
+            if self._failures_of(task) >= self.max_attempts:
                 self.failed = True
         self._release(task)
         return True
--- a/chivefall/batch/_model.py
+++ b/chivefall/batch/_model.py
@@ -152,7 +152,9 @@
     checkpointed : bool
         Whether tasks resume from their last checkpoint.
     long_running : bool
-        Whether tasks run until the job is cancelled.
+        Whether tasks run until the job is cancelled and start again however they end.
+    fills : bool
+        Whether the tasks use processor time that others leave, beyond a worker's room.
     """
 
     count: int
@@ -166,6 +168,7 @@
     max_per_worker: int = 0
     checkpointed: bool = False
     long_running: bool = False
+    fills: bool = False
 
 
 @dataclass(frozen=True)
--- a/chivefall/batch/_policy.py
+++ b/chivefall/batch/_policy.py
@@ -435,6 +435,7 @@
             if run not in chosen
             and run not in self._stopping
             and self._ranks.get(run.job, GUARANTEED_RANK) >= lowest
+            and not worker.placed[run].step.long_running
         )
         for loss, run in victims:
             gang = (run.job, run.task.occurrence, run.task.step)
--- a/chivefall/filters/batch/_steps.py
+++ b/chivefall/filters/batch/_steps.py
@@ -31,6 +31,9 @@
             problem = _find_problem(ctx)
             if problem:
                 return NotRun(NotRunReason.BAD_REQUEST, problem)
+            gap = _find_unserved(ctx)
+            if gap:
+                return NotRun(NotRunReason.INFEASIBLE, gap)
         return await proceed(ctx)
 
 
@@ -48,6 +51,15 @@
     return ""
 
 
+def _find_unserved(ctx: BatchRequest) -> str:
+    """Return what the job needs that chivefall does not serve yet, or an empty string."""
+    if ctx.queue.needs_advice:
+        return f"queue {ctx.queue.name!r} needs placement advice, which is not served yet"
+    if any(step.fills for step in ctx.spec.steps):
+        return "steps that fill what others leave are not served yet; submit them without"
+    return ""
+
+
 def _find_step_problem(number: int, step: StepSpec) -> str:
     if step.count < 1:
         return "has no tasks; send a count of at least 1"
--- a/chivefall/platform/_http_api.py
+++ b/chivefall/platform/_http_api.py
@@ -141,6 +141,7 @@
         body.anti_affinity,
         body.checkpointing,
         body.long_running,
+        body.fills,
     )
 
 
--- a/chivefall/platform/_run_client.py
+++ b/chivefall/platform/_run_client.py
@@ -109,7 +109,7 @@
             return NoAnswer("unreadable answer") if isinstance(outcome, Ran) else outcome
         try:
             return _report(msgspec.json.decode(reply.body, type=HoldBody))
-        except (msgspec.MsgspecError, ValueError, IndexError, TypeError) as exc:
+        except (msgspec.MsgspecError, ValueError) as exc:
             return NoAnswer(f"unreadable answer: {exc}")
 
     async def _call(
@@ -173,11 +173,16 @@
         body.clock_ms / 1000,
         Incarnation(body.born),
         tuple(
-            RunStatus(_run(row[0], row[1]), Checkpoint(row[2]), row[3] / 100)
+            RunStatus(_run(row.task, row.run_id), Checkpoint(row.checkpoint), row.percent / 100)
             for row in body.running
         ),
         tuple(
-            RunEnd(EndSequence(row[0]), _run(row[1], row[2]), EndKind(row[3]), Checkpoint(row[4]))
+            RunEnd(
+                EndSequence(row.number),
+                _run(row.task, row.run_id),
+                EndKind(row.how),
+                Checkpoint(row.checkpoint),
+            )
             for row in body.finished
         ),
     )
--- a/chivefall/platform/_wire.py
+++ b/chivefall/platform/_wire.py
@@ -9,11 +9,13 @@
 __all__ = [
     "Capacity",
     "CatalogBody",
+    "FinishedRow",
     "HoldBody",
     "Item",
     "JobBody",
     "LeaseBody",
     "RangeBody",
+    "RunningRow",
     "StepBody",
     "WatchBody",
     "WorkerBody",
@@ -113,12 +115,31 @@
     remaining_ms: float = 0
 
 
+class RunningRow(msgspec.Struct, array_like=True):
+    """A run that goes on; further entries of the row are not used."""
+
+    task: str
+    run_id: int  # number of the start, unique only within its task
+    checkpoint: str
+    percent: float
+
+
+class FinishedRow(msgspec.Struct, array_like=True):
+    """The end of a run."""
+
+    number: int
+    task: str
+    run_id: int
+    how: str
+    checkpoint: str
+
+
 class HoldBody(msgspec.Struct):
     """The answer to a hold."""
 
     clock_ms: float
-    running: list[list[Any]] = []  # [task, run, checkpoint, percent, load]
-    finished: list[list[Any]] = []  # [number, task, run, how, checkpoint]
+    running: list[RunningRow] = []
+    finished: list[FinishedRow] = []
     born: int = 0
 
 
--- /dev/null
+++ b/tests/platform/test_decoders.py
@@ -0,0 +1,175 @@
+"""Decoders of the platform's messages under arbitrary and mutated input."""
+
+from __future__ import annotations
+
+import json
+import unittest
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from chivefall.batch import BatchOperation, Catalog, Resources, WorkerEntry, WorkerStatus
+from chivefall.errors import MessageError
+from chivefall.model import Accepted, JobId, NotRun, NotRunReason, Unknown
+from chivefall.net import HttpRequest
+from chivefall.platform import BatchHttpApi, UsersPlatformCodec
+from chivefall.platform._run_client import _order_outcome, _report
+from chivefall.platform._wire import HoldBody
+from chivefall.runtime import ManualClock
+from chivefall.telemetry import BatchMetrics
+from chivefall.workers import NoAnswer, RefusalReason, RunRefused
+
+WORKER = {
+    "service": "pool",
+    "addr": "10.128.0.9:8080",
+    "zone": "zarcero",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 8},
+    "labels": ["a", "r1-3"],
+    "born": 1700000000000,
+    "clock_ms": 482113,
+    "seq": 4,
+}
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=8), inner),
+    max_leaves=8,
+)
+
+
+class CodecTest(unittest.TestCase):
+    codec = UsersPlatformCodec()
+
+    def test_worker_entry(self) -> None:
+        """Guards the meaning of each field, whose names on the wire say little."""
+        entry = self.codec.decode_worker("servers/i-1", json.dumps(WORKER).encode())
+        self.assertEqual(entry.worker_id, "i-1")
+        self.assertEqual(entry.capacity, Resources(16000, 32768, 8))
+        self.assertEqual(entry.rack, "r1-3")
+        self.assertIs(entry.status, WorkerStatus.READY)
+
+    def test_entry_without_start_time_names_no_worker(self) -> None:
+        """Guards against an entry of another writer that is taken for a new life."""
+        body = {key: value for key, value in WORKER.items() if key != "born"}
+        self.assertIsNone(self.codec.decode_worker("servers/i-1", json.dumps(body).encode()))
+
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    @given(st.sampled_from(sorted(WORKER)), JSON)
+    def test_mutated_worker_entry(self, key: str, value: object) -> None:
+        """Guards against an error that ends the copy of the workers."""
+        entry = self.codec.decode_worker("servers/i", json.dumps({**WORKER, key: value}).encode())
+        self.assertTrue(entry is None or isinstance(entry, WorkerEntry))
+
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(st.binary(max_size=60))
+    def test_arbitrary_bytes(self, value: bytes) -> None:
+        """Guards against an error for bytes that are no message."""
+        self.assertIsNone(self.codec.decode_worker("servers/i", value))
+        try:
+            self.assertIsInstance(self.codec.decode_catalog(value), Catalog)
+        except MessageError as exc:
+            self.assertTrue(exc.remedy)
+
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(JSON)
+    def test_report_of_a_worker(self, rows: object) -> None:
+        """Guards against an error of another kind than those that the client handles."""
+        body = json.dumps({"clock_ms": 1, "running": rows, "finished": rows}).encode()
+        try:
+            _report(msgspec.json.decode(body, type=HoldBody))
+        except (msgspec.MsgspecError, ValueError):
+            return
+
+    def test_rows_of_a_report(self) -> None:
+        """Guards the order of the entries, which have no names on the wire."""
+        running = [["0a.0.1.17", 2, "c1", 41, 3]]
+        body = {"clock_ms": 1500, "running": running, "finished": [[58, "0a.0.1.9", 1, "done", ""]]}
+        report = _report(msgspec.json.decode(json.dumps(body).encode(), type=HoldBody))
+        self.assertEqual((report.clock, report.running[0].share), (1.5, 0.41))
+        self.assertEqual(report.running[0].run.task, (0, 1, 17))
+        self.assertEqual((report.ends[0].sequence, report.ends[0].kind.value), (58, "done"))
+
+    def test_refusals_of_orders(self) -> None:
+        """Guards what a refusal proves: the order was not carried out."""
+        from chivefall.net import HttpResponse  # noqa: PLC0415
+
+        for status, body, reason in (
+            (409, b'{"clock_ms":1,"reason":"fence"}', RefusalReason.FENCED),
+            (409, b'{"clock_ms":1,"reason":"room"}', RefusalReason.NO_ROOM),
+            (429, b"", RefusalReason.UNHEALTHY),
+            (400, b"", RefusalReason.MALFORMED),
+        ):
+            outcome = _order_outcome(HttpResponse(status, body))
+            self.assertIsInstance(outcome, RunRefused)
+            self.assertIs(outcome.reason, reason)
+        unknown = _order_outcome(HttpResponse(409, b'{"reason":"new"}'))
+        self.assertIsInstance(unknown, NoAnswer)
+
+
+class FixedChain:
+    """A chain that returns one outcome and keeps the request."""
+
+    def __init__(self, outcome: object) -> None:
+        self.outcome = outcome
+
+    async def run(self, ctx: object) -> object:
+        self.ctx = ctx
+        return self.outcome
+
+
+class FixedCatalog:
+    """A catalog that is known and new."""
+
+    catalog = Catalog(1)
+
+    def age(self, now: float) -> float:
+        del now
+        return 0.0
+
+
+class ApiTest(unittest.TestCase):
+    def serve(self, outcome: object, method: str, body: bytes = b"{}", **headers: str):
+        self.chain = FixedChain(outcome)
+        api = BatchHttpApi(ManualClock(), self.chain, FixedCatalog(), BatchMetrics())
+        fields = {"host": "h.example:80", "authorization": "Token k1", **headers}
+        return api.serve(HttpRequest(method, "/q/00ff", "", fields, body)).result()
+
+    def test_request_is_decoded_once_into_own_terms(self) -> None:
+        """Guards host, key, deadline and steps of a submission."""
+        body = json.dumps(
+            {
+                "task_spec": "text",
+                "steps": [{"count": 2, "cpu": 500, "gpu": 1, "affinity": "r1", "gang": True}],
+            }
+        ).encode()
+        headers = {"x-deadline-ms": "1500"}
+        reply = self.serve(Accepted(JobId("00ff")), "POST", body, **headers)
+        ctx = self.chain.ctx
+        self.assertEqual(reply.status, 200)
+        self.assertIs(ctx.operation, BatchOperation.SUBMIT)
+        self.assertEqual((ctx.host, ctx.key), ("h.example", "k1"))
+        self.assertAlmostEqual(ctx.deadline - ctx.received_at, 1.5)
+        step = ctx.spec.steps[0]
+        self.assertEqual((step.count, step.data_rack, step.gang), (2, "r1", True))
+
+    def test_statuses(self) -> None:
+        """Guards that a refusal never looks like an unknown result, and the other way round."""
+        refused = self.serve(NotRun(NotRunReason.STORE_UNAVAILABLE, "x", 0.4), "POST")
+        self.assertEqual((refused.status, refused.headers["Retry-After"]), (503, "1"))
+        self.assertEqual(self.serve(Unknown("x"), "POST").status, 504)
+        self.assertEqual(self.serve(NotRun(NotRunReason.UNKNOWN_KEY), "GET").status, 401)
+        self.assertEqual(self.serve(NotRun(NotRunReason.UNKNOWN_QUEUE), "GET").status, 404)
+
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(st.binary(max_size=40) | JSON.map(lambda item: json.dumps(item).encode()))
+    def test_arbitrary_bodies_are_refused_or_passed_on(self, body: bytes) -> None:
+        """Guards against a body that ends in an internal error."""
+        self.assertIn(self.serve(Accepted(JobId("00ff")), "POST", body).status, (200, 400))
+
+
+if __name__ == "__main__":
+    unittest.main()
