Call the store less: paced watches of workers and jobs, one watch of the leader key

Change: at least 0.4 s between watches of workers, 0.03 s between those of jobs; a follower watches the leader key on and reads it only when it changed.

--- a/chivefall/controllers/_leader.py
+++ b/chivefall/controllers/_leader.py
@@ -25,6 +25,7 @@
     Store,
     Stored,
     Unavailable,
+    Unchanged,
     Version,
     leader_key,
 )
@@ -38,7 +39,7 @@
 
 __all__ = ["LeaderController", "LeaderState"]
 
-WATCH_SECONDS = 2.0  # one wait of a follower for the end of the present leadership
+WATCH_SECONDS = 5.0  # one wait of a follower for the end of the present leadership
 MAX_STAGGER_SECONDS = 0.1  # spreads the candidates after a removal; their order is fixed
 
 
@@ -219,10 +220,12 @@
             await self._store.revoke_lease(granted.lease)
 
     async def _await_removal(self, version: Version) -> ReadOutcome:
-        """Watch the leader key for a while and return what it is then."""
+        """Watch the leader key until it changes and return what it is then."""
         outcome = await self._store.watch(self._key, version, WATCH_SECONDS)
+        while isinstance(outcome, Unchanged) and not self._stopped:
+            outcome = await self._store.watch(self._key, outcome.version, WATCH_SECONDS)
         if not isinstance(outcome, Changed):
-            return Unavailable("the leader key is unchanged")
+            return Unavailable("the leader key cannot be watched")
         # Candidates that all saw the removal would otherwise ask for leases at once.
         await sleep(self.clock, self._stagger)
         return await self._store.get(self._key)
--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -48,6 +48,7 @@
 0.75 s old. The runs of a worker that is cut off wait for the rest of it.
 """
 POLL_SECONDS = 0.75  # longest wait of one poll; also the age of what is known of progress
+LISTING_SECONDS = 0.4  # between watches of the entries; each heartbeat of a worker changes one
 RETRY_SECONDS = 0.4  # between calls to a worker that does not answer
 START_ATTEMPTS = 2  # a repeated start is harmless; gangs wait 3 s for their members
 STOP_SETTLE_SECONDS = 1.2  # a stop takes at most 0.9 s
@@ -135,6 +136,7 @@
             self._codec.worker_prefix,
             lambda *change: self._apply(epoch, *change),
             lambda: self._is_current(epoch),
+            LISTING_SECONDS,
         )
         self.run_task(mirror.run())
 
--- a/chivefall/controllers/batch/_mirror.py
+++ b/chivefall/controllers/batch/_mirror.py
@@ -30,6 +30,9 @@
         entries are all that exist.
     is_active : callable
         Whether the mirror goes on; read after each reply.
+    interval : float
+        Least seconds between two watches. Changes that come meanwhile arrive with
+        one call, and each call has a price.
 
     Attributes
     ----------
@@ -45,12 +48,14 @@
         prefix: str,
         apply: Callable[[tuple[Entry, ...], tuple[str, ...], bool], None],
         is_active: Callable[[], bool],
+        interval: float = 0.0,
     ) -> None:
         self._clock = clock
         self._store = store
         self._prefix = prefix
         self._apply = apply
         self._is_active = is_active
+        self._interval = interval
         self._version: Version | None = None
         self._reachable = True
         self.confirmed_at = float("-inf")
@@ -73,6 +78,9 @@
                 self._version = None
             else:
                 await self._take_or_list_again(outcome, asked_at)
+                wait = asked_at + self._interval - self._clock.now()
+                if wait > 0:
+                    await sleep(self._clock, wait)
 
     async def _take_or_list_again(self, outcome, asked_at: float) -> None:
         try:
--- a/chivefall/controllers/batch/_scheduler.py
+++ b/chivefall/controllers/batch/_scheduler.py
@@ -58,6 +58,7 @@
 
 ROUND_DELAY_SECONDS = 0.01  # collects what arrives together into one round
 ROUND_INTERVAL_SECONDS = 0.25  # for decisions that depend on time alone
+WATCH_INTERVAL_SECONDS = 0.03  # between watches of the jobs, which each commit changes
 MISSED_CHECK_SECONDS = 0.5  # between looks for jobs that the watch has not delivered
 JOBS_PER_COMMIT = 10  # a job takes three of the store's 32 entries
 COMMIT_RETRY_SECONDS = 0.1
@@ -115,6 +116,7 @@
             BATCH_JOBS_PREFIX,
             lambda *change: self._apply(epoch, *change),
             lambda: self._is_current(epoch),
+            WATCH_INTERVAL_SECONDS,
         )
         self.run_task(self._follow(epoch, mirror))
 
