Plan a round in less time: structs for room, one look at workers and shapes

Cause: a round at 24 workers and 30 waiting jobs took 4.55 ms of processor time at the 99th percentile (bound 5 ms), and its cost grew with waiting jobs times workers. Change: room is a msgspec struct, usable workers and the capacity of racks are found once a round, and a shape of work that did not fit is not tried again in the same round.

--- a/chivefall/batch/_model.py
+++ b/chivefall/batch/_model.py
@@ -6,6 +6,8 @@
 from enum import Enum
 from typing import NamedTuple, NewType
 
+import msgspec
+
 from chivefall.model import AccountId, DomainId, JobId, RackId, ServiceId, WorkerId
 
 __all__ = [
@@ -65,10 +67,11 @@
     DRAINING = "draining"
 
 
-@dataclass(frozen=True)
-class Resources:
+class Resources(msgspec.Struct, frozen=True):
     """Room that a task needs or a worker has.
 
+    A struct and not a dataclass, because rounds compute thousands of them.
+
     Attributes
     ----------
     cpu : int
@@ -97,18 +100,19 @@
             self.accelerators - other.accelerators,
         )
 
+    def __mul__(self, count: int) -> Resources:
+        return Resources(self.cpu * count, self.memory * count, self.accelerators * count)
+
     def count_of(self, unit: Resources) -> int:
         """Return how many times ``unit`` fits; negative room holds none."""
-        counts = [
-            have // need
-            for have, need in (
-                (self.cpu, unit.cpu),
-                (self.memory, unit.memory),
-                (self.accelerators, unit.accelerators),
-            )
-            if need > 0
-        ]
-        return max(0, min(counts)) if counts else UNBOUNDED
+        count = UNBOUNDED
+        if unit.cpu > 0:
+            count = self.cpu // unit.cpu
+        if unit.memory > 0:
+            count = min(count, self.memory // unit.memory)
+        if unit.accelerators > 0:
+            count = min(count, self.accelerators // unit.accelerators)
+        return max(0, count)
 
 
 UNBOUNDED = 1_000_000  # tasks; more than any step has
--- a/chivefall/batch/_placement.py
+++ b/chivefall/batch/_placement.py
@@ -124,8 +124,7 @@
 def take(rooms: Rooms, worker: Worker, step: StepSpec, count: int) -> None:
     """Take the room of ``count`` tasks on a worker."""
     name = worker.worker_id
-    for _ in range(count):
-        rooms.free[name] -= step.room
+    rooms.free[name] -= step.room * count
     rooms.of_step[name] = rooms.of_step.get(name, 0) + count
 
 
--- a/chivefall/batch/_policy.py
+++ b/chivefall/batch/_policy.py
@@ -10,23 +10,15 @@
 
 from chivefall.batch._fleet import Worker
 from chivefall.batch._job import BatchJob, Task, TaskState
-from chivefall.batch._model import (
-    Incarnation,
-    Queue,
-    RunId,
-    StepSpec,
-    TaskKey,
-)
+from chivefall.batch._model import UNBOUNDED, Incarnation, Queue, RunId, StepSpec, TaskKey
 from chivefall.batch._placement import Rooms, by_rack, place_gang, place_some, rack_capacity, take
-from chivefall.model import AccountId, JobId, WorkerId
+from chivefall.model import AccountId, JobId, RackId, WorkerId
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
     from chivefall.batch._fleet import Fleet
-    from chivefall.batch._model import (
-        Resources,
-    )
+    from chivefall.batch._model import Resources
 
 __all__ = ["BatchPolicy", "Candidate", "DeadlinePolicy", "Plan", "Start", "chain_seconds"]
 
@@ -182,6 +174,9 @@
         self._reservations = 0
         self._jobs: dict[JobId, BatchJob] = {}
         self._stopping: set[RunId] = set()
+        self._usable: dict[tuple, list[Worker]] = {}
+        self._capacities: dict[tuple, dict[RackId, int]] = {}
+        self._blocked: dict[tuple, int] = {}
 
     def run(self, candidates: Iterable[Candidate]) -> Plan:
         """Return the plan of the round."""
@@ -242,28 +237,66 @@
         return (rank, worthless, group.latest_start(), group.job.job_id)
 
     def _place(self, group: _Group) -> None:
-        workers = self._fleet.usable(group.step, group.queue.service, self._now)
-        # A second failure on another worker tells a bad task from a bad worker.
-        others = [item for item in workers if item.worker_id not in group.job.failed_on]
-        workers = others or workers
+        workers = self._workers_for(group)
         if not workers:
             return
-        rooms = Rooms(self._free, self._step_counts(group, workers))
-        near_only = self._waits_for_near(group, workers)
-        if group.step.gang:
-            chosen = place_gang(workers, group.step, len(group.tasks), rooms, near_only=near_only)
-        else:
-            chosen = place_some(workers, group.step, len(group.tasks), rooms, near_only=near_only)
+        chosen = self._choose(group, workers)
         if chosen:
             places = tuple(
                 (task.key, worker.worker_id, worker.entry.incarnation)
                 for task, worker in zip(group.tasks, chosen, strict=False)
             )
             self._plan.starts.append(Start(group.job, places))
-        missing = len(group.tasks) - len(chosen or ())
+        missing = len(group.tasks) - len(chosen)
         if missing and (group.urgent or group.step.gang):
             self._make_room(group, workers, missing)
 
+    def _workers_for(self, group: _Group) -> list[Worker]:
+        """Return the workers that may start tasks of a group."""
+        key = (group.queue.service, group.step.label)
+        if key not in self._usable:
+            self._usable[key] = self._fleet.usable(group.step, group.queue.service, self._now)
+        workers = self._usable[key]
+        if not group.job.failed_on:
+            return workers
+        # A second failure on another worker tells a bad task from a bad worker.
+        return [item for item in workers if item.worker_id not in group.job.failed_on] or workers
+
+    def _capacity(self, group: _Group, workers: list[Worker]) -> dict[RackId, int]:
+        """Return how many tasks of a group's step each rack takes when it is empty."""
+        step = group.step
+        if workers is not self._usable.get((group.queue.service, step.label)):
+            return rack_capacity(workers, step)
+        key = (group.queue.service, step.label, step.room, step.max_per_worker)
+        if key not in self._capacities:
+            self._capacities[key] = rack_capacity(workers, step)
+        return self._capacities[key]
+
+    def _choose(self, group: _Group, workers: list[Worker]) -> list[Worker]:
+        """Return a worker for each task that starts now."""
+        step, count = group.step, len(group.tasks)
+        near_only = self._waits_for_near(group, workers)
+        shape = (
+            group.queue.service,
+            step.label,
+            step.room,
+            step.gang,
+            step.same_rack,
+            step.data_rack,
+            near_only,
+        )
+        # Room only shrinks during a round, so what did not fit once does not fit later.
+        if count >= self._blocked.get(shape, UNBOUNDED):
+            return []
+        rooms = Rooms(self._free, self._step_counts(group, workers))
+        if step.gang:
+            chosen = place_gang(workers, step, count, rooms, near_only=near_only) or []
+        else:
+            chosen = place_some(workers, step, count, rooms, near_only=near_only)
+        if not chosen and not step.max_per_worker and not group.job.failed_on:
+            self._blocked[shape] = count if step.gang else 1
+        return chosen
+
     def _step_counts(self, group: _Group, workers: Sequence[Worker]) -> dict[WorkerId, int]:
         if not group.step.max_per_worker:
             return {}
@@ -275,10 +308,10 @@
             for worker in workers
         }
 
-    def _waits_for_near(self, group: _Group, workers: Sequence[Worker]) -> bool:
+    def _waits_for_near(self, group: _Group, workers: list[Worker]) -> bool:
         """Return whether the group should wait rather than run slowly away from its rack."""
         step = group.step
-        capacity = rack_capacity(workers, step)
+        capacity = self._capacity(group, workers)
         if step.gang and step.same_rack:
             racks = [step.data_rack] if step.data_rack is not None else list(capacity)
             if not any(capacity.get(rack, 0) >= len(group.tasks) for rack in racks):
@@ -330,11 +363,11 @@
         return min(choices, key=lambda members: self._work_ahead(group, members), default=())
 
     def _places_for(
-        self, group: _Group, workers: Sequence[Worker], missing: int
+        self, group: _Group, workers: list[Worker], missing: int
     ) -> list[Sequence[Worker]]:
         """Return the sets of workers on which a group could run, each large enough."""
         step = group.step
-        capacity = rack_capacity(workers, step)
+        capacity = self._capacity(group, workers)
         if step.data_rack is not None and capacity.get(step.data_rack, 0) >= missing:
             return [by_rack(workers)[step.data_rack]]
         if step.gang:
