--- a/chivefall/api/_document_api.py
+++ b/chivefall/api/_document_api.py
@@ -8,7 +8,6 @@
 
 import msgspec
 
-from chivefall.api._requests import Operation, json_reply
 from chivefall.document import (
     ChangeAccepted,
     ChangeConflict,
@@ -27,8 +26,10 @@
 )
 from chivefall.errors import DocumentError, MessageError
 from chivefall.model import DomainId, DomainState, Revision, Section, TeamId
+from chivefall.net import json_reply
 
 if TYPE_CHECKING:
+    from chivefall.api._requests import Operation
     from chivefall.controllers import DocumentController
     from chivefall.net import HttpReply, HttpRequest
     from chivefall.runtime import Clock
--- a/chivefall/api/_http_api.py
+++ b/chivefall/api/_http_api.py
@@ -14,11 +14,10 @@
     decode_job_request,
     decode_service_request,
     encode_reply,
-    json_reply,
 )
 from chivefall.errors import MessageError
 from chivefall.model import JobId, JobRecord, NotRun, NotRunReason, ServiceId, Unknown
-from chivefall.net import HttpReply, HttpRequest
+from chivefall.net import HttpReply, HttpRequest, json_reply
 from chivefall.runtime import Clock, Future, spawn
 from chivefall.telemetry import LogEvent, Metrics, log_event
 
--- a/chivefall/api/_requests.py
+++ b/chivefall/api/_requests.py
@@ -24,14 +24,13 @@
     Outcome,
     ServiceId,
 )
-from chivefall.net import HttpReply, HttpRequest, encode_outcome
+from chivefall.net import HttpReply, HttpRequest, encode_outcome, json_reply
 
 __all__ = [
     "Operation",
     "decode_job_request",
     "decode_service_request",
     "encode_reply",
-    "json_reply",
 ]
 
 Operation = Callable[[], Awaitable[HttpReply]]
@@ -127,11 +126,6 @@
     return json_reply(status, encode_outcome(outcome), headers)
 
 
-def json_reply(status: int, body: Any, headers: dict[str, str] | None = None) -> HttpReply:
-    """Return a reply with a JSON body."""
-    return HttpReply(status, msgspec.json.encode(body), headers or {})
-
-
 def _decode_json(body: bytes) -> Any:
     try:
         return msgspec.json.decode(body) if body else None
--- a/chivefall/controllers/_document.py
+++ b/chivefall/controllers/_document.py
@@ -19,6 +19,7 @@
     Edit,
     decode_document,
     encode_document,
+    guarantee_shares,
     shape_warnings,
 )
 from chivefall.errors import DocumentError
@@ -43,7 +44,7 @@
 
     from chivefall.config import Settings
     from chivefall.controllers._membership import MembershipController
-    from chivefall.model import InstanceId, RackId, TeamId
+    from chivefall.model import DomainId, Guarantee, InstanceId, RackId, TeamId
     from chivefall.runtime import Clock
     from chivefall.workers import Instance
 
@@ -92,6 +93,7 @@
         self._racks: tuple[tuple[RackId, int], ...] = ()
         self._permission: type[StartPermission] | None = None
         self.document = Document()
+        self._shares: dict[DomainId, tuple[Guarantee, ...]] = {}
         self.confirmed_at = float("-inf")
         self.store_reachable = True
 
@@ -168,11 +170,22 @@
         records = await self._history.list(self.document.last_change)
         return None if isinstance(records, Unavailable) else records[::-1][:limit]
 
+    def shares(self, domain: DomainId) -> tuple[Guarantee, ...]:
+        """Return the gangs of each guarantee that a domain has to honour.
+
+        Kept until another revision is adopted, since each submission and each
+        waiting job of a draining domain asks for them.
+        """
+        if domain not in self._shares:
+            self._shares[domain] = guarantee_shares(self.document, domain)
+        return self._shares[domain]
+
     def adopt(self, document: Document, version: Version | None = None) -> None:
         """Put a revision in force if it is higher than the present one."""
         if document.revision <= self.document.revision:
             return
         self.document = document
+        self._shares = {}
         self._version = version
         log_event(LogEvent.DOCUMENT_ADOPTED, revision=document.revision)
         self.fire(document_adopted(document))
--- a/chivefall/controllers/_drain.py
+++ b/chivefall/controllers/_drain.py
@@ -9,7 +9,6 @@
 from circuits import handler
 
 from chivefall.controllers._base import Controller
-from chivefall.document import guarantee_shares
 from chivefall.model import (
     Accepted,
     DomainId,
@@ -128,7 +127,7 @@
         found = frozenset(
             domain
             for domain in document.failure_domains
-            if covers(guarantee_shares(document, domain), spec)
+            if covers(self._document.shares(domain), spec)
         )
         return frozenset() if self._cfg.failure_domain in found else found
 
--- a/chivefall/controllers/_job_router.py
+++ b/chivefall/controllers/_job_router.py
@@ -8,7 +8,6 @@
 
 from chivefall.controllers._base import Controller
 from chivefall.controllers._job_table import WaitReply
-from chivefall.document import guarantee_shares
 from chivefall.model import (
     Accepted,
     DomainId,
@@ -170,7 +169,7 @@
             capacity = self._capacity(domain, now)
             if capacity is None or not document.is_in_service(domain):
                 continue
-            guaranteed = covers(guarantee_shares(document, domain), spec)
+            guaranteed = covers(self._document.shares(domain), spec)
             own = domain == self._cfg.failure_domain
             offers.append(DomainOffer(domain, *capacity[:3], guaranteed=guaranteed, own=own))
         return offers
--- a/chivefall/model/_jobs.py
+++ b/chivefall/model/_jobs.py
@@ -13,9 +13,6 @@
 
 __all__ = ["GangMember", "JobRecord", "JobSpec", "Placement", "domain_of_job"]
 
-MAX_GANG_SIZE = 64
-MAX_MEMBER_ACCELERATORS = 64
-
 
 @dataclass(frozen=True)
 class JobSpec:
--- a/chivefall/net/__init__.py
+++ b/chivefall/net/__init__.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from chivefall.net._codec import decode_outcome, encode_outcome
     from chivefall.net._http_client import HttpClient, HttpFailure, HttpResponse
-    from chivefall.net._http_server import HttpReply, HttpRequest, HttpServer
+    from chivefall.net._http_server import HttpReply, HttpRequest, HttpServer, json_reply
     from chivefall.net._messages import (
         CallerRequest,
         CallerResponse,
@@ -37,6 +37,7 @@
     "Peers",
     "decode_outcome",
     "encode_outcome",
+    "json_reply",
 ]
 
 __getattr__ = lazy_attributes(
@@ -58,5 +59,6 @@
         "Peers": "_peer_base",
         "decode_outcome": "_codec",
         "encode_outcome": "_codec",
+        "json_reply": "_http_server",
     },
 )
--- a/chivefall/net/_http_server.py
+++ b/chivefall/net/_http_server.py
@@ -5,7 +5,7 @@
 import socket
 from dataclasses import dataclass, field
 from http import HTTPStatus
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 from circuits import BaseComponent, handler
@@ -24,7 +24,7 @@
     from chivefall.config import Address
     from chivefall.runtime import Clock, Future
 
-__all__ = ["HttpReply", "HttpRequest", "HttpServer"]
+__all__ = ["HttpReply", "HttpRequest", "HttpServer", "json_reply"]
 
 MAX_HELD_BYTES = 65_536  # bytes of later requests that are read while one is in progress
 MAX_CONNECTIONS = 512  # half of the usual limit of open files
@@ -53,6 +53,11 @@
     content_type: str = "application/json"
 
 
+def json_reply(status: int, body: Any, headers: dict[str, str] | None = None) -> HttpReply:
+    """Return a reply with a JSON body."""
+    return HttpReply(status, msgspec.json.encode(body), headers or {})
+
+
 class _QuietServer(BaseServer):
     """A circuits.web server that leaves signals to the application.
 
--- a/chivefall/platform/_http_api.py
+++ b/chivefall/platform/_http_api.py
@@ -22,7 +22,7 @@
     StepSpec,
 )
 from chivefall.model import Accepted, NotRun, NotRunReason, RackId
-from chivefall.net import HttpReply, HttpRequest
+from chivefall.net import HttpReply, HttpRequest, json_reply
 from chivefall.platform._wire import JobBody, StepBody
 from chivefall.runtime import Clock, Future, spawn
 from chivefall.telemetry import LogEvent, log_event
@@ -67,12 +67,12 @@
     async def _serve(self, req: HttpRequest) -> HttpReply:
         operation = _OPERATIONS.get(req.method)
         if operation is None:
-            return _reply(HTTPStatus.METHOD_NOT_ALLOWED, {"error": "send GET, POST or DELETE"})
+            return json_reply(HTTPStatus.METHOD_NOT_ALLOWED, {"error": "send GET, POST or DELETE"})
         now = self._clock.now()
         try:
             ctx = _decode_request(req, operation, now)
         except msgspec.MsgspecError as exc:
-            return _reply(HTTPStatus.BAD_REQUEST, {"error": f"the job cannot be read: {exc}"})
+            return json_reply(HTTPStatus.BAD_REQUEST, {"error": f"the job cannot be read: {exc}"})
         outcome = await self._chain.run(ctx)
         reply = _encode(outcome)
         self._note(ctx, outcome, reply)
@@ -147,25 +147,21 @@
 
 def _encode(outcome: BatchOutcome) -> HttpReply:
     if isinstance(outcome, Accepted):
-        return _reply(HTTPStatus.OK, {})
+        return json_reply(HTTPStatus.OK, {})
     if isinstance(outcome, JobStatus):
-        return _reply(HTTPStatus.OK, {"state": outcome.state.value})
+        return json_reply(HTTPStatus.OK, {"state": outcome.state.value})
     if isinstance(outcome, PendingJobs):
-        return _reply(HTTPStatus.OK, {"pending": outcome.count})
+        return json_reply(HTTPStatus.OK, {"pending": outcome.count})
     if isinstance(outcome, JobMissing):
-        return _reply(HTTPStatus.GONE, {"error": "no such job was accepted"})
+        return json_reply(HTTPStatus.GONE, {"error": "no such job was accepted"})
     if isinstance(outcome, NotRun):
         headers = {}
         if outcome.retry_after is not None:
             headers["Retry-After"] = str(max(1, math.ceil(outcome.retry_after)))
         status = _REFUSALS.get(outcome.reason, HTTPStatus.SERVICE_UNAVAILABLE)
-        return _reply(status, {"error": outcome.detail}, headers)
+        return json_reply(status, {"error": outcome.detail}, headers)
     # The request may have run, so the caller has to repeat it with the same id.
-    return _reply(HTTPStatus.GATEWAY_TIMEOUT, {"error": outcome.detail})
-
-
-def _reply(status: HTTPStatus, body: dict, headers: dict[str, str] | None = None) -> HttpReply:
-    return HttpReply(status, msgspec.json.encode(body), headers or {})
+    return json_reply(HTTPStatus.GATEWAY_TIMEOUT, {"error": outcome.detail})
 
 
 def _log_error(exc: BaseException) -> None:
--- a/chivefall/telemetry/_batch_metrics.py
+++ b/chivefall/telemetry/_batch_metrics.py
@@ -2,12 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
-from aioprometheus import Counter, Gauge, Histogram, Registry, render
-
-if TYPE_CHECKING:
-    from collections.abc import Callable
+from chivefall.telemetry._collectors import CollectorSet
 
 __all__ = ["BatchMetrics"]
 
@@ -17,12 +12,11 @@
 ROUND_BUCKETS_S = (0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1)
 
 
-class BatchMetrics:
-    """The collectors of one instance and their registry."""
+class BatchMetrics(CollectorSet):
+    """The collectors of one instance."""
 
     def __init__(self) -> None:
-        self._registry = Registry()
-        self._samplers: list[Callable[[], None]] = []
+        super().__init__("chivefall_batch")
         self.requests = self._counter(
             "requests_total", "Requests of callers by operation and status."
         )
@@ -62,25 +56,3 @@
         self.jobs = self._gauge("jobs", "Jobs by state, on the leader.")
         self.workers = self._gauge("workers", "Workers by condition, on the leader.")
         self.free = self._gauge("free", "Room that no run holds, by resource, on the leader.")
-
-    def _counter(self, name: str, doc: str) -> Counter:
-        return Counter(f"chivefall_batch_{name}", doc, registry=self._registry)
-
-    def _gauge(self, name: str, doc: str) -> Gauge:
-        return Gauge(f"chivefall_batch_{name}", doc, registry=self._registry)
-
-    def _histogram(self, name: str, doc: str, buckets: tuple[float, ...]) -> Histogram:
-        return Histogram(
-            f"chivefall_batch_{name}", doc, buckets=list(buckets), registry=self._registry
-        )
-
-    def sample_with(self, sampler: Callable[[], None]) -> None:
-        """Call ``sampler`` before each rendering to set gauges."""
-        self._samplers.append(sampler)
-
-    def render(self) -> tuple[bytes, str]:
-        """Return all metrics as text and their content type."""
-        for sampler in self._samplers:
-            sampler()
-        content, headers = render(self._registry, [])
-        return content, headers["Content-Type"]
--- a/standins/_service.py
+++ b/standins/_service.py
@@ -3,9 +3,8 @@
 from __future__ import annotations
 
 from abc import abstractmethod
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
-import msgspec
 from circuits import handler
 from circuits.core.pollers import EPoll
 
@@ -15,12 +14,7 @@
 if TYPE_CHECKING:
     from chivefall.config import Address
 
-__all__ = ["Service", "json_reply"]
-
-
-def json_reply(status: int, body: Any, headers: dict[str, str] | None = None) -> HttpReply:
-    """Return a reply with a JSON body."""
-    return HttpReply(status, msgspec.json.encode(body), headers or {})
+__all__ = ["Service"]
 
 
 class Service(AbstractComponent):
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -10,9 +10,9 @@
 import msgspec
 
 from chivefall.config import Address
-from chivefall.net import HttpReply, HttpRequest, HttpResponse
+from chivefall.net import HttpReply, HttpRequest, HttpResponse, json_reply
 from chivefall.runtime import Clock, Future, sleep
-from standins._service import Service, json_reply
+from standins._service import Service
 
 __all__ = ["EndpointFaults", "EndpointService", "EndpointState"]
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -22,9 +22,10 @@
 )
 from chivefall.config import Address
 from chivefall.model import DomainId, Epoch, JobId, RackId, ServiceId, WorkerId
+from chivefall.net import json_reply
 from chivefall.runtime import wait_for
 from chivefall.workers import Ran, RefusalReason, RunOrder, RunRefused, RunReport
-from standins._service import Service, json_reply
+from standins._service import Service
 from standins.run_workers import RunWorker
 from standins.store import KeyValueState
 
--- a/standins/store.py
+++ b/standins/store.py
@@ -14,9 +14,9 @@
 
 from chivefall.config import Address
 from chivefall.errors import MessageError
-from chivefall.net import HttpReply, HttpRequest
+from chivefall.net import HttpReply, HttpRequest, json_reply
 from chivefall.runtime import Clock, Future, sleep, wait_for
-from standins._service import Service, json_reply
+from standins._service import Service
 from standins.store_faults import CallCounter, CallKind, StoreFaults, decode_faults
 
 if TYPE_CHECKING:
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -10,6 +10,7 @@
 
 from chivefall.config import Address
 from chivefall.model import Epoch, TaskState, WorkerId
+from chivefall.net import json_reply
 from chivefall.runtime import Clock, Future, sleep, wait_for
 from chivefall.workers import (
     LeaseReport,
@@ -19,7 +20,7 @@
     TaskReport,
     TaskShare,
 )
-from standins._service import Service, json_reply
+from standins._service import Service
 
 if TYPE_CHECKING:
     from chivefall.net import HttpReply, HttpRequest
