Notice lost answers of the store and of workers earlier

Change: the time limit of a call is 20 times the usual answer, at least 0.35 s (workers 0.4 s), and doubles with each one that passes.

--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -50,7 +50,7 @@
 POLL_SECONDS = 0.75  # longest wait of one poll; also the age of what is known of progress
 LISTING_SECONDS = 0.4  # between watches of the entries; each heartbeat of a worker changes one
 RETRY_SECONDS = 0.4  # between calls to a worker that does not answer
-START_ATTEMPTS = 2  # a repeated start is harmless; gangs wait 3 s for their members
+START_ATTEMPTS = 3  # a repeated start is harmless; gangs wait 3 s for their members
 STOP_SETTLE_SECONDS = 1.2  # a stop takes at most 0.9 s
 PROBES_PER_SECOND = 150.0  # of workers without runs; a call takes the leader 0.5 ms
 MIN_PROBE_SECONDS = 1.0  # between calls to a worker without runs
--- a/chivefall/net/__init__.py
+++ b/chivefall/net/__init__.py
@@ -17,6 +17,7 @@
         Heartbeat,
         PeerMessage,
     )
+    from chivefall.net._patience import Patience
     from chivefall.net._peer_base import PeerFailure, Peers
     from chivefall.net._peers import NngPeers
 
@@ -32,6 +33,7 @@
     "HttpResponse",
     "HttpServer",
     "NngPeers",
+    "Patience",
     "PeerFailure",
     "PeerMessage",
     "Peers",
@@ -54,6 +56,7 @@
         "HttpResponse": "_http_client",
         "HttpServer": "_http_server",
         "NngPeers": "_peers",
+        "Patience": "_patience",
         "PeerFailure": "_peer_base",
         "PeerMessage": "_messages",
         "Peers": "_peer_base",
--- a/chivefall/platform/_run_client.py
+++ b/chivefall/platform/_run_client.py
@@ -19,7 +19,7 @@
 )
 from chivefall.config import Address
 from chivefall.model import JobId
-from chivefall.net import HttpClient, HttpFailure, HttpResponse
+from chivefall.net import HttpClient, HttpFailure, HttpResponse, Patience
 from chivefall.platform._wire import HoldBody
 from chivefall.workers import (
     HoldOutcome,
@@ -43,6 +43,7 @@
 
 __all__ = ["HttpRunClient"]
 
+SHORTEST_TIMEOUT_SECONDS = 0.4  # a start without an answer is repeated well within the gang wait
 _REASONS = {
     "fence": RefusalReason.FENCED,
     "old": RefusalReason.OUTDATED,
@@ -69,10 +70,19 @@
 
     def __init__(self, http: HttpClient, timeout: float) -> None:
         self._http = http
-        self.timeout = timeout
+        self._patience = Patience(SHORTEST_TIMEOUT_SECONDS, timeout)
         self.calls = 0
         self.observe: Callable[[str, float], None] = lambda _call, _seconds: None
 
+    @property
+    def timeout(self) -> float:
+        """Longest wait for an answer in seconds, beyond the wait that was asked for."""
+        return self._patience.longest
+
+    @timeout.setter
+    def timeout(self, seconds: float) -> None:
+        self._patience.longest = seconds
+
     async def start(self, worker: WorkerEntry, order: RunOrder, epoch: Epoch) -> OrderOutcome:
         """Start a run; repeating the same order is harmless."""
         body = {
@@ -82,12 +92,12 @@
         }
         if order.checkpoint:
             body["checkpoint"] = order.checkpoint
-        return _order_outcome(await self._call(worker, "run-start", body, self.timeout))
+        return _order_outcome(await self._call(worker, "run-start", body, self._patience.limit()))
 
     async def stop(self, worker: WorkerEntry, run: RunId, epoch: Epoch) -> OrderOutcome:
         """Stop a run; one that is not there yet will be refused."""
         body = _run_body(run, epoch)
-        return _order_outcome(await self._call(worker, "run-stop", body, self.timeout))
+        return _order_outcome(await self._call(worker, "run-stop", body, self._patience.limit()))
 
     async def hold(
         self,
@@ -130,7 +140,8 @@
             headers,
             timeout,
         )
-        if "wait_ms" not in body:
+        if "wait_ms" not in body and isinstance(reply, HttpResponse):
+            self._patience.note_answer(self._http.clock.now() - begun_at)
             self.observe(call, self._http.clock.now() - begun_at)
         return reply
 
--- a/chivefall/platform/_store.py
+++ b/chivefall/platform/_store.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from chivefall.net import HttpClient, HttpFailure, HttpResponse
+from chivefall.net import HttpClient, HttpFailure, HttpResponse, Patience
 from chivefall.platform._wire import Item, LeaseBody, RangeBody, WatchBody
 from chivefall.store import (
     ABSENT,
@@ -48,6 +48,7 @@
 T = TypeVar("T")
 
 WATCH_MARGIN_SECONDS = 1.0  # beyond the wait before a watch counts as lost
+SHORTEST_TIMEOUT_SECONDS = 0.35  # above the slowest answers known of a store that works
 LEASE_CALL_SHARE = 0.4  # of the time limit of other calls
 
 
@@ -73,10 +74,19 @@
     def __init__(self, http: HttpClient, address: Address, timeout: float) -> None:
         self._http = http
         self._address = address
-        self.timeout = timeout
+        self._patience = Patience(SHORTEST_TIMEOUT_SECONDS, timeout)
         self.calls = 0
         self.observe: Callable[[str, float], None] = lambda _call, _seconds: None
 
+    @property
+    def timeout(self) -> float:
+        """Longest wait for an answer in seconds."""
+        return self._patience.longest
+
+    @timeout.setter
+    def timeout(self, seconds: float) -> None:
+        self._patience.longest = seconds
+
     @property
     def _lease_timeout(self) -> float:
         """Return the time limit of lease calls, which have to be repeated before the lease ends."""
@@ -216,17 +226,24 @@
         data = b"" if body is None else msgspec.json.encode(body)
         headers = {"Content-Type": "application/json"} if body is not None else {}
         begun_at = self._http.clock.now()
-        reply = await self._http.request(
-            self._address, method, path, data, headers, timeout or self.timeout
-        )
-        if not call.startswith("kv-watch"):
-            self.observe(call.partition("/")[0], self._http.clock.now() - begun_at)
+        limit = timeout or self._patience.limit()
+        reply = await self._http.request(self._address, method, path, data, headers, limit)
+        if call != "kv-watch":
+            self._note(call, self._http.clock.now() - begun_at, reply)
         if isinstance(reply, HttpFailure):
             return Unavailable(reply.reason, applied_unknown=reply.sent)
         if reply.status in (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE):
             return Unavailable(f"the store refused the call with status {reply.status}")
         return reply
 
+    def _note(self, call: str, seconds: float, reply: HttpResponse | HttpFailure) -> None:
+        """Record how long a call took that does not wait."""
+        self.observe(call.partition("/")[0], seconds)
+        if isinstance(reply, HttpResponse):
+            self._patience.note_answer(seconds)
+        else:
+            self._patience.note_miss()
+
 
 def _put_body(put: Put) -> dict[str, Any]:
     body: dict[str, Any] = {"key": put.key, "value": base64.b64encode(put.value).decode()}
