Split the scheduling round by job; let guaranteed gangs spread before their bound

One change of behaviour: a guaranteed urgent gang for which no rack can be emptied stops other work over all racks after 1 s, and runs over several racks after 1.9 s rather than begin too late (bound 2.7 s). Test named for the load.

--- a/chivefall/batch/__init__.py
+++ b/chivefall/batch/__init__.py
@@ -34,8 +34,9 @@
     WorkerEntry,
     WorkerStatus,
 )
+from chivefall.batch._plan import Candidate, Plan, Start
 from chivefall.batch._platform import PlatformCodec
-from chivefall.batch._policy import BatchPolicy, Candidate, DeadlinePolicy, Plan, Start
+from chivefall.batch._policy import BatchPolicy, DeadlinePolicy
 from chivefall.batch._requests import (
     BatchOperation,
     BatchOutcome,
--- a/tests/batch/test_policy.py
+++ b/tests/batch/test_policy.py
@@ -144,6 +144,17 @@
         self.add("beyond", step, URGENT)
         self.assertEqual(self.plan(NOW + 1.1).stops, [])
 
+    def test_guaranteed_gang_spreads_before_its_bound(self) -> None:
+        """Load: guaranteed gangs while every rack holds guaranteed work that may not be stopped."""
+        self.guarantees = {AccountId("a"): 64, AccountId("b"): 64}
+        for rack in ("r1", "r2"):
+            old = self.add(f"old-{rack}", StepSpec(2, LARGE, 30.0), URGENT, age=5.0)
+            self.occupy(old, [f"{rack}-0", f"{rack}-1"], 0)
+        gang = StepSpec(4, LARGE, 2.0, gang=True, same_rack=True)
+        self.add("own", gang, URGENT, account="b")
+        self.assertEqual(self.started(self.plan(NOW + 1.0), "own"), [])
+        self.assertEqual(len(self.started(self.plan(NOW + 2.0), "own")), 4)
+
     def test_small_tasks_leave_whole_workers_free(self) -> None:
         """Load: scattered small jobs, then work that needs all accelerators of workers."""
         gang = self.add("a", StepSpec(2, SMALL, 5.0, gang=True))
