Move the writing of progress out of the scheduler

ProgressWriter groups changed jobs into transactions and finds out which unanswered ones took effect; it keeps the changed jobs instead of looking through all. RunListener has a module of its own. Behaviour is unchanged.

--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
 from chivefall.batch import (
@@ -33,13 +32,14 @@
 if TYPE_CHECKING:
     from chivefall.batch import Checkpoint, PlatformCodec, WorkerEntry
     from chivefall.controllers._leader import LeaderController
+    from chivefall.controllers.batch._run_listener import RunListener
     from chivefall.model import Epoch, WorkerId
     from chivefall.runtime import Clock
     from chivefall.store import Entry, Store
     from chivefall.telemetry import BatchMetrics
     from chivefall.workers import OrderOutcome, RunClient, RunEnd
 
-__all__ = ["FleetController", "RunListener"]
+__all__ = ["FleetController"]
 
 HOLD_SECONDS = 5.5
 """Lease of runs beyond each call; the platform's limit is 10 s.
@@ -66,38 +66,6 @@
 ACKNOWLEDGE_CHECK_SECONDS = 0.05  # between checks whether ends are written
 
 
-class RunListener(ABC):
-    """Learns what happens to runs."""
-
-    @abstractmethod
-    def run_confirmed(self, run: RunId) -> None:
-        """Note that a run was seen on its worker."""
-
-    @abstractmethod
-    def run_progressed(self, run: RunId, checkpoint: Checkpoint, share: float) -> None:
-        """Note what a worker reports of a run."""
-
-    @abstractmethod
-    def run_ended(self, run: RunId, kind: EndKind, checkpoint: Checkpoint) -> bool:
-        """Apply an end; return whether it has to be written before it is acknowledged."""
-
-    @abstractmethod
-    def run_released(self, run: RunId) -> None:
-        """Note that a run does not exist and never will."""
-
-    @abstractmethod
-    def knows_run(self, run: RunId) -> bool:
-        """Return whether a run is the current one of its task."""
-
-    @abstractmethod
-    def wants_stop(self, run: RunId) -> bool:
-        """Return whether a run is to end, so that a stop is ordered when it is seen."""
-
-    @abstractmethod
-    def fleet_changed(self) -> None:
-        """Note that room or workers changed."""
-
-
 class FleetController(Controller):
     """Owns workers, sessions and leases while this instance leads."""
 
--- /dev/null
+++ b/chivefall/controllers/batch/_progress_writer.py
@@ -0,0 +1,155 @@
+"""Writes the progress of batch jobs under the conditions of one leadership."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from chivefall.batch import JobState, encode_progress
+from chivefall.runtime import sleep
+from chivefall.store import BatchPart, Mismatch, Put, Stored, Version, batch_key, waiting_key
+from chivefall.telemetry import LogEvent, log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+    from typing import Any
+
+    from chivefall.controllers._leader import LeaderController
+    from chivefall.controllers.batch._records import TrackedJob
+    from chivefall.model import Epoch, JobId
+    from chivefall.runtime import Clock, Future
+    from chivefall.store import TransactionalStore
+
+__all__ = ["ProgressWriter"]
+
+JOBS_PER_COMMIT = 10  # a job takes three of the store's 32 entries
+RETRY_SECONDS = 0.1  # after a write that was not confirmed
+
+
+class ProgressWriter:
+    """Groups the progress of changed jobs into transactions, one at a time.
+
+    Every write depends on the leader key at this epoch and on the progress that
+    this leader wrote or read last, so a write that takes effect late, or one of
+    an earlier leader, changes nothing.
+
+    Parameters
+    ----------
+    run_task : callable
+        Runs a coroutine and logs an error that leaves it.
+    note_written : callable
+        Called with a job and the state that is written now.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        store: TransactionalStore,
+        leader: LeaderController,
+        run_task: Callable[[Coroutine[Any, Any, None]], Future[None]],
+        note_written: Callable[[TrackedJob, JobState], None],
+    ) -> None:
+        self._clock = clock
+        self._store = store
+        self._leader = leader
+        self._run_task = run_task
+        self._note_written = note_written
+        self._epoch: Epoch | None = None
+        self._changed: dict[JobId, TrackedJob] = {}
+        self._writing = False
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether nothing waits to be written."""
+        return not self._writing and not self._changed
+
+    def open(self, epoch: Epoch) -> None:
+        """Write under an epoch from now on."""
+        self._epoch, self._changed = epoch, {}
+
+    def close(self) -> None:
+        """Write nothing more."""
+        self._epoch, self._changed = None, {}
+
+    def mark(self, tracked: TrackedJob, once_written: Callable[[], None] | None = None) -> None:
+        """Have a job's progress written, and act once it is."""
+        tracked.dirty = True
+        self._changed[tracked.job.job_id] = tracked
+        if once_written is not None:
+            tracked.once_written.append(once_written)
+        if not self._writing and self._epoch is not None:
+            self._begin(self._epoch, 0.0)
+
+    def _begin(self, epoch: Epoch, delay: float) -> None:
+        self._writing = True
+        self._clock.call_later(
+            delay,
+            lambda: self._run_task(self._write_all(epoch)).add_done_callback(self._ended),
+        )
+
+    def _ended(self, _: Future[None]) -> None:
+        self._writing = False
+        if self._epoch is not None and self._changed:
+            self._begin(self._epoch, RETRY_SECONDS)
+
+    async def _write_all(self, epoch: Epoch) -> None:
+        while self._epoch == epoch and self._changed:
+            batch = list(self._changed.values())[:JOBS_PER_COMMIT]
+            if not await self._write(epoch, batch):
+                await sleep(self._clock, RETRY_SECONDS)
+
+    async def _write(self, epoch: Epoch, batch: list[TrackedJob]) -> bool:
+        """Write the progress of some jobs; return whether it is written."""
+        conditions: dict[str, Version] = {self._leader.key: Version(epoch)}
+        puts, removes, sent = [], [], []
+        for tracked in batch:
+            key, value = _key(tracked), encode_progress(tracked.job)
+            conditions[key] = tracked.version
+            puts.append(Put(key, value))
+            if value not in tracked.attempted:
+                tracked.attempted.append(value)
+            if tracked.is_waiting and tracked.job.state is not JobState.QUEUED:
+                removes.append(waiting_key(tracked.job.submission.queue, tracked.job.job_id))
+            sent.append((tracked, tracked.job.state, tracked.once_written))
+            tracked.dirty, tracked.once_written = False, []
+            del self._changed[tracked.job.job_id]
+        outcome = await self._store.transact(conditions, puts, removes)
+        if self._epoch != epoch:
+            return True
+        if isinstance(outcome, Stored):
+            for tracked, state, once_written in sent:
+                tracked.version, tracked.attempted = outcome.version, []
+                self._note_written(tracked, state)
+                for action in once_written:
+                    action()
+            return True
+        for tracked, _, once_written in sent:
+            tracked.dirty = True
+            tracked.once_written = once_written + tracked.once_written
+            self._changed[tracked.job.job_id] = tracked
+        if isinstance(outcome, Mismatch):
+            self._find_applied(epoch, batch, outcome)
+        log_event(
+            LogEvent.BATCH_COMMIT_DELAYED,
+            jobs=len(batch),
+            outcome=type(outcome).__name__,
+            reason=getattr(outcome, "reason", ""),
+        )
+        return False
+
+    def _find_applied(self, epoch: Epoch, batch: list[TrackedJob], outcome: Mismatch) -> None:
+        """Find out which earlier attempts took effect although no reply came."""
+        leader = outcome.current.get(self._leader.key)
+        if leader is None or leader.version != epoch:
+            return  # The leader controller finds out and ends or renews this leadership.
+        for tracked in batch:
+            entry = outcome.current.get(_key(tracked))
+            if entry is None or entry.version == tracked.version:
+                continue
+            if entry.value not in tracked.attempted:
+                self._leader.step_down(f"another process wrote progress of {tracked.job.job_id}")
+                return
+            tracked.version, tracked.attempted = Version(entry.version), [entry.value]
+
+
+def _key(tracked: TrackedJob) -> str:
+    return batch_key(tracked.job.job_id, BatchPart.PROGRESS)
--- /dev/null
+++ b/chivefall/controllers/batch/_run_listener.py
@@ -0,0 +1,43 @@
+"""Interface of what learns the fate of runs."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from chivefall.batch import Checkpoint, EndKind, RunId
+
+__all__ = ["RunListener"]
+
+
+class RunListener(ABC):
+    """Learns what happens to runs."""
+
+    @abstractmethod
+    def run_confirmed(self, run: RunId) -> None:
+        """Note that a run was seen on its worker."""
+
+    @abstractmethod
+    def run_progressed(self, run: RunId, checkpoint: Checkpoint, share: float) -> None:
+        """Note what a worker reports of a run."""
+
+    @abstractmethod
+    def run_ended(self, run: RunId, kind: EndKind, checkpoint: Checkpoint) -> bool:
+        """Apply an end; return whether it has to be written before it is acknowledged."""
+
+    @abstractmethod
+    def run_released(self, run: RunId) -> None:
+        """Note that a run does not exist and never will."""
+
+    @abstractmethod
+    def knows_run(self, run: RunId) -> bool:
+        """Return whether a run is the current one of its task."""
+
+    @abstractmethod
+    def wants_stop(self, run: RunId) -> bool:
+        """Return whether a run is to end, so that a stop is ordered when it is seen."""
+
+    @abstractmethod
+    def fleet_changed(self) -> None:
+        """Note that room or workers changed."""
--- a/chivefall/controllers/batch/_scheduler.py
+++ b/chivefall/controllers/batch/_scheduler.py
@@ -17,14 +17,14 @@
     StepSpec,
     TaskKey,
     decode_submission,
-    encode_progress,
     find_displacements,
     restore_progress,
 )
 from chivefall.controllers._base import Controller
-from chivefall.controllers.batch._fleet import FleetController, RunListener
 from chivefall.controllers.batch._mirror import PrefixMirror
+from chivefall.controllers.batch._progress_writer import ProgressWriter
 from chivefall.controllers.batch._records import TrackedJob
+from chivefall.controllers.batch._run_listener import RunListener
 from chivefall.errors import MessageError
 from chivefall.model import JobId
 from chivefall.runtime import sleep
@@ -33,15 +33,12 @@
     WAITING_PREFIX,
     BatchPart,
     Listed,
-    Mismatch,
-    Put,
     Stored,
     Version,
     batch_key,
     batch_prefix,
     parse_batch_key,
     parse_waiting_key,
-    waiting_key,
 )
 from chivefall.telemetry import LogEvent, log_event
 
@@ -49,6 +46,7 @@
     from chivefall.batch import BatchPolicy, Checkpoint, EndKind, Plan, Start
     from chivefall.controllers._leader import LeaderController
     from chivefall.controllers.batch._catalog import CatalogController
+    from chivefall.controllers.batch._fleet import FleetController
     from chivefall.model import Epoch
     from chivefall.runtime import Clock
     from chivefall.store import Entry, TransactionalStore
@@ -60,8 +58,7 @@
 ROUND_INTERVAL_SECONDS = 0.25  # for decisions that depend on time alone
 WATCH_INTERVAL_SECONDS = 0.03  # between watches of the jobs, which each commit changes
 MISSED_CHECK_SECONDS = 0.5  # between looks for jobs that the watch has not delivered
-JOBS_PER_COMMIT = 10  # a job takes three of the store's 32 entries
-COMMIT_RETRY_SECONDS = 0.1
+JOBS_PER_REMOVAL = 10  # a job has three keys; the store takes 32 entries
 KEEP_FINAL_SECONDS = 180.0  # the platform asks for 120 s of answers for a final job
 
 
@@ -88,7 +85,7 @@
         self._epoch: Epoch | None = None
         self._loaded = False
         self._round_due = False
-        self._committing = False
+        self._writer = ProgressWriter(clock, store, leader, self.run_task, self._note_written)
         self._looking = False
         self._next_look = 0.0
         self.jobs: dict[JobId, TrackedJob] = {}
@@ -102,7 +99,7 @@
     @property
     def is_idle(self) -> bool:
         """Return whether nothing waits to be written."""
-        return not self._committing and not any(job.dirty for job in self.jobs.values())
+        return self._writer.is_idle
 
     # Leadership.
 
@@ -110,6 +107,7 @@
     def _on_gained(self, epoch: Epoch) -> None:
         self._close()
         self._epoch = epoch
+        self._writer.open(epoch)
         mirror = PrefixMirror(
             self.clock,
             self._store,
@@ -133,6 +131,7 @@
     def _close(self) -> None:
         self._epoch, self._loaded = None, False
         self.jobs = {}
+        self._writer.close()
         self._fleet.close()
 
     def _is_current(self, epoch: Epoch) -> bool:
@@ -209,7 +208,7 @@
         if tracked is None or tracked.job.state.is_final:
             return
         tracked.job.cancelled = True
-        self._mark(tracked)
+        self._writer.mark(tracked)
         self._stop_all(tracked.job)
 
     def _adopt_runs(self, job: BatchJob) -> None:
@@ -345,7 +344,7 @@
         tracked = self.jobs[job.job_id]
         epoch = self._epoch
         places = [(run, worker) for run, (_, worker, _) in zip(runs, start.places, strict=True)]
-        self._mark(tracked, lambda: self._send_starts(epoch, job, places))
+        self._writer.mark(tracked, lambda: self._send_starts(epoch, job, places))
 
     def _send_starts(self, epoch: Epoch, job: BatchJob, places: list) -> None:
         if not self._is_current(epoch):
@@ -431,7 +430,7 @@
             return True
         if tracked.job.state is JobState.FAILED:
             self._stop_all(tracked.job)
-        self._mark(tracked, lambda: self._fleet.acknowledge(run))
+        self._writer.mark(tracked, lambda: self._fleet.acknowledge(run))
         return True
 
     def run_released(self, run: RunId) -> None:
@@ -441,78 +440,12 @@
             return
         if tracked.job.step_of(run.task).gang:
             self._stop_gang(tracked.job, run)
-        self._mark(tracked)
+        self._writer.mark(tracked)
         self._request_round()
 
-    # The record.
-
-    def _mark(self, tracked: TrackedJob, once_written=None) -> None:
-        """Have a job's progress written, and act once it is."""
-        tracked.dirty = True
-        if once_written is not None:
-            tracked.once_written.append(once_written)
-        if not self._committing and self._epoch is not None:
-            self._committing = True
-            epoch = self._epoch
-            self.clock.call_later(0.0, lambda: self._begin_commits(epoch))
-
-    def _begin_commits(self, epoch: Epoch) -> None:
-        self.run_task(self._commit_all(epoch)).add_done_callback(lambda _: self._commits_ended())
-
-    def _commits_ended(self) -> None:
-        self._committing = False
-        if self._epoch is not None and any(job.dirty for job in self.jobs.values()):
-            self._committing = True
-            epoch = self._epoch
-            self.clock.call_later(COMMIT_RETRY_SECONDS, lambda: self._begin_commits(epoch))
-
-    async def _commit_all(self, epoch: Epoch) -> None:
-        while self._is_current(epoch):
-            batch = [job for job in self.jobs.values() if job.dirty][:JOBS_PER_COMMIT]
-            if not batch:
-                return
-            if not await self._commit(epoch, batch):
-                await sleep(self.clock, COMMIT_RETRY_SECONDS)
-
-    async def _commit(self, epoch: Epoch, batch: list[TrackedJob]) -> bool:
-        """Write the progress of some jobs; return whether it is written."""
-        conditions: dict[str, Version] = {self._leader.key: Version(epoch)}
-        puts, removes, actions = [], [], []
-        for tracked in batch:
-            key = batch_key(tracked.job.job_id, BatchPart.PROGRESS)
-            value = encode_progress(tracked.job)
-            conditions[key] = tracked.version
-            puts.append(Put(key, value))
-            tracked.attempted.append(value)
-            tracked.dirty = False
-            if tracked.is_waiting and tracked.job.state is not JobState.QUEUED:
-                removes.append(waiting_key(tracked.job.submission.queue, tracked.job.job_id))
-            actions.append((tracked, tracked.job.state, tracked.once_written))
-            tracked.once_written = []
-        outcome = await self._store.transact(conditions, puts, removes)
-        if not self._is_current(epoch):
-            return True
-        if isinstance(outcome, Stored):
-            for tracked, state, once_written in actions:
-                self._note_written(tracked, state, outcome.version)
-                for action in once_written:
-                    action()
-            return True
-        for tracked, _, once_written in actions:
-            tracked.dirty = True
-            tracked.once_written = once_written + tracked.once_written
-        if isinstance(outcome, Mismatch):
-            self._resolve(batch, outcome)
-        log_event(
-            LogEvent.BATCH_COMMIT_DELAYED,
-            jobs=len(batch),
-            outcome=type(outcome).__name__,
-            reason=getattr(outcome, "reason", ""),
-        )
-        return False
+    # What is written.
 
-    def _note_written(self, tracked: TrackedJob, state: JobState, version: Version) -> None:
-        tracked.version, tracked.attempted = version, []
+    def _note_written(self, tracked: TrackedJob, state: JobState) -> None:
         if state is not JobState.QUEUED:
             tracked.is_waiting = False
         if state is not tracked.shown:
@@ -538,20 +471,6 @@
         elif state.is_final:
             self._metrics.completion_seconds.observe({**labels, "state": state.value}, seconds)
 
-    def _resolve(self, batch: list[TrackedJob], outcome: Mismatch) -> None:
-        """Find out which earlier attempts took effect although no reply came."""
-        leader = outcome.current.get(self._leader.key)
-        if leader is None or leader.version != self._epoch:
-            return  # The leader controller finds out and ends or renews this leadership.
-        for tracked in batch:
-            entry = outcome.current.get(batch_key(tracked.job.job_id, BatchPart.PROGRESS))
-            if entry is None or entry.version == tracked.version:
-                continue
-            if entry.value not in tracked.attempted:
-                self._leader.step_down(f"another process wrote progress of {tracked.job.job_id}")
-                return
-            tracked.version, tracked.attempted = Version(entry.version), [entry.value]
-
     def _remove_old(self, now: float) -> None:
         """Delete final jobs whose state callers need no longer."""
         if not self._may_plan(now):
@@ -563,7 +482,7 @@
             and now - tracked.final_since > KEEP_FINAL_SECONDS
             and not tracked.job.active_tasks()
             and not tracked.dirty
-        ][:JOBS_PER_COMMIT]
+        ][:JOBS_PER_REMOVAL]
         for tracked in old:
             tracked.final_since = now  # tried again after another period if the call fails
         if old:
@@ -575,7 +494,7 @@
             batch_key(tracked.job.job_id, part)
             for tracked in old
             for part in (BatchPart.PROGRESS, BatchPart.CANCEL, BatchPart.SPEC)
-        ][: JOBS_PER_COMMIT * 3]
+        ][: JOBS_PER_REMOVAL * 3]
         outcome = await self._store.transact(conditions, (), removes)
         if isinstance(outcome, Stored) and self._is_current(epoch):
             for tracked in old:
