Record the queue with a job, so that any leader can finish it

Cause (read in the code, test first red on the version before: the next leader did not know the queue): a queue that operators removed was known only to the leader that had seen it, and a job without a queue was never placed; it also had one attempt only. Change: the record of an accepted job holds its queue; the catalog's present version of it goes first.

--- a/benchmarks/bench_batch_round.py
+++ b/benchmarks/bench_batch_round.py
@@ -52,7 +52,7 @@
         submitted = NOW - rng.uniform(0.0, 20.0)
         spec = BatchSpec("", (STEPS[kind],))
         submission = Submission(
-            JobId(f"{number:04x}"), QUEUES[kind].name, AccountId("a"), submitted, spec
+            JobId(f"{number:04x}"), QUEUES[kind], AccountId("a"), submitted, spec
         )
         candidates.append(Candidate(BatchJob(submission, 2), QUEUES[kind]))
     return fleet, candidates
--- a/chivefall/batch/_codec.py
+++ b/chivefall/batch/_codec.py
@@ -10,7 +10,7 @@
     Checkpoint,
     Incarnation,
     JobState,
-    QueueId,
+    Queue,
     RunNumber,
     TaskKey,
 )
@@ -30,7 +30,7 @@
 
 class _Submission(msgspec.Struct):
     job_id: str
-    queue: str
+    queue: Queue
     account: str
     submitted_at: float
     spec: BatchSpec
@@ -77,7 +77,7 @@
     """
     raw = _decode(value, _Submission)
     return Submission(
-        JobId(raw.job_id), QueueId(raw.queue), AccountId(raw.account), raw.submitted_at, raw.spec
+        JobId(raw.job_id), raw.queue, AccountId(raw.account), raw.submitted_at, raw.spec
     )
 
 
--- a/chivefall/batch/_job.py
+++ b/chivefall/batch/_job.py
@@ -12,7 +12,7 @@
     Checkpoint,
     Incarnation,
     JobState,
-    QueueId,
+    Queue,
     RunId,
     RunNumber,
     StepSpec,
@@ -55,10 +55,16 @@
 
 @dataclass(frozen=True)
 class Submission:
-    """An accepted job as it was recorded."""
+    """An accepted job as it was recorded.
+
+    Attributes
+    ----------
+    queue : Queue
+        The queue as it was then; operators may remove it while the job goes on.
+    """
 
     job_id: JobId
-    queue: QueueId
+    queue: Queue
     account: AccountId
     submitted_at: float
     spec: BatchSpec
--- a/chivefall/controllers/batch/_progress_writer.py
+++ b/chivefall/controllers/batch/_progress_writer.py
@@ -108,7 +108,7 @@
             if value not in tracked.attempted:
                 tracked.attempted.append(value)
             if tracked.is_waiting and tracked.job.state is not JobState.QUEUED:
-                removes.append(waiting_key(tracked.job.submission.queue, tracked.job.job_id))
+                removes.append(waiting_key(tracked.job.submission.queue.name, tracked.job.job_id))
             sent.append((tracked, tracked.job.state, tracked.once_written))
             tracked.dirty, tracked.once_written = False, []
             del self._changed[tracked.job.job_id]
--- a/chivefall/controllers/batch/_scheduler.py
+++ b/chivefall/controllers/batch/_scheduler.py
@@ -9,12 +9,12 @@
 from chivefall.batch import (
     BatchJob,
     Candidate,
-    Catalog,
     JobState,
     Placed,
     Queue,
     RunId,
     StepSpec,
+    Submission,
     TaskKey,
     decode_submission,
     find_displacements,
@@ -89,7 +89,6 @@
         self._looking = False
         self._next_look = 0.0
         self.jobs: dict[JobId, TrackedJob] = {}
-        self._last_queues: dict[str, Queue] = {}
         catalog.on_change(self.fleet_changed)
 
     def start(self) -> None:
@@ -174,14 +173,13 @@
         except MessageError as exc:
             log_event(LogEvent.BATCH_RECORD_INVALID, key=entry.key, reason=str(exc))
             return
-        queue = self._find_queue(submission.queue)
-        attempts = queue.max_attempts if queue is not None else 1
-        self.jobs[job_id] = TrackedJob(BatchJob(submission, attempts))
+        queue = self._current_queue(submission)
+        self.jobs[job_id] = TrackedJob(BatchJob(submission, queue.max_attempts))
         log_event(
             LogEvent.BATCH_JOB_READ,
             job=job_id,
-            queue=submission.queue,
-            priority=None if queue is None else queue.priority,
+            queue=queue.name,
+            priority=queue.priority,
             account=submission.account,
             age=round(self.clock.now() - submission.submitted_at, 3),
             occurrences=submission.spec.occurrences,
@@ -222,16 +220,11 @@
 
     def _placed(self, job: BatchJob, key: TaskKey) -> Placed:
         step = job.step_of(key)
-        queue = self._find_queue(job.submission.queue)
-        return Placed(step.room, 0 if queue is None else queue.priority, step)
+        return Placed(step.room, self._current_queue(job.submission).priority, step)
 
-    def _find_queue(self, name: str) -> Queue | None:
-        """Return a queue, also one that was removed while its jobs go on."""
-        catalog: Catalog = self._catalog.catalog
-        found = catalog.queues.get(name)
-        if found is not None:
-            self._last_queues[name] = found
-        return found or self._last_queues.get(name)
+    def _current_queue(self, submission: Submission) -> Queue:
+        """Return a job's queue as it is now, or as it was if operators removed it."""
+        return self._catalog.catalog.queues.get(submission.queue.name, submission.queue)
 
     def _look_for_missed(self, now: float) -> None:
         """Read waiting jobs that the watch has not delivered; it may fall silent for a second."""
@@ -315,12 +308,10 @@
         )
 
     def _candidates(self) -> list[Candidate]:
-        found = []
-        for tracked in self.jobs.values():
-            queue = self._find_queue(tracked.job.submission.queue)
-            if queue is not None:
-                found.append(Candidate(tracked.job, queue))
-        return found
+        return [
+            Candidate(tracked.job, self._current_queue(tracked.job.submission))
+            for tracked in self.jobs.values()
+        ]
 
     def _carry_out(self, plan: Plan, now: float) -> None:
         log_event(
@@ -455,7 +446,7 @@
                 LogEvent.BATCH_JOB_STATE,
                 job=tracked.job.job_id,
                 state=state.value,
-                queue=tracked.job.submission.queue,
+                queue=tracked.job.submission.queue.name,
                 seconds=round(self.clock.now() - tracked.job.submission.submitted_at, 3),
             )
         if state.is_final and tracked.final_since is None:
@@ -463,8 +454,7 @@
 
     def _measure(self, tracked: TrackedJob, state: JobState) -> None:
         submission = tracked.job.submission
-        queue = self._find_queue(submission.queue)
-        labels = {"priority": str(queue.priority if queue is not None else "unknown")}
+        labels = {"priority": str(self._current_queue(submission).priority)}
         seconds = self.clock.now() - submission.submitted_at
         if state is JobState.RUNNING:
             self._metrics.start_seconds.observe(labels, seconds)
--- a/chivefall/controllers/batch/_submissions.py
+++ b/chivefall/controllers/batch/_submissions.py
@@ -66,7 +66,7 @@
         return await self._pending(req)
 
     async def _submit(self, req: BatchRequest) -> BatchOutcome:
-        submission = Submission(req.job_id, req.queue.name, req.account, req.received_at, req.spec)
+        submission = Submission(req.job_id, req.queue, req.account, req.received_at, req.spec)
         key = batch_key(req.job_id, BatchPart.SPEC)
         puts = [
             Put(key, encode_submission(submission)),
--- a/tests/batch/test_displacement.py
+++ b/tests/batch/test_displacement.py
@@ -10,6 +10,7 @@
     BatchSpec,
     DisplacementReason,
     Fleet,
+    Queue,
     QueueId,
     Resources,
     RunId,
@@ -18,7 +19,7 @@
     Worker,
     find_displacements,
 )
-from chivefall.model import AccountId, JobId
+from chivefall.model import AccountId, JobId, ServiceId
 from standins.run_workers import entry_of
 
 START = 100.0
@@ -28,7 +29,8 @@
     """Return a job with one running task on each worker."""
     step = StepSpec(len(workers), Resources(1000, 100, 1), 4.0, **fields)
     spec = BatchSpec("", (step,))
-    job = BatchJob(Submission(JobId("a1"), QueueId("q"), AccountId("a"), START, spec), 2)
+    queue = Queue(QueueId("q"), "h", "/q/", ServiceId("pool"))
+    job = BatchJob(Submission(JobId("a1"), queue, AccountId("a"), START, spec), 2)
     places = [(task.key, name, 1) for task, name in zip(job.group(0, 0), workers, strict=True)]
     job.assign(places, START)
     for task in job.group(0, 0):
--- a/tests/batch/test_policy.py
+++ b/tests/batch/test_policy.py
@@ -51,7 +51,7 @@
         account: str = "a",
     ) -> BatchJob:
         spec = BatchSpec("", (step,))
-        submission = Submission(JobId(name), queue.name, AccountId(account), NOW - age, spec)
+        submission = Submission(JobId(name), queue, AccountId(account), NOW - age, spec)
         job = BatchJob(submission, 2)
         self.candidates.append(Candidate(job, queue))
         return job
--- a/tests/batch/test_whole_path.py
+++ b/tests/batch/test_whole_path.py
@@ -15,7 +15,7 @@
     StepSpec,
 )
 from chivefall.model import Accepted, JobId, NotRun, NotRunReason
-from tests.batch.deployment import NORMAL, URGENT, Deployment
+from tests.batch.deployment import ACCOUNT, NORMAL, URGENT, Deployment
 
 ROOM = Resources(4000, 16_000, 2)
 WORKER_ROOM = Resources(32_000, 131_072, 8)
@@ -143,6 +143,19 @@
         self.assertIs(sut.state_of("a1", instance=live), JobState.COMPLETED)
         self.assert_no_second_run(sut, "a1")
 
+    def test_job_of_a_removed_queue_is_finished_by_the_next_leader(self) -> None:
+        # Guards against jobs that no leader can place once their queue left the catalog.
+        sut = Deployment(instances=2)
+        sut.submit("a1", step(2), step(2, after=(0,)))
+        sut.run(1.0)
+        sut.set_catalog(2, (URGENT,), (ACCOUNT,))
+        sut.run(0.5)
+        first = sut.leader
+        other = next(item for item in sut.instances if item is not first)
+        first.kill()
+        sut.run(12.0)
+        self.assertIs(other.application.scheduler.jobs["a1"].job.state, JobState.COMPLETED)
+
     def test_job_cancelled_between_two_leaders_is_stopped(self) -> None:
         # Guards against a stop that is decided while the records are read, before the
         # new leader knows any worker, and is never ordered.
