Let a dead life of the stand-in worker carry nothing out

A real process that is gone executes nothing; the platform's orders name the life they are meant for. The check stays as it was; the examples that failed pass with the stand-in mended.

--- a/standins/run_workers.py
+++ b/standins/run_workers.py
@@ -72,6 +72,7 @@
     seconds: float = 2.0
     fails: bool = False
     hangs: bool = False
+    crashed: bool = False
     fence: Epoch = Epoch(0)
     lease_until: float = 0.0
     running: dict[RunId, _Running] = field(default_factory=dict)
@@ -143,7 +144,8 @@
         )
 
     def crash(self) -> None:
-        """End all runs without a word, as a machine that loses power."""
+        """End all runs without a word, and carry out nothing more, as after a loss of power."""
+        self.crashed = True
         for run in list(self.running):
             self._end(run, EndKind.BROKEN)
         self.ends = []
@@ -159,7 +161,9 @@
             return 0.0
         return min(1.0, (self.clock.now() - item.started_at) / item.seconds)
 
-    def _check(self, epoch: Epoch) -> RunRefused | None:
+    def _check(self, epoch: Epoch) -> OtherLife | RunRefused | None:
+        if self.crashed:
+            return OtherLife()
         if epoch < self.fence:
             return RunRefused(RefusalReason.FENCED)
         self.fence = epoch
