--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -59,7 +59,9 @@
     result = unittest.TestResult()
     result.buffer = True
     suite.run(result)
-    return {test.id() for test, _ in (*result.failures, *result.errors)}
+    # A failure within subTest names the subtest, which knows its test case.
+    failed = (test for test, _ in (*result.failures, *result.errors))
+    return {getattr(test, "test_case", test).id() for test in failed}
 
 
 def main() -> int:
