Hand the acknowledgement of an end to whoever writes it

An end was looked up in all sessions once its record was written; the listener now gets the acknowledgement of that one end with it. Behaviour is unchanged.

--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -373,17 +373,11 @@
         )
         self._metrics.run_ends.inc({"kind": end.kind.value})
         self._note_result(session, end.kind)
-        if not self._listener.run_ended(end.run, end.kind, end.checkpoint):
-            session.acknowledge(end.sequence)
+        self._listener.run_ended(
+            end.run, end.kind, end.checkpoint, lambda: session.acknowledge(end.sequence)
+        )
         self._listener.fleet_changed()
 
-    def acknowledge(self, run: RunId) -> None:
-        """Acknowledge the end of a run, which is written to the store now."""
-        for session in self._sessions.values():
-            for sequence, end in list(session.open_ends.items()):
-                if end.run == run:
-                    session.acknowledge(sequence)
-
     def _note_result(self, session: Session, kind: EndKind) -> None:
         """Avoid a worker on which several runs in a row failed."""
         worker = session.worker
--- a/chivefall/controllers/batch/_run_listener.py
+++ b/chivefall/controllers/batch/_run_listener.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from chivefall.batch import Checkpoint, EndKind, RunId
 
 __all__ = ["RunListener"]
@@ -23,8 +25,10 @@
         """Note what a worker reports of a run."""
 
     @abstractmethod
-    def run_ended(self, run: RunId, kind: EndKind, checkpoint: Checkpoint) -> bool:
-        """Apply an end; return whether it has to be written before it is acknowledged."""
+    def run_ended(
+        self, run: RunId, kind: EndKind, checkpoint: Checkpoint, acknowledge: Callable[[], None]
+    ) -> None:
+        """Apply an end, and acknowledge it as soon as nothing of it has to be written."""
 
     @abstractmethod
     def run_released(self, run: RunId) -> None:
--- a/chivefall/controllers/batch/_scheduler.py
+++ b/chivefall/controllers/batch/_scheduler.py
@@ -43,6 +43,8 @@
 from chivefall.telemetry import LogEvent, log_event
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from chivefall.batch import BatchPolicy, Checkpoint, EndKind, Plan, Start
     from chivefall.controllers._leader import LeaderController
     from chivefall.controllers.batch._catalog import CatalogController
@@ -408,21 +410,22 @@
         if tracked is not None:
             tracked.job.note_progress(run, checkpoint, share, self.clock.now())
 
-    def run_ended(self, run: RunId, kind: EndKind, checkpoint: Checkpoint) -> bool:
-        """Apply an end; return whether it has to be written before it is acknowledged."""
+    def run_ended(
+        self, run: RunId, kind: EndKind, checkpoint: Checkpoint, acknowledge: Callable[[], None]
+    ) -> None:
+        """Apply an end, and acknowledge it as soon as nothing of it has to be written."""
         tracked = self.jobs.get(run.job)
         if tracked is None:
-            return False
-        if not tracked.job.end(run, kind, checkpoint):
-            if not tracked.is_unwritten:
-                return False
+            acknowledge()
+        elif tracked.job.end(run, kind, checkpoint):
+            if tracked.job.state is JobState.FAILED:
+                self._stop_all(tracked.job)
+            self._writer.mark(tracked, acknowledge)
+        elif tracked.is_unwritten:
             # The end may have been applied before and wait to be written.
-            tracked.once_written.append(lambda: self._fleet.acknowledge(run))
-            return True
-        if tracked.job.state is JobState.FAILED:
-            self._stop_all(tracked.job)
-        self._writer.mark(tracked, lambda: self._fleet.acknowledge(run))
-        return True
+            tracked.once_written.append(acknowledge)
+        else:
+            acknowledge()
 
     def run_released(self, run: RunId) -> None:
         """Note that a run does not exist and never will."""
--- a/chivefall/controllers/batch/_session.py
+++ b/chivefall/controllers/batch/_session.py
@@ -27,12 +27,21 @@
         while the start is not answered.
     acknowledged : EndSequence
         Highest end that is written to the store without a gap.
+    told : EndSequence
+        Highest end that the worker was told to forget.
     open_ends : dict
         Ends listed but not written yet.
     stopping : set of RunId
         Runs whose stop is ordered and not confirmed yet.
     deadline : float
         Highest lease end that was ever sent, on the worker's clock.
+    polling, probe_planned, probe_due : bool
+        Whether a poll runs, whether one is planned for a worker without runs, and
+        whether that one is due.
+    closed : bool
+        Whether the life is over or this leadership ended.
+    failures : int
+        Calls without an answer since the last answer.
     """
 
     worker: Worker
