--- a/chivefall/batch/__init__.py
+++ b/chivefall/batch/__init__.py
@@ -46,6 +46,7 @@
     JobStatus,
     PendingJobs,
 )
+from chivefall.batch._run_times import RunTimes
 
 __all__ = [
     "NO_CHECKPOINT",
@@ -82,6 +83,7 @@
     "Resources",
     "RunId",
     "RunNumber",
+    "RunTimes",
     "Service",
     "Start",
     "StepSpec",
