--- a/chivefall/batch/__init__.py
+++ b/chivefall/batch/__init__.py
@@ -46,7 +46,6 @@
     JobStatus,
     PendingJobs,
 )
-from chivefall.batch._run_times import RunTimes
 
 __all__ = [
     "NO_CHECKPOINT",
@@ -83,7 +82,6 @@
     "Resources",
     "RunId",
     "RunNumber",
-    "RunTimes",
     "Service",
     "Start",
     "StepSpec",
--- a/chivefall/batch/_displacement.py
+++ b/chivefall/batch/_displacement.py
@@ -16,7 +16,6 @@
     from collections.abc import Iterable, Iterator, Sequence
 
     from chivefall.batch._fleet import Fleet, Worker
-    from chivefall.batch._run_times import RunTimes
 
 __all__ = ["Displacement", "DisplacementReason", "find_displacements"]
 
@@ -51,29 +50,21 @@
     progress: float
 
 
-def find_displacements(
-    jobs: Iterable[BatchJob], fleet: Fleet, times: RunTimes, now: float
-) -> list[Displacement]:
+def find_displacements(jobs: Iterable[BatchJob], fleet: Fleet, now: float) -> list[Displacement]:
     """Return the runs to stop at the time ``now``.
 
     All are found before any is stopped, since a stop changes what is judged.
     """
     groups = list(_judged_groups(jobs, now))
-    return list(_displacements(groups, fleet, times, now))
+    return list(_displacements(groups, fleet, now))
 
 
-def _displacements(
-    groups: list[_Group], fleet: Fleet, times: RunTimes, now: float
-) -> Iterator[Displacement]:
+def _displacements(groups: list[_Group], fleet: Fleet, now: float) -> Iterator[Displacement]:
     slow = _find_slow_workers(groups, now)
     for group in groups:
-        bound = times.usual_bound(group.job.submission.queue.name, group.step.run_time)
-        # The member that is furthest behind is the one whose worker is avoided.
-        for task in sorted(group.running, key=lambda item: item.progress):
+        for task in group.running:
             worker = fleet.workers.get(task.assignment.worker)
             reason = None if worker is None else _find_reason(task, group, worker, slow, now)
-            if reason is None and worker is not None and _outlasts(task, group, bound, now):
-                reason = DisplacementReason.SLOW
             if reason is not None:
                 run = RunId(group.job.job_id, task.key, task.assignment.number)
                 yield Displacement(run, worker.worker_id, reason, task.progress)
@@ -160,15 +151,6 @@
     return DisplacementReason.SLOW if remaining > again else None
 
 
-def _outlasts(task: Task, group: _Group, bound: float | None, now: float) -> bool:
-    """Return whether a run takes far longer than runs of its queue and would do better again."""
-    total = _total(task, now)
-    if bound is None or total is None or task.runs >= MAX_RUNS:
-        return False
-    again = bound * (1.0 - task.progress if group.step.checkpointed else 1.0) + RESTART_SECONDS
-    return total >= SLOW_FACTOR * bound and _remaining(task, group.step, now) > again
-
-
 def _total(task: Task, now: float) -> float | None:
     """Return the run time that the progress so far suggests, in seconds."""
     if task.progress < MIN_PROGRESS:
--- a/chivefall/controllers/batch/_scheduler.py
+++ b/chivefall/controllers/batch/_scheduler.py
@@ -9,12 +9,10 @@
 from chivefall.batch import (
     BatchJob,
     Candidate,
-    EndKind,
     JobState,
     Placed,
     Queue,
     RunId,
-    RunTimes,
     StepSpec,
     Submission,
     TaskKey,
@@ -47,7 +45,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from chivefall.batch import BatchPolicy, Checkpoint, Plan, Start
+    from chivefall.batch import BatchPolicy, Checkpoint, EndKind, Plan, Start
     from chivefall.controllers._leader import LeaderController
     from chivefall.controllers.batch._catalog import CatalogController
     from chivefall.controllers.batch._fleet import FleetController
@@ -90,7 +88,6 @@
         self._loaded = False
         self._round_due = False
         self._writer = ProgressWriter(clock, store, leader, self.run_task, self._note_written)
-        self._times = RunTimes()
         self._looking = False
         self._next_look = 0.0
         self.jobs: dict[JobId, TrackedJob] = {}
@@ -290,7 +287,7 @@
         if not self._may_plan(now):
             return
         jobs = (tracked.job for tracked in self.jobs.values())
-        for found in find_displacements(jobs, self._fleet.fleet, self._times, now):
+        for found in find_displacements(jobs, self._fleet.fleet, now):
             log_event(
                 LogEvent.RUN_DISPLACED,
                 run=str(found.run),
@@ -420,10 +417,7 @@
         tracked = self.jobs.get(run.job)
         if tracked is None:
             acknowledge()
-            return
-        if kind is EndKind.DONE and self.knows_run(run):
-            self._note_run_time(tracked.job, run)
-        if tracked.job.end(run, kind, checkpoint):
+        elif tracked.job.end(run, kind, checkpoint):
             if tracked.job.state is JobState.FAILED:
                 self._stop_all(tracked.job)
             self._writer.mark(tracked, acknowledge)
@@ -433,13 +427,6 @@
         else:
             acknowledge()
 
-    def _note_run_time(self, job: BatchJob, run: RunId) -> None:
-        """Learn from a run that did all of its task's work."""
-        task, declared = job.task(run.task), job.step_of(run.task).run_time
-        if not task.checkpoint:
-            seconds = self.clock.now() - task.started_at
-            self._times.note(job.submission.queue.name, declared, seconds)
-
     def run_released(self, run: RunId) -> None:
         """Note that a run does not exist and never will."""
         tracked = self.jobs.get(run.job)
