--- a/chivefall/controllers/_settings.py
+++ b/chivefall/controllers/_settings.py
@@ -41,6 +41,7 @@
         self._path = path
         self._adopt = adopt
         self._text: str | None = None
+        self._rejected = ""
         self.cfg = cfg
 
     def start(self) -> None:
@@ -52,16 +53,16 @@
         try:
             text = self._path.read_text(encoding="utf-8")
         except (OSError, UnicodeDecodeError) as exc:
-            self._reject(f"{self._path} cannot be read: {exc}", None)
+            self._reject(f"{self._path} cannot be read: {exc}")
             return
         if text == self._text:
             return
         try:
             cfg = parse_settings(text, str(self._path))
         except ConfigError as exc:
-            self._reject(str(exc), text)
+            self._reject(str(exc))
             return
-        self._text = text
+        self._text, self._rejected = text, ""
         if cfg == self.cfg:
             return
         changed = [key for key in cfg.__dataclass_fields__ if _differs(cfg, self.cfg, key)]
@@ -69,9 +70,11 @@
         self._adopt(cfg)
         log_event(LogEvent.SETTINGS_RELOADED, cause=cause, changed=changed)
 
-    def _reject(self, reason: str, text: str | None) -> None:
-        self._text = text
-        log_event(LogEvent.SETTINGS_REJECTED, reason=reason)
+    def _reject(self, reason: str) -> None:
+        """Log a reason once, since the file is looked at each second."""
+        if reason != self._rejected:
+            self._rejected = reason
+            log_event(LogEvent.SETTINGS_REJECTED, reason=reason)
 
 
 def _differs(new: Settings, old: Settings, key: str) -> bool:
--- a/chivefall/workers/_runs.py
+++ b/chivefall/workers/_runs.py
@@ -7,18 +7,10 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Union
 
-from chivefall.batch import (
-    Checkpoint,
-    EndKind,
-    EndSequence,
-    Incarnation,
-    RunId,
-)
+from chivefall.batch import Checkpoint, EndKind, EndSequence, Incarnation, RunId
 
 if TYPE_CHECKING:
-    from chivefall.batch import (
-        WorkerEntry,
-    )
+    from chivefall.batch import WorkerEntry
     from chivefall.model import Epoch
 
 __all__ = [
