Count the wait for a near rack from when a step could start

Cause (read in the code; test first red): the wait was counted from the submission, so a later step, or one that was stopped, did not wait for the rack of its data at all and ran three times as long elsewhere.

--- a/chivefall/batch/_job.py
+++ b/chivefall/batch/_job.py
@@ -136,6 +136,7 @@
             for number, step in enumerate(spec.steps)
         }
         self._missing = {group: len(tasks) for group, tasks in self._tasks.items()}
+        self._ready_since: dict[tuple[int, int], float] = {}
         self._failed_runs: set[tuple[int, int, RunNumber]] = set()
 
     @property
@@ -187,9 +188,14 @@
             if any(self._missing[occurrence, earlier] for earlier in spec.steps[number].after):
                 continue
             if any(task.state is TaskState.WAITING for task in self._tasks[occurrence, number]):
+                self._ready_since.setdefault((occurrence, number), now)
                 found.append((occurrence, number))
         return found
 
+    def ready_since(self, occurrence: int, step: int, now: float) -> float:
+        """Return since when a group has waited for a place, in seconds since the epoch."""
+        return self._ready_since.get((occurrence, step), now)
+
     def next_due(self, now: float) -> float | None:
         """Return the due time of the next occurrence that lies ahead, or None."""
         spec = self.submission.spec
@@ -213,6 +219,7 @@
             task.assignment = Assignment(worker, life, task.runs)
             task.started_at, task.progress, task.stopping = now, 0.0, False
             task.progress_at = task.reported_at = now
+            self._ready_since.pop((task.key.occurrence, task.key.step), None)
             runs.append(RunId(self.job_id, task.key, task.runs))
         self.started = True
         return runs
--- a/chivefall/batch/_round.py
+++ b/chivefall/batch/_round.py
@@ -157,9 +157,10 @@
                 return False
         elif step.data_rack is not None and not capacity.get(step.data_rack):
             return False
-        waited = self._now - group.begins_at
-        if group.rank == GUARANTEED_RANK and waited >= SPREAD_SECONDS:
+        if group.rank == GUARANTEED_RANK and self._now - group.begins_at >= SPREAD_SECONDS:
             return False
+        step_number = group.tasks[0].key.step
+        waited = self._now - group.job.ready_since(group.occurrence, step_number, self._now)
         return waited < (REMOTE_FACTOR - 1.0) * max(step.run_time, 1.0)
 
     def _make_room(self, group: Group, workers: Sequence[Worker], missing: int) -> None:
--- a/tests/batch/test_policy.py
+++ b/tests/batch/test_policy.py
@@ -184,7 +184,8 @@
         """Guards against a start that takes three times as long as a short wait would."""
         filler = self.add("filler", StepSpec(4, LARGE, 5.0))
         self.occupy(filler, [name for name in self.fleet.workers if name.startswith("r1")])
-        self.add("a", StepSpec(1, LARGE, 6.0, data_rack="r1"))
+        self.add("a", StepSpec(1, LARGE, 6.0, data_rack="r1"), age=60.0)
+        # The wait counts from when the step could start, not from the submission.
         self.assertEqual(self.started(self.plan(), "a"), [])
         later = self.plan(NOW + 13.0)
         self.assertEqual(len(self.started(later, "a")), 1)
