--- a/chivefall/batch/_fleet.py
+++ b/chivefall/batch/_fleet.py
@@ -15,7 +15,7 @@
 __all__ = ["Fleet", "Placed", "Worker"]
 
 
-MAX_STRIKES = 3  # beyond which a worker is avoided no longer each time
+MAX_BAD_RUNS = 3  # beyond which a worker is avoided no longer each time
 
 
 @dataclass(frozen=True)
@@ -39,7 +39,7 @@
         Whether the last call to it failed.
     avoided_until : float
         Time until which no tasks start, in seconds since the epoch.
-    strikes : int
+    bad_runs : int
         Failed, stalled or slow runs since the last one that was done in good time.
     leaves_at : float
         Time by which a draining worker may be gone; infinite for others.
@@ -52,7 +52,7 @@
     placed: dict[RunId, Placed] = field(default_factory=dict)
     used: Resources = field(default_factory=Resources)
     avoided_until: float = 0.0
-    strikes: int = 0
+    bad_runs: int = 0
     leaves_at: float = float("inf")
 
     @property
@@ -71,10 +71,10 @@
             self.placed[run] = placed
             self.used += placed.room
 
-    def strike(self, seconds: float, now: float) -> None:
+    def avoid_for(self, seconds: float, now: float) -> None:
         """Avoid the worker for a while, longer with each time in a row."""
-        self.strikes += 1
-        factor = 2 ** (min(self.strikes, MAX_STRIKES) - 1)
+        self.bad_runs += 1
+        factor = 2 ** (min(self.bad_runs, MAX_BAD_RUNS) - 1)
         self.avoided_until = max(self.avoided_until, now + seconds * factor)
 
     def release(self, run: RunId) -> bool:
--- a/chivefall/batch/_round.py
+++ b/chivefall/batch/_round.py
@@ -28,7 +28,7 @@
 
 MAX_RESERVATIONS = 4  # blocked gangs that keep room in one round; more would idle the fleet
 REMOTE_FACTOR = 3.0  # run time away from the data or over several racks, against near
-PATIENCE_SECONDS = 1.0
+GUARANTEE_WAIT_SECONDS = 1.0
 """Wait of guaranteed urgent work before it stops other urgent work, which is short.
 
 The platform's bound for its start is 2.7 s, of which a stop takes 0.9 s at most.
@@ -73,7 +73,7 @@
     def _must_start(self, group: Group) -> bool:
         """Return whether a guarantee is due that other work must give way to."""
         waited = self._now - group.begins_at
-        return group.rank == GUARANTEED_RANK and waited >= PATIENCE_SECONDS
+        return group.rank == GUARANTEED_RANK and waited >= GUARANTEE_WAIT_SECONDS
 
     def _place(self, group: Group) -> None:
         workers = self._workers_for(group)
--- a/chivefall/cli/_explain.py
+++ b/chivefall/cli/_explain.py
@@ -9,7 +9,7 @@
 
 import typer
 
-from chivefall.telemetry import read_story
+from chivefall.telemetry import read_timeline
 
 __all__ = ["explain"]
 
@@ -25,17 +25,17 @@
     """Print what happened to a batch job, and the first event that may have caused a failure."""
     files = [path.open(encoding="utf-8", errors="replace") for path in logs or []]
     try:
-        story = read_story(itertools.chain(*files) if files else sys.stdin, job)
+        timeline = read_timeline(itertools.chain(*files) if files else sys.stdin, job)
     finally:
         for file in files:
             file.close()
-    for gap in story.missing():
+    for gap in timeline.missing():
         typer.echo(f"missing: {gap}")
-    if not story.lines:
+    if not timeline.lines:
         typer.echo(f"no line names {job}")
         raise typer.Exit(EXIT_NOT_FOUND)
-    origin = story.lines[0].at
-    for line in story.lines:
+    origin = timeline.lines[0].at
+    for line in timeline.lines:
         typer.echo(line.text(origin))
-    cause = story.first_cause()
+    cause = timeline.first_cause()
     typer.echo(f"first cause: {cause.text(origin).strip()}" if cause else "no trouble was logged")
--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -386,9 +386,9 @@
         """Avoid a worker on which several runs in a row failed."""
         worker = session.worker
         if kind is EndKind.DONE:
-            worker.strikes = 0
+            worker.bad_runs = 0
         elif kind is EndKind.FAILED:
-            worker.strike(FAILED_SECONDS, self.clock.now())
+            worker.avoid_for(FAILED_SECONDS, self.clock.now())
 
     def _note_answer(self, session: Session) -> None:
         session.failures = 0
@@ -437,7 +437,7 @@
         """Start nothing for a while on a worker that holds runs up."""
         worker = self.fleet.workers.get(worker_id)
         if worker is not None and reason is not DisplacementReason.LEAVING:
-            worker.strike(HELD_UP_SECONDS, now)
+            worker.avoid_for(HELD_UP_SECONDS, now)
 
     # Orders.
 
--- a/chivefall/controllers/batch/_run_listener.py
+++ b/chivefall/controllers/batch/_run_listener.py
@@ -1,4 +1,4 @@
-"""Interface of what learns the fate of runs."""
+"""Interface for what workers report of runs."""
 
 from __future__ import annotations
 
--- a/chivefall/net/__init__.py
+++ b/chivefall/net/__init__.py
@@ -7,6 +7,7 @@
 from chivefall._lazy import lazy_attributes
 
 if TYPE_CHECKING:
+    from chivefall.net._adaptive_timeout import AdaptiveTimeout
     from chivefall.net._codec import decode_outcome, encode_outcome
     from chivefall.net._http_client import HttpClient, HttpFailure, HttpResponse
     from chivefall.net._http_server import HttpReply, HttpRequest, HttpServer, json_reply
@@ -17,11 +18,11 @@
         Heartbeat,
         PeerMessage,
     )
-    from chivefall.net._patience import Patience
     from chivefall.net._peer_base import PeerFailure, Peers
     from chivefall.net._peers import NngPeers
 
 __all__ = [
+    "AdaptiveTimeout",
     "CallerRequest",
     "CallerResponse",
     "Envelope",
@@ -33,7 +34,6 @@
     "HttpResponse",
     "HttpServer",
     "NngPeers",
-    "Patience",
     "PeerFailure",
     "PeerMessage",
     "Peers",
@@ -56,7 +56,7 @@
         "HttpResponse": "_http_client",
         "HttpServer": "_http_server",
         "NngPeers": "_peers",
-        "Patience": "_patience",
+        "AdaptiveTimeout": "_adaptive_timeout",
         "PeerFailure": "_peer_base",
         "PeerMessage": "_messages",
         "Peers": "_peer_base",
--- a/chivefall/net/_patience.py
+++ b/chivefall/net/_adaptive_timeout.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-__all__ = ["Patience"]
+__all__ = ["AdaptiveTimeout"]
 
 FACTOR = 20.0  # times the usual answer; a busy server answers 10 times slower at most
 WEIGHT = 0.1  # of the newest answer in the average
 
 
-class Patience:
+class AdaptiveTimeout:
     """A time limit between two bounds.
 
     A lost answer is noticed after a multiple of the usual time instead of the
--- a/chivefall/platform/_run_client.py
+++ b/chivefall/platform/_run_client.py
@@ -19,7 +19,7 @@
 )
 from chivefall.config import Address
 from chivefall.model import JobId
-from chivefall.net import HttpClient, HttpFailure, HttpResponse, Patience
+from chivefall.net import AdaptiveTimeout, HttpClient, HttpFailure, HttpResponse
 from chivefall.platform._wire import HoldBody
 from chivefall.workers import (
     HoldOutcome,
@@ -70,18 +70,18 @@
 
     def __init__(self, http: HttpClient, timeout: float) -> None:
         self._http = http
-        self._patience = Patience(SHORTEST_TIMEOUT_SECONDS, timeout)
+        self._adaptive_timeout = AdaptiveTimeout(SHORTEST_TIMEOUT_SECONDS, timeout)
         self.calls = 0
         self.observe: Callable[[str, float], None] = lambda _call, _seconds: None
 
     @property
     def timeout(self) -> float:
         """Longest wait for an answer in seconds, beyond the wait that was asked for."""
-        return self._patience.longest
+        return self._adaptive_timeout.longest
 
     @timeout.setter
     def timeout(self, seconds: float) -> None:
-        self._patience.longest = seconds
+        self._adaptive_timeout.longest = seconds
 
     async def start(self, worker: WorkerEntry, order: RunOrder, epoch: Epoch) -> OrderOutcome:
         """Start a run; repeating the same order is harmless."""
@@ -92,12 +92,16 @@
         }
         if order.checkpoint:
             body["checkpoint"] = order.checkpoint
-        return _order_outcome(await self._call(worker, "run-start", body, self._patience.limit()))
+        return _order_outcome(
+            await self._call(worker, "run-start", body, self._adaptive_timeout.limit())
+        )
 
     async def stop(self, worker: WorkerEntry, run: RunId, epoch: Epoch) -> OrderOutcome:
         """Stop a run; one that is not there yet will be refused."""
         body = _run_body(run, epoch)
-        return _order_outcome(await self._call(worker, "run-stop", body, self._patience.limit()))
+        return _order_outcome(
+            await self._call(worker, "run-stop", body, self._adaptive_timeout.limit())
+        )
 
     async def hold(
         self,
@@ -141,7 +145,7 @@
             timeout,
         )
         if "wait_ms" not in body and isinstance(reply, HttpResponse):
-            self._patience.note_answer(self._http.clock.now() - begun_at)
+            self._adaptive_timeout.note_answer(self._http.clock.now() - begun_at)
             self.observe(call, self._http.clock.now() - begun_at)
         return reply
 
--- a/chivefall/platform/_store.py
+++ b/chivefall/platform/_store.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from chivefall.net import HttpClient, HttpFailure, HttpResponse, Patience
+from chivefall.net import AdaptiveTimeout, HttpClient, HttpFailure, HttpResponse
 from chivefall.platform._wire import Item, LeaseBody, RangeBody, WatchBody
 from chivefall.store import (
     ABSENT,
@@ -74,18 +74,18 @@
     def __init__(self, http: HttpClient, address: Address, timeout: float) -> None:
         self._http = http
         self._address = address
-        self._patience = Patience(SHORTEST_TIMEOUT_SECONDS, timeout)
+        self._adaptive_timeout = AdaptiveTimeout(SHORTEST_TIMEOUT_SECONDS, timeout)
         self.calls = 0
         self.observe: Callable[[str, float], None] = lambda _call, _seconds: None
 
     @property
     def timeout(self) -> float:
         """Longest wait for an answer in seconds."""
-        return self._patience.longest
+        return self._adaptive_timeout.longest
 
     @timeout.setter
     def timeout(self, seconds: float) -> None:
-        self._patience.longest = seconds
+        self._adaptive_timeout.longest = seconds
 
     @property
     def _lease_timeout(self) -> float:
@@ -226,7 +226,7 @@
         data = b"" if body is None else msgspec.json.encode(body)
         headers = {"Content-Type": "application/json"} if body is not None else {}
         begun_at = self._http.clock.now()
-        limit = timeout or self._patience.limit()
+        limit = timeout or self._adaptive_timeout.limit()
         reply = await self._http.request(self._address, method, path, data, headers, limit)
         if call != "kv-watch":
             self._note(call, self._http.clock.now() - begun_at, reply)
@@ -240,9 +240,9 @@
         """Record how long a call took that does not wait."""
         self.observe(call.partition("/")[0], seconds)
         if isinstance(reply, HttpResponse):
-            self._patience.note_answer(seconds)
+            self._adaptive_timeout.note_answer(seconds)
         else:
-            self._patience.note_miss()
+            self._adaptive_timeout.note_miss()
 
 
 def _put_body(put: Put) -> dict[str, Any]:
--- a/chivefall/telemetry/__init__.py
+++ b/chivefall/telemetry/__init__.py
@@ -6,7 +6,7 @@
 from chivefall.telemetry._events import LogEvent, log_event
 from chivefall.telemetry._metrics import Metrics
 from chivefall.telemetry._output import LineBuffer, LogWriter, RateLimit, open_log
-from chivefall.telemetry._story import Story, StoryLine, read_story
+from chivefall.telemetry._timeline import Timeline, TimelineEntry, read_timeline
 
 __all__ = [
     "BatchMetrics",
@@ -15,9 +15,9 @@
     "LogWriter",
     "Metrics",
     "RateLimit",
-    "Story",
-    "StoryLine",
+    "Timeline",
+    "TimelineEntry",
     "log_event",
     "open_log",
-    "read_story",
+    "read_timeline",
 ]
--- a/chivefall/telemetry/_story.py
+++ b/chivefall/telemetry/_timeline.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-__all__ = ["Story", "StoryLine", "read_story"]
+__all__ = ["Timeline", "TimelineEntry", "read_timeline"]
 
 CONTEXT_SECONDS = 1.0  # before a job's first event, in which other events may explain it
 _BY_NUMBER = {event.number: event for event in LogEvent}
@@ -51,7 +51,7 @@
 
 
 @dataclass(frozen=True)
-class StoryLine:
+class TimelineEntry:
     """One event.
 
     Attributes
@@ -86,13 +86,13 @@
 
 
 @dataclass(frozen=True)
-class Story:
+class Timeline:
     """All events that concern a job, in order of time."""
 
     job: str
-    lines: tuple[StoryLine, ...]
+    lines: tuple[TimelineEntry, ...]
 
-    def first_cause(self) -> StoryLine | None:
+    def first_cause(self) -> TimelineEntry | None:
         """Return the first event that may have caused a failure, or None."""
         return next((line for line in self.lines if line.is_trouble), None)
 
@@ -110,14 +110,14 @@
         return found
 
 
-def read_story(lines: Iterable[str], job: str) -> Story:
+def read_timeline(lines: Iterable[str], job: str) -> Timeline:
     """Return the events of a job from log lines of any number of instances.
 
     A line may have a prefix before its JSON object. Lines that are not events
     are passed over.
     """
-    own: list[StoryLine] = []
-    context: list[StoryLine] = []
+    own: list[TimelineEntry] = []
+    context: list[TimelineEntry] = []
     for text in lines:
         line = _parse(text)
         if line is None:
@@ -130,14 +130,14 @@
         begin = min(line.at for line in own) - CONTEXT_SECONDS
         end = max(line.at for line in own)
         own += [line for line in context if begin <= line.at <= end]
-    return Story(job, tuple(sorted(own, key=lambda line: line.at)))
+    return Timeline(job, tuple(sorted(own, key=lambda line: line.at)))
 
 
-def _parse(text: str) -> StoryLine | None:
+def _parse(text: str) -> TimelineEntry | None:
     try:
         fields = msgspec.json.decode(text[text.index("{") :].strip())
         number = int(fields["message_type"].split(":")[1])
-        return StoryLine(
+        return TimelineEntry(
             float(fields["timestamp"]), fields.get("instance", ""), _BY_NUMBER[number], fields
         )
     except (ValueError, KeyError, IndexError, TypeError, AttributeError):
--- a/tests/net/test_patience.py
+++ b/tests/net/test_adaptive_timeout.py
@@ -4,30 +4,30 @@
 
 import unittest
 
-from chivefall.net import Patience
+from chivefall.net import AdaptiveTimeout
 
 
-class PatienceTest(unittest.TestCase):
+class AdaptiveTimeoutTest(unittest.TestCase):
     def test_lost_answer_is_noticed_early(self) -> None:
         """Guards against a wait of the longest limit for each lost reply."""
-        patience = Patience(0.35, 1.0)
+        timeout = AdaptiveTimeout(0.35, 1.0)
         for _ in range(50):
-            patience.note_answer(0.004)
-        self.assertEqual(patience.limit(), 0.35)
+            timeout.note_answer(0.004)
+        self.assertEqual(timeout.limit(), 0.35)
 
     def test_server_that_became_slow_is_still_heard(self) -> None:
         """Guards against a limit below the answers, under which none would ever count."""
-        patience = Patience(0.35, 1.0)
-        patience.note_answer(0.004)
+        timeout = AdaptiveTimeout(0.35, 1.0)
+        timeout.note_answer(0.004)
         for _ in range(3):
-            patience.note_miss()
-        self.assertEqual(patience.limit(), 1.0)
+            timeout.note_miss()
+        self.assertEqual(timeout.limit(), 1.0)
         for _ in range(20):
-            patience.note_answer(0.6)
-        self.assertEqual(patience.limit(), 1.0)
+            timeout.note_answer(0.6)
+        self.assertEqual(timeout.limit(), 1.0)
         for _ in range(100):
-            patience.note_answer(0.004)
-        self.assertLess(patience.limit(), 0.5)
+            timeout.note_answer(0.004)
+        self.assertLess(timeout.limit(), 0.5)
 
 
 if __name__ == "__main__":
--- a/tests/telemetry/test_output.py
+++ b/tests/telemetry/test_output.py
@@ -1,4 +1,4 @@
-"""The bounded log on standard output, and the story of a job that is read from it."""
+"""The bounded log on standard output, and the timeline of a job that is read from it."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 import os
 import unittest
 
-from chivefall.telemetry import LineBuffer, LogEvent, LogWriter, RateLimit, read_story
+from chivefall.telemetry import LineBuffer, LogEvent, LogWriter, RateLimit, read_timeline
 
 
 class OutputTest(unittest.TestCase):
@@ -56,7 +56,7 @@
     return f"  12.5 {instance} {json.dumps(body)}\n"
 
 
-class StoryTest(unittest.TestCase):
+class TimelineTest(unittest.TestCase):
     def test_first_cause_and_order(self) -> None:
         """Guards the way from an id to a cause over the logs of several instances."""
         lines = [
@@ -68,18 +68,18 @@
             "not a line of the log\n",
             "{broken\n",
         ]
-        story = read_story(lines, "aa01")
-        self.assertEqual([item.at for item in story.lines], [1.0, 1.1, 5.0])
-        self.assertIs(story.first_cause().event, LogEvent.RUN_ENDED)
-        self.assertEqual(story.missing(), [])
+        timeline = read_timeline(lines, "aa01")
+        self.assertEqual([item.at for item in timeline.lines], [1.0, 1.1, 5.0])
+        self.assertIs(timeline.first_cause().event, LogEvent.RUN_ENDED)
+        self.assertEqual(timeline.missing(), [])
 
     def test_missing_logs_are_named(self) -> None:
         """Guards against an explanation that looks complete without the leader's log."""
-        story = read_story(
+        timeline = read_timeline(
             [line(LogEvent.BATCH_ANSWERED, 1.0, "a", job="aa01", status=503)], "aa01"
         )
-        self.assertEqual(len(story.missing()), 1)
-        self.assertIs(story.first_cause().event, LogEvent.BATCH_ANSWERED)
+        self.assertEqual(len(timeline.missing()), 1)
+        self.assertIs(timeline.first_cause().event, LogEvent.BATCH_ANSWERED)
 
 
 if __name__ == "__main__":
