Count the time in which the machine was suspended

Cause (read in the code; test first red): the loop's clock was the monotonic one, which stands still while a machine is suspended. After a suspension the desired state seemed confirmed a moment ago, so a status request under a revoked key would have been answered beyond the 5 s that the platform allows; a leader would have trusted its lease. Change: CLOCK_BOOTTIME.

--- a/chivefall/runtime/_clock.py
+++ b/chivefall/runtime/_clock.py
@@ -82,16 +82,21 @@
 
 
 class LoopClock(Clock):
-    """A monotonic clock whose timers run on the circuits loop."""
+    """A steady clock whose timers run on the circuits loop.
+
+    It counts the time in which the machine was suspended, which a monotonic clock
+    does not: what was confirmed before a suspension is old after it, and a lease
+    may have ended.
+    """
 
     def __init__(self) -> None:
         super().__init__()
-        self._offset = time.time() - time.monotonic()
+        self._offset = time.time() - time.clock_gettime(time.CLOCK_BOOTTIME)
         self.source = _TimerSource(self)
 
     def now(self) -> float:
         """Return seconds since the epoch; never steps back."""
-        return self._offset + time.monotonic()
+        return self._offset + time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 class ManualClock(Clock):
