Let large lists take longer than the time limit; leave a leadership that cannot load

Change: the limit of a call to the store starts again with all that is received; a leader that has not read the jobs after 8 s steps down.

--- a/chivefall/controllers/batch/_scheduler.py
+++ b/chivefall/controllers/batch/_scheduler.py
@@ -61,6 +61,7 @@
 WATCH_INTERVAL_SECONDS = 0.03  # between watches of the jobs, which each commit changes
 MISSED_CHECK_SECONDS = 0.5  # between looks for jobs that the watch has not delivered
 JOBS_PER_REMOVAL = 10  # a job has three keys; the store takes 32 entries
+LOAD_SECONDS = 8.0  # in which a new leader reads the jobs; 2 MB take 3 s on 5 Mbit/s
 KEEP_FINAL_SECONDS = 180.0  # the platform asks for 120 s of answers for a final job
 
 
@@ -118,6 +119,12 @@
             WATCH_INTERVAL_SECONDS,
         )
         self.run_task(self._follow(epoch, mirror))
+        self.clock.call_later(LOAD_SECONDS, lambda: self._give_up_loading(epoch))
+
+    def _give_up_loading(self, epoch: Epoch) -> None:
+        """Leave the leadership to an instance that can read the jobs."""
+        if self._is_current(epoch) and not self._loaded and self._catalog.is_known:
+            self._leader.step_down("the jobs could not be read in time")
 
     async def _follow(self, epoch: Epoch, mirror: PrefixMirror) -> None:
         """Read the jobs once their queues are known."""
--- a/chivefall/net/_http_client.py
+++ b/chivefall/net/_http_client.py
@@ -73,6 +73,7 @@
         repeatable: bool = True,
         verify: Callable[[HttpResponse], bool] | None = None,
         max_body: int = MAX_RESPONSE_BYTES,
+        while_receiving: bool = False,
     ) -> Future[HttpResponse | HttpFailure]:
         """Send a request and return a future of its response.
 
@@ -89,6 +90,9 @@
             discarded with its connection.
         max_body : int
             Largest body of the response in bytes.
+        while_receiving : bool
+            Whether the timeout starts again with all that is received, so that a
+            large response may take long on a narrow link.
         """
         fut: Future[HttpResponse | HttpFailure] = Future()
         try:
@@ -100,13 +104,16 @@
         conn.framer = MessageFramer(Limits(body=max_body), responses=True)
         data = encode_request(address, method, path, body, headers or {})
         conn.outgoing.append(memoryview(data))
-        conn.timer = self.clock.call_later(
-            timeout, lambda: self._fail(conn, f"no response from {address} in {timeout:.3g} s")
-        )
+        conn.stall_limit = timeout if while_receiving else None
+        self._start_timer(conn, timeout)
         self._active[conn.sock] = conn
         self._poller.addWriter(self, conn.sock)
         return fut
 
+    def _start_timer(self, conn: Connection, seconds: float) -> None:
+        reason = f"no response from {conn.address} in {seconds:.3g} s"
+        conn.timer = self.clock.call_later(seconds, lambda: self._fail(conn, reason))
+
     def close_all(self) -> None:
         """Close every connection; open exchanges fail."""
         for conn in list(self._active.values()):
@@ -190,6 +197,9 @@
             return
         if message is not None:
             self._complete(conn, message)
+        elif data and conn.stall_limit is not None:
+            conn.timer.cancel()
+            self._start_timer(conn, conn.stall_limit)
         elif not data:
             self._fail(conn, f"{conn.address} closed the connection")
 
--- a/chivefall/net/_http_connection.py
+++ b/chivefall/net/_http_connection.py
@@ -46,7 +46,17 @@
 class Connection:
     """One socket and the exchange that uses it."""
 
-    __slots__ = ("address", "framer", "fut", "outgoing", "sent", "sock", "timer", "verify")
+    __slots__ = (
+        "address",
+        "framer",
+        "fut",
+        "outgoing",
+        "sent",
+        "sock",
+        "stall_limit",
+        "timer",
+        "verify",
+    )
 
     def __init__(self, address: Address, sock: socket.socket) -> None:
         self.address = address
@@ -57,6 +67,7 @@
         self.timer: TimerHandle | None = None
         self.verify: Callable[[HttpResponse], bool] | None = None
         self.sent = False
+        self.stall_limit: float | None = None
 
     def is_alive(self) -> bool:
         """Return whether an idle connection is open and the server sent nothing on it."""
--- a/chivefall/platform/_store.py
+++ b/chivefall/platform/_store.py
@@ -227,7 +227,9 @@
         headers = {"Content-Type": "application/json"} if body is not None else {}
         begun_at = self._http.clock.now()
         limit = timeout or self._adaptive_timeout.limit()
-        reply = await self._http.request(self._address, method, path, data, headers, limit)
+        reply = await self._http.request(
+            self._address, method, path, data, headers, limit, while_receiving=True
+        )
         if call != "kv-watch":
             self._note(call, self._http.clock.now() - begun_at, reply)
         if isinstance(reply, HttpFailure):
--- a/tests/batch/test_whole_path.py
+++ b/tests/batch/test_whole_path.py
@@ -15,6 +15,7 @@
     StepSpec,
 )
 from chivefall.model import Accepted, JobId, NotRun, NotRunReason
+from chivefall.store import Unavailable
 from tests.batch.deployment import ACCOUNT, NORMAL, URGENT, Deployment
 
 ROOM = Resources(4000, 16_000, 2)
@@ -174,6 +175,25 @@
         self.assertIs(sut.state_of("a1", instance=other), JobState.COMPLETED)
         self.assert_no_second_run(sut, "a1")
 
+    def test_leader_that_cannot_read_the_jobs_gives_way(self) -> None:
+        # Guards against a leader that keeps its lease and serves nothing, as one on a
+        # narrow link did that never received the list of jobs in time.
+        sut = Deployment(instances=2)
+        first = sut.leader
+        other = next(item for item in sut.instances if item is not first)
+        real = other.store.list
+
+        async def list_all_but_jobs(prefix: str):
+            return Unavailable("too slow") if prefix == "batch/" else await real(prefix)
+
+        other.store.list = list_all_but_jobs
+        first.kill()
+        sut.add_instance("i9")
+        sut.run(16.0)
+        sut.submit("a1", step(), instance=sut.instances[-1])
+        sut.run(6.0)
+        self.assertIs(sut.state_of("a1", instance=sut.instances[-1]), JobState.COMPLETED)
+
     def test_job_cancelled_between_two_leaders_is_stopped(self) -> None:
         # Guards against a stop that is decided while the records are read, before the
         # new leader knows any worker, and is never ordered.
--- a/tests/net/test_http_client.py
+++ b/tests/net/test_http_client.py
@@ -56,6 +56,23 @@
         self.loop.run_until(fut.done)
         return fut.result()
 
+    def test_large_response_may_take_longer_than_the_timeout(self) -> None:
+        """Guards against lists that never arrive on a narrow link.
+
+        A leader on such a link could not read the jobs and served nothing (RECOVER on
+        kotvica-ops-grown, trouble-2, seed 85130988315).
+        """
+        for while_receiving, kind in ((True, HttpResponse), (False, HttpFailure)):
+            fut = self.send(timeout=0.3, while_receiving=while_receiving, repeatable=False)
+            peer = self.accept()
+            peer.send(b"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n")
+            for _ in range(8):
+                if not fut.done():
+                    self.loop.advance(0.1)
+                    peer.send(b"x")
+            self.loop.run_until(fut.done)
+            self.assertIsInstance(fut.result(), kind)
+
     def test_reuses_only_live_connections(self) -> None:
         """Guards against sending on a connection that the server has closed."""
         first = self.send()
