Let the platform stand-in show faults, and share the checks of run histories

The stand-in of the platform gets store faults, restarts and hangs of workers, several failure domains and worker addresses that may belong to proxies; its reports name the worker's life.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -4,6 +4,8 @@
 
 import argparse
 import base64
+from dataclasses import replace
+from enum import Enum
 from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qs
 
@@ -23,19 +25,24 @@
 from chivefall.config import Address
 from chivefall.model import DomainId, Epoch, JobId, RackId, ServiceId, WorkerId
 from chivefall.net import json_reply
-from chivefall.runtime import wait_for
+from chivefall.runtime import Future, sleep, wait_for
 from chivefall.workers import Ran, RefusalReason, RunOrder, RunRefused, RunReport
 from standins._service import Service
-from standins.run_workers import RunWorker
+from standins.run_workers import RunWorker, RunWorkers
 from standins.store import KeyValueState
+from standins.store_faults import CallKind, StoreFaults, decode_faults
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from chivefall.net import HttpReply, HttpRequest
 
-__all__ = ["PlatformService"]
+__all__ = ["PlatformService", "WorkerAct"]
 
 SERVICE = ServiceId("pool")
 WORKER_ROOM = Resources(32_000, 131_072, 8)
+DEFAULT_WORKERS = 4
+UNLISTED_SECONDS = 0.3  # for which a worker that is listed anew is missing
 _REASONS = {
     RefusalReason.FENCED: "fence",
     RefusalReason.OUTDATED: "old",
@@ -44,64 +51,146 @@
 }
 
 
-class PlatformService(Service):
-    """The store, and all workers at one address, told apart by X-Target-Instance.
+class WorkerAct(Enum):
+    """What a test does to a worker."""
+
+    RESTART = "restart"
+    LIST_ANEW = "list_anew"
+    FAIL = "fail"
+    HANG = "hang"
+    RECOVER = "recover"
+
 
-    ``PUT /control/key?key=K`` writes as operators do; ``GET /control/history``
-    returns what workers started and ended.
+class PlatformService(Service):
+    """The store, and workers that are told apart by X-Target-Instance.
+
+    Operators and tests speak to it below ``/control``: ``PUT key?key=K`` and
+    ``DELETE key?key=K`` write as operators do, ``PUT faults`` sets the faults of the
+    store (see :class:`StoreFaults`), ``PUT worker?name=W&act=A`` changes a worker
+    (see :class:`WorkerAct`), ``GET lives`` and ``GET history`` return what workers
+    started and ended.
+
+    Parameters
+    ----------
+    worker_addresses : sequence of str
+        Where each worker is listed, which may be a proxy of this service.
+    domains : sequence of str
+        Failure domains, to which the workers belong by turns.
+    seconds : float
+        Run time of every task.
     """
 
-    def __init__(self, address: Address, workers: int, seconds: float) -> None:
+    def __init__(
+        self,
+        address: Address,
+        worker_addresses: Sequence[str],
+        domains: Sequence[str],
+        seconds: float,
+    ) -> None:
         super().__init__(address)
         self._state = KeyValueState(self.clock)
-        self._workers: dict[str, RunWorker] = {}
-        for number in range(workers):
-            self._add_worker(f"w{number}", str(address), seconds)
-
-    def _add_worker(self, name: str, address: str, seconds: float) -> None:
-        entry = WorkerEntry(
-            WorkerId(name),
-            SERVICE,
-            address,
-            DomainId("zarcero"),
-            Incarnation(1),
-            WorkerStatus.READY,
-            WORKER_ROOM,
-            RackId("r1-1"),
-        )
-        self._workers[name] = RunWorker(entry, self.clock, seconds)
+        self._faults = StoreFaults()
+        self._fleet = RunWorkers(self.clock)
+        for number, listed in enumerate(worker_addresses):
+            entry = WorkerEntry(
+                WorkerId(f"w{number}"),
+                SERVICE,
+                listed,
+                DomainId(domains[number % len(domains)]),
+                Incarnation(1),
+                WorkerStatus.READY,
+                WORKER_ROOM,
+                RackId(f"r{number % len(domains) + 1}-1"),
+            )
+            self._fleet.add(entry).seconds = seconds
+            self._list(entry)
+
+    def _list(self, entry: WorkerEntry) -> None:
+        room = entry.capacity
         body = {
-            "service": SERVICE,
-            "addr": address,
-            "zone": "zarcero",
-            "state": "ready",
-            "capacity": {"cpu": 32_000, "mem_mb": 131_072, "gpu": 8},
-            "labels": ["a", "r1-1"],
-            "born": 1,
-            "seq": 1,
+            "service": entry.service,
+            "addr": entry.address,
+            "zone": entry.domain,
+            "state": entry.status.value,
+            "capacity": {"cpu": room.cpu, "mem_mb": room.memory, "gpu": room.accelerators},
+            "labels": ["a", entry.rack],
+            "born": entry.incarnation,
+            "seq": entry.incarnation,
         }
-        self._state.write_all([(f"servers/{name}", msgspec.json.encode(body), None)], [])
+        key = f"servers/{entry.worker_id}"
+        self._state.write_all([(key, msgspec.json.encode(body), None)], [])
 
     async def handle(self, req: HttpRequest) -> HttpReply:
         """Return the reply to a request."""
         query = {key: values[0] for key, values in parse_qs(req.query).items()}
         body = msgspec.json.decode(req.body) if req.body and req.method == "POST" else {}
         match (req.method, *req.path.strip("/").split("/")):
-            case ("PUT", "control", "key"):
-                self._state.write_all([(query["key"], req.body, None)], [])
-                return json_reply(200, {})
-            case ("GET", "control", "history"):
-                return self._history()
+            case (method, "control", resource):
+                return self._control(method, resource, query, req.body)
             case (_, "chivefall", call, *rest) if call.startswith("kv-"):
                 return await self._store_call([call, *rest], query, body)
             case ("POST", "chivefall", call):
                 return await self._order(call, body, req.headers.get("x-target-instance", ""))
         return json_reply(404, {"error": "no such call"})
 
+    def _control(
+        self, method: str, resource: str, query: dict[str, str], content: bytes
+    ) -> HttpReply:
+        match (method, resource):
+            case ("PUT", "key"):
+                self._state.write_all([(query["key"], content, None)], [])
+            case ("DELETE", "key"):
+                self._state.write_all([], [query["key"]])
+            case ("PUT", "faults"):
+                self._faults = decode_faults(content)
+            case ("PUT", "worker"):
+                self._change_worker(WorkerId(query["name"]), WorkerAct(query["act"]))
+            case ("GET", "lives"):
+                return json_reply(200, self._fleet.lives())
+            case ("GET", "history"):
+                return self._history()
+            case _:
+                return json_reply(404, {"error": "no such call"})
+        return json_reply(200, {})
+
+    def _change_worker(self, name: WorkerId, act: WorkerAct) -> None:
+        worker = self._fleet.workers[name]
+        if act is WorkerAct.RESTART:
+            incarnation = Incarnation(worker.entry.incarnation + 1)
+            entry = replace(worker.entry, incarnation=incarnation)
+            self._fleet.add(entry).seconds = worker.seconds
+            self._list(entry)
+        elif act is WorkerAct.LIST_ANEW:
+            self._state.write_all([], [f"servers/{name}"])
+            self.clock.call_later(UNLISTED_SECONDS, lambda: self._list(worker.entry))
+        else:
+            worker.fails = act is WorkerAct.FAIL
+            if worker.hangs:
+                worker.resume()
+            worker.hangs = act is WorkerAct.HANG
+
     # The store.
 
     async def _store_call(
         self, call: list[str], query: dict[str, str], body: dict[str, Any]
+    ) -> HttpReply:
+        reading = call[0] in ("kv-key", "kv-range", "kv-watch")
+        kind = CallKind.READ if reading else CallKind.LEASE
+        if call == ["kv-txn"]:
+            kind = CallKind.WRITE
+        if self._faults.delay:
+            await sleep(self.clock, self._faults.delay)
+        if self._faults.refuses(kind):
+            return json_reply(503, {"error": "the stand-in is told to be down"})
+        reply = await self._serve_call(call, query, body)
+        if self._faults.reply_delay:
+            await sleep(self.clock, self._faults.reply_delay)
+        if self._faults.loses_reply(kind):
+            await Future()
+        return reply
+
+    async def _serve_call(
+        self, call: list[str], query: dict[str, str], body: dict[str, Any]
     ) -> HttpReply:
         match call:
             case ["kv-key"]:
@@ -172,7 +261,7 @@
     # The workers.
 
     async def _order(self, call: str, body: dict[str, Any], name: str) -> HttpReply:
-        worker = self._workers.get(name)
+        worker = self._fleet.workers.get(WorkerId(name))
         if worker is None:
             return json_reply(421, {"clock_ms": self.clock.now() * 1000})
         epoch = Epoch(body.get("fence_token", 0))
@@ -208,7 +297,13 @@
         ]
         clock = self.clock.now() * 1000
         return json_reply(
-            200, {"clock_ms": clock, "running": running, "finished": finished, "born": 1}
+            200,
+            {
+                "clock_ms": clock,
+                "running": running,
+                "finished": finished,
+                "born": worker.entry.incarnation,
+            },
         )
 
     def _reply(self, outcome: Ran | RunRefused) -> HttpReply:
@@ -220,7 +315,7 @@
     def _history(self) -> HttpReply:
         rows = [
             [round(time, 3), kind, _name(run), run.number, worker.entry.worker_id]
-            for worker in self._workers.values()
+            for worker in self._fleet.workers.values()
             for time, kind, run in worker.history
         ]
         return json_reply(200, sorted(rows))
@@ -244,10 +339,13 @@
     """Run the stand-in."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--listen", required=True)
-    parser.add_argument("--workers", type=int, default=4)
+    parser.add_argument("--workers", help="addresses of the workers with commas between them")
+    parser.add_argument("--domains", default="zarcero", help="names with commas between them")
     parser.add_argument("--seconds", type=float, default=1.0, help="run time of every task")
     args = parser.parse_args()
-    PlatformService(Address.parse(args.listen), args.workers, args.seconds).run()
+    workers = args.workers.split(",") if args.workers else [args.listen] * DEFAULT_WORKERS
+    domains = args.domains.split(",")
+    PlatformService(Address.parse(args.listen), workers, domains, args.seconds).run()
 
 
 if __name__ == "__main__":
--- a/standins/run_workers.py
+++ b/standins/run_workers.py
@@ -36,6 +36,7 @@
     RunReport,
     RunStatus,
 )
+from standins.run_history import LifeHistory
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -113,6 +114,13 @@
             self.clock.call_later(self.seconds, lambda: self._finish(run))
         return Ran(self.clock.now())
 
+    def resume(self) -> None:
+        """Let tasks that were started while the worker hung do their work from now on."""
+        self.hangs = False
+        for run, item in self.running.items():
+            item.started_at = self.clock.now()
+            self.clock.call_later(self.seconds, lambda run=run: self._finish(run))
+
     def stop(self, run: RunId, epoch: Epoch) -> OrderOutcome:
         """Stop a run; one that is not there yet will be refused."""
         refusal = self._check(epoch)
@@ -150,6 +158,10 @@
             self._end(run, EndKind.BROKEN)
         self.ends = []
 
+    def life(self) -> LifeHistory:
+        """Return what this life did."""
+        return LifeHistory(self.entry.worker_id, self.history, self.lapses)
+
     def next_end(self) -> Future[None]:
         """Return a future that is done at the next end."""
         fut: Future[None] = Future()
@@ -218,6 +230,10 @@
         self.workers[entry.worker_id] = worker
         return worker
 
+    def lives(self) -> list[LifeHistory]:
+        """Return what all lives of all workers did."""
+        return [worker.life() for worker in (*self.past, *self.workers.values())]
+
     def encode(self, worker: RunWorker) -> bytes:
         """Return a worker's entry as the tests' codec reads it."""
         return msgspec.json.encode(worker.entry)
--- a/tests/batch/test_fuzz.py
+++ b/tests/batch/test_fuzz.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
+import math
 import unittest
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from chivefall.batch import BatchOperation, JobState, JobStatus, Resources, RunId, StepSpec
+from chivefall.batch import BatchOperation, JobState, JobStatus, Resources, StepSpec
 from chivefall.model import Accepted, NotRun
+from standins.run_history import late_starts, repeated_runs, spans_of
 from tests.batch.deployment import ACCOUNT, NORMAL, URGENT, Deployment
 
 ROOM = Resources(4000, 16_000, 2)
@@ -19,36 +21,6 @@
 SETTLE_SECONDS = 90.0
 
 
-@dataclass
-class Span:
-    """One run as its worker saw it."""
-
-    run: RunId
-    begin: float
-    end: float = float("inf")
-    kind: str = "running"
-    noted: float | None = None
-    lapsed: bool = False
-
-
-def spans_of(sut: Deployment) -> list[Span]:
-    """Return all runs of all lives of all workers."""
-    spans = []
-    for worker in [*sut.workers.past, *sut.workers.workers.values()]:
-        own: dict[RunId, Span] = {}
-        for time, kind, run in worker.history:
-            if kind == "start":
-                own[run] = Span(run, time)
-            elif kind == "noted":
-                span = own[run]
-                span.noted = time
-                span.lapsed = any(span.end <= lapse <= time for lapse in worker.lapses)
-            else:
-                own[run].end, own[run].kind = time, kind
-        spans += own.values()
-    return spans
-
-
 class BatchMachine(RuleBasedStateMachine):
     """Three instances, four workers, and everything that may fail."""
 
@@ -158,32 +130,27 @@
         self.key_valid = valid
         self.sut.set_catalog(self.version, (URGENT, NORMAL), (ACCOUNT,) if valid else ())
 
+    def spans(self):
+        return spans_of(self.sut.workers.lives())
+
     @invariant()
     def one_run_at_a_time(self) -> None:
-        by_task: dict = {}
-        for span in spans_of(self.sut):
-            by_task.setdefault((span.run.job, span.run.task), []).append(span)
-        for task, spans in by_task.items():
-            spans.sort(key=lambda item: item.begin)
-            for number, later in enumerate(spans):
-                for earlier in spans[:number]:
-                    assert earlier.end <= later.begin, f"two runs of {task} at once"
-                    noted = earlier.noted is not None and not earlier.lapsed
-                    done = earlier.kind == "done" and noted
-                    assert not done, f"{task} was started after an end that was noted"
+        assert not list(repeated_runs(self.spans()))
 
     @invariant()
     def only_accepted_jobs_run(self) -> None:
-        for span in spans_of(self.sut):
-            assert span.run.job not in self.refused, "a job that was refused ran"
+        never = dict.fromkeys(self.refused, -math.inf)
+        assert not list(late_starts(self.spans(), never)), "a job that was refused ran"
 
     @invariant()
     def nothing_starts_where_it_must_not(self) -> None:
-        for span in spans_of(self.sut):
-            cancelled_at = self.cancelled.get(span.run.job, float("inf"))
-            assert span.begin <= cancelled_at + CANCEL_SECONDS, "a cancelled job started"
-            out = self.out_since is not None and span.begin > self.out_since + EVACUATION_SECONDS
-            assert not out, "a task started in a domain out of service"
+        spans = self.spans()
+        limits = {name: at + CANCEL_SECONDS for name, at in self.cancelled.items()}
+        assert not list(late_starts(spans, limits)), "a cancelled job started"
+        if self.out_since is not None:
+            limit = self.out_since + EVACUATION_SECONDS
+            late = [span for span in spans if span.begin > limit]
+            assert not late, "a task started in a domain out of service"
 
     @invariant()
     def room_is_kept(self) -> None:
