Stop runs that stand still at full progress, and keep on watching often-run tasks

Only runs below 100 % counted as stalled, since a finished member of a gang waits for the others; and a task with 5 runs was never judged again. Change: full progress is no stall only while another member is behind; after 5 runs the limit doubles with each further run instead of being lifted.

--- a/chivefall/batch/_displacement.py
+++ b/chivefall/batch/_displacement.py
@@ -29,7 +29,7 @@
 RESTART_SECONDS = 0.6  # to stop a run, record the next one and start it
 MIN_PROGRESS = 0.1  # below which whole percents are too coarse to estimate the run time
 MIN_RUN_SECONDS = 0.8  # of a run before it is judged
-MAX_RUNS = 5  # of a task, beyond which it is left alone
+MAX_RUNS = 5  # of a task, from which it is stopped only for stalls that last longer each time
 
 
 class DisplacementReason(Enum):
@@ -137,12 +137,11 @@
     remaining = _remaining(task, group.step, now)
     if worker.leaves_at < now + remaining:
         return DisplacementReason.LEAVING
-    if task.runs >= MAX_RUNS or worker.suspect:
+    if worker.suspect:
         return None
-    # A report that is missing says nothing, and a gang's member at its end waits for others.
-    if task.progress < 1.0 and task.reported_at - task.progress_at >= STALL_SECONDS:
+    if _has_stalled(task, group):
         return DisplacementReason.STALLED
-    if worker.worker_id not in slow:
+    if worker.worker_id not in slow or task.runs >= MAX_RUNS:
         return None
     usual = group.usual_seconds(now, worker.worker_id)
     if usual is None:
@@ -151,6 +150,15 @@
     return DisplacementReason.SLOW if remaining > again else None
 
 
+def _has_stalled(task: Task, group: _Group) -> bool:
+    """Return whether the reports of a run show no progress for too long."""
+    if task.progress >= 1.0 and any(other.progress < 1.0 for other in group.running):
+        return False  # A gang's member at its end waits for the others.
+    limit = STALL_SECONDS * 2 ** max(0, task.runs - MAX_RUNS + 1)
+    # The time of the last report counts, since a report that is missing says nothing.
+    return task.reported_at - task.progress_at >= limit
+
+
 def _total(task: Task, now: float) -> float | None:
     """Return the run time that the progress so far suggests, in seconds."""
     if task.progress < MIN_PROGRESS:
--- a/tests/batch/test_displacement.py
+++ b/tests/batch/test_displacement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 
 from chivefall.batch import (
     NO_CHECKPOINT,
@@ -88,6 +89,26 @@
             report(job, shares, now)
         self.assertEqual(self.find(job, 104.0), {})
 
+    def test_run_that_stands_still_at_its_end_is_stalled(self) -> None:
+        """Guards against a fault of the soak (seed 100): such a job never completed."""
+        for gang in (False, True):
+            with self.subTest(gang=gang):
+                job = running_job(self.names, gang=gang)
+                report(job, [1.0, 1.0, 1.0], 104.0)
+                report(job, [1.0, 1.0, 1.0], 105.8)
+                self.assertIs(self.find(job, 105.8)["w0"], DisplacementReason.STALLED)
+
+    def test_run_that_stalls_again_and_again_is_stopped_after_longer_waits(self) -> None:
+        """Guards against a task that is left alone for good after some stalls."""
+        job = running_job(self.names)
+        for task in job.group(0, 0):
+            task.runs = 6
+            task.assignment = replace(task.assignment, number=6)
+        report(job, [0.2, 0.2, 0.2], 101.0)
+        for now, share, expected in ((103.0, 0.4, {}), (109.0, 0.6, {"w1"})):
+            report(job, [share, 0.2, share], now)
+            self.assertEqual(set(self.find(job, now)), set(expected))
+
     def test_one_large_task_of_a_step_is_not_slow(self) -> None:
         """Guards against a fault seen on a calm day: tasks of one step differ by a factor of 2."""
         job = running_job(self.names)
