Hold a run's step instead of a copy of its room; one text for runs

Fleet.runs_of and the priority of Placed had no reader. Group derives its due time from its objective, so that the begin is computed in one place. Log events name a run by str() of RunId; run_displaced printed its repr, which explain could not match.

--- a/chivefall/batch/__init__.py
+++ b/chivefall/batch/__init__.py
@@ -10,7 +10,7 @@
     restore_progress,
 )
 from chivefall.batch._displacement import Displacement, DisplacementReason, find_displacements
-from chivefall.batch._fleet import Fleet, Placed, Worker
+from chivefall.batch._fleet import Fleet, Worker
 from chivefall.batch._job import Assignment, BatchJob, EndKind, Submission, Task, TaskState
 from chivefall.batch._model import (
     NO_CHECKPOINT,
@@ -74,7 +74,6 @@
     "JobStatus",
     "LabelId",
     "PendingJobs",
-    "Placed",
     "Plan",
     "PlatformCodec",
     "Queue",
--- a/chivefall/batch/_fleet.py
+++ b/chivefall/batch/_fleet.py
@@ -8,23 +8,12 @@
 from chivefall.batch._model import Resources, RunId, StepSpec, WorkerEntry, WorkerStatus
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from chivefall.model import DomainId, WorkerId
 
-__all__ = ["Fleet", "Placed", "Worker"]
-
-
-MAX_BAD_RUNS = 3  # beyond which a worker is avoided no longer each time
+__all__ = ["Fleet", "Worker"]
 
 
-@dataclass(frozen=True)
-class Placed:
-    """Room that a run holds, from its assignment until its end is known."""
-
-    room: Resources
-    priority: int
-    step: StepSpec
+MAX_BAD_RUNS = 3  # in a row, after which further ones no longer double the time
 
 
 @dataclass
@@ -33,6 +22,8 @@
 
     Attributes
     ----------
+    placed : dict
+        Steps of the runs that hold room, from their assignment until their end is known.
     synced : bool
         Whether the worker told this leader what it runs.
     suspect : bool
@@ -49,7 +40,7 @@
     synced: bool = False
     suspect: bool = False
     listed: bool = True
-    placed: dict[RunId, Placed] = field(default_factory=dict)
+    placed: dict[RunId, StepSpec] = field(default_factory=dict)
     used: Resources = field(default_factory=Resources)
     avoided_until: float = 0.0
     bad_runs: int = 0
@@ -65,11 +56,11 @@
         """Return the room that no run holds."""
         return self.entry.capacity - self.used
 
-    def hold(self, run: RunId, placed: Placed) -> None:
+    def hold(self, run: RunId, step: StepSpec) -> None:
         """Take room for a run; has no effect if the run holds room already."""
         if run not in self.placed:
-            self.placed[run] = placed
-            self.used += placed.room
+            self.placed[run] = step
+            self.used += step.room
 
     def avoid_for(self, seconds: float, now: float) -> None:
         """Avoid the worker for a while, longer with each time in a row."""
@@ -79,10 +70,10 @@
 
     def release(self, run: RunId) -> bool:
         """Give a run's room back; return whether it held any."""
-        placed = self.placed.pop(run, None)
-        if placed is None:
+        step = self.placed.pop(run, None)
+        if step is None:
             return False
-        self.used -= placed.room
+        self.used -= step.room
         return True
 
 
@@ -113,7 +104,3 @@
             and entry.domain not in self.domains_out
             and (step.label is None or step.label in entry.labels)
         )
-
-    def runs_of(self, workers: Iterable[WorkerId]) -> list[RunId]:
-        """Return the runs that hold room on some workers."""
-        return [run for name in workers for run in self.workers[name].placed]
--- a/chivefall/batch/_group.py
+++ b/chivefall/batch/_group.py
@@ -38,8 +38,8 @@
 
     Attributes
     ----------
-    due : float
-        Time by which the job should complete, in seconds since the epoch.
+    objective : float
+        Seconds in which the job should complete from the time it could begin.
     rank : int
         Smaller ranks come first and may stop larger ones.
     """
@@ -49,13 +49,18 @@
     step: StepSpec
     occurrence: int
     tasks: list[Task]
-    due: float
+    objective: float
     rank: int
 
     @property
     def urgent(self) -> bool:
         return self.rank <= URGENT_RANK
 
+    @property
+    def due(self) -> float:
+        """Return by when the job should complete, in seconds since the epoch."""
+        return self.begins_at + self.objective
+
     def latest_start(self) -> float:
         """Return when the group has to start to complete in time."""
         return self.due - self.step.run_time
@@ -72,8 +77,7 @@
 
     def order(self, now: float) -> tuple:
         """Return the key by which groups are placed; smaller ones come first."""
-        objective = self.due - self.begins_at
-        worthless = now > self.due + (LATE_FACTOR - 1.0) * objective
+        worthless = now > self.begins_at + LATE_FACTOR * self.objective
         rank = min(self.rank, URGENT_RANK + 1)
         return (rank, worthless, self.latest_start(), self.job.job_id)
 
@@ -124,8 +128,7 @@
             waiting = [task for task in tasks if task.state is TaskState.WAITING]
             if step.gang and len(waiting) < len(tasks):
                 continue  # Members of an earlier run have not ended yet.
-            begin = max(job.submission.submitted_at, spec.due_at(occurrence))
             objective = item.queue.stretch * chain_seconds(job) + item.queue.target_latency
-            due, rank = begin + objective, ranks[job.job_id]
-            groups.append(Group(job, item.queue, step, occurrence, waiting, due, rank))
+            rank = ranks[job.job_id]
+            groups.append(Group(job, item.queue, step, occurrence, waiting, objective, rank))
     return sorted(groups, key=lambda group: group.order(now))
--- a/chivefall/batch/_model.py
+++ b/chivefall/batch/_model.py
@@ -125,6 +125,9 @@
     step: int
     index: int
 
+    def __str__(self) -> str:
+        return f"{self.occurrence}.{self.step}.{self.index}"
+
 
 @dataclass(frozen=True, order=True)
 class RunId:
@@ -134,6 +137,9 @@
     task: TaskKey
     number: RunNumber
 
+    def __str__(self) -> str:
+        return f"{self.job}.{self.task}#{self.number}"
+
 
 @dataclass(frozen=True)
 class StepSpec:
--- a/chivefall/batch/_victims.py
+++ b/chivefall/batch/_victims.py
@@ -77,9 +77,9 @@
     def future(self, worker: Worker) -> Resources:
         """Return the room of a worker once the runs that are told to stop have ended."""
         room = self._free[worker.worker_id]
-        for run, placed in worker.placed.items():
+        for run, step in worker.placed.items():
             if run in self.stopping:
-                room += placed.room
+                room += step.room
         return room
 
     def loss(self, run: RunId) -> float:
@@ -118,9 +118,9 @@
             for run in self._with_gangs(runs) - found.runs:
                 found.runs.add(run)
                 for worker in members:
-                    placed = worker.placed.get(run)
-                    if placed is not None:
-                        future[worker.worker_id] += placed.room
+                    step = worker.placed.get(run)
+                    if step is not None:
+                        future[worker.worker_id] += step.room
         return found
 
     def _cheapest(
@@ -135,7 +135,7 @@
             if run not in chosen
             and run not in self.stopping
             and self._ranks.get(run.job, GUARANTEED_RANK) >= lowest
-            and not worker.placed[run].step.long_running
+            and not worker.placed[run].long_running
         )
         for loss, run in victims:
             gang = (run.job, run.task.occurrence, run.task.step)
--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -9,7 +9,6 @@
     EndKind,
     Fleet,
     Incarnation,
-    Placed,
     RunId,
     Worker,
     WorkerStatus,
@@ -30,7 +29,7 @@
 )
 
 if TYPE_CHECKING:
-    from chivefall.batch import Checkpoint, PlatformCodec, WorkerEntry
+    from chivefall.batch import Checkpoint, PlatformCodec, StepSpec, WorkerEntry
     from chivefall.controllers._leader import LeaderController
     from chivefall.controllers.batch._run_listener import RunListener
     from chivefall.model import Epoch, WorkerId
@@ -90,7 +89,7 @@
         self._leader = leader
         self._listener: RunListener | None = None
         self._sessions: dict[WorkerId, Session] = {}
-        self._orphans: dict[WorkerId, list[tuple[RunId, Placed, Incarnation]]] = {}
+        self._orphans: dict[WorkerId, list[tuple[RunId, StepSpec, Incarnation]]] = {}
         self._epoch: Epoch | None = None
         self.listed = False
         self.fleet = Fleet()
@@ -210,31 +209,31 @@
         session.worker.release(run)
         session.present_since.pop(run, None)
         log_event(
-            LogEvent.RUN_RELEASED, run=_text(run), worker=session.worker.worker_id, reason=reason
+            LogEvent.RUN_RELEASED, run=str(run), worker=session.worker.worker_id, reason=reason
         )
         self._listener.run_released(run)
 
     # Runs that an earlier leader assigned.
 
-    def adopt(self, run: RunId, placed: Placed, worker: WorkerId, life: Incarnation) -> None:
+    def adopt(self, run: RunId, step: StepSpec, worker: WorkerId, life: Incarnation) -> None:
         """Take over a run that a record names; the worker's report says whether it exists."""
         session = self._sessions.get(worker)
         if session is None:
-            self._orphans.setdefault(worker, []).append((run, placed, life))
+            self._orphans.setdefault(worker, []).append((run, step, life))
         else:
-            self._adopt_into(session, run, placed, life)
+            self._adopt_into(session, run, step, life)
 
-    def _adopt_into(self, session: Session, run: RunId, placed: Placed, life: Incarnation) -> None:
+    def _adopt_into(self, session: Session, run: RunId, step: StepSpec, life: Incarnation) -> None:
         if session.worker.entry.incarnation != life:
             self._listener.run_released(run)
             return
-        session.worker.hold(run, placed)
+        session.worker.hold(run, step)
         session.present_since[run] = float("-inf")
         self._poll(session)
 
     def _adopt_orphans(self, session: Session) -> None:
-        for run, placed, life in self._orphans.pop(session.worker.worker_id, ()):
-            self._adopt_into(session, run, placed, life)
+        for run, step, life in self._orphans.pop(session.worker.worker_id, ()):
+            self._adopt_into(session, run, step, life)
 
     def _await_orphans(self, epoch: Epoch) -> None:
         def release() -> None:
@@ -244,7 +243,7 @@
                 for run, _, _ in runs:
                     log_event(
                         LogEvent.RUN_RELEASED,
-                        run=_text(run),
+                        run=str(run),
                         reason="its worker was not listed since the takeover",
                     )
                     self._listener.run_released(run)
@@ -352,7 +351,7 @@
 
     def _note_running(self, session: Session, run: RunId) -> None:
         if not self._listener.knows_run(run):
-            log_event(LogEvent.UNKNOWN_RUN_STOPPED, run=_text(run), worker=session.worker.worker_id)
+            log_event(LogEvent.UNKNOWN_RUN_STOPPED, run=str(run), worker=session.worker.worker_id)
             self.run_task(self._client.stop(session.worker.entry, run, self._epoch))
             return
         if run not in session.present_since:
@@ -370,7 +369,7 @@
         session.present_since.pop(end.run, None)
         log_event(
             LogEvent.RUN_ENDED,
-            run=_text(end.run),
+            run=str(end.run),
             worker=session.worker.worker_id,
             kind=end.kind.value,
             sequence=end.sequence,
@@ -441,9 +440,9 @@
 
     # Orders.
 
-    def reserve(self, worker_id: WorkerId, run: RunId, placed: Placed) -> None:
+    def reserve(self, worker_id: WorkerId, run: RunId, step: StepSpec) -> None:
         """Hold room for a run that is about to be recorded."""
-        self.fleet.workers[worker_id].hold(run, placed)
+        self.fleet.workers[worker_id].hold(run, step)
 
     def cancel_reservation(self, worker_id: WorkerId, run: RunId) -> None:
         """Give back the room of a run whose start was never sent."""
@@ -480,7 +479,7 @@
             if not isinstance(outcome, NoAnswer):
                 self._note_refused(session, run, outcome)
                 return False
-        log_event(LogEvent.RUN_UNCERTAIN, run=_text(run), worker=worker_id)
+        log_event(LogEvent.RUN_UNCERTAIN, run=str(run), worker=worker_id)
         self._suspect(session, "a start was not answered")
         self.order_stop(worker_id, run)
         self._poll(session)
@@ -491,14 +490,14 @@
         session.note_clock(outcome.clock, now)
         session.present_since[run] = now
         self._note_answer(session)
-        log_event(LogEvent.RUN_STARTED, run=_text(run), worker=session.worker.worker_id)
+        log_event(LogEvent.RUN_STARTED, run=str(run), worker=session.worker.worker_id)
         self._listener.run_confirmed(run)
         self._poll(session)
 
     def _note_refused(self, session: Session, run: RunId, outcome: OrderOutcome) -> None:
         log_event(
             LogEvent.RUN_NOT_STARTED,
-            run=_text(run),
+            run=str(run),
             worker=session.worker.worker_id,
             outcome=repr(outcome),
         )
@@ -528,7 +527,7 @@
     async def _stop_until_confirmed(self, session: Session, run: RunId) -> None:
         epoch = self._epoch
         while run in session.worker.placed and not session.closed and self._is_current(epoch):
-            log_event(LogEvent.RUN_STOPPED, run=_text(run), worker=session.worker.worker_id)
+            log_event(LogEvent.RUN_STOPPED, run=str(run), worker=session.worker.worker_id)
             outcome = await self._client.stop(session.worker.entry, run, epoch)
             if not isinstance(outcome, NoAnswer):
                 break
@@ -538,8 +537,3 @@
             now = self.clock.now()
             session.present_since.setdefault(run, now + STOP_SETTLE_SECONDS)
             self._poll(session)
-
-
-def _text(run: RunId) -> str:
-    task = run.task
-    return f"{run.job}.{task.occurrence}.{task.step}.{task.index}#{run.number}"
--- a/chivefall/controllers/batch/_scheduler.py
+++ b/chivefall/controllers/batch/_scheduler.py
@@ -10,12 +10,10 @@
     BatchJob,
     Candidate,
     JobState,
-    Placed,
     Queue,
     RunId,
     StepSpec,
     Submission,
-    TaskKey,
     decode_submission,
     find_displacements,
     restore_progress,
@@ -223,14 +221,10 @@
             where = task.assignment
             run = RunId(job.job_id, task.key, where.number)
             task.started_at = task.progress_at = task.reported_at = self.clock.now()
-            self._fleet.adopt(run, self._placed(job, task.key), where.worker, where.incarnation)
+            self._fleet.adopt(run, job.step_of(task.key), where.worker, where.incarnation)
         if job.state.is_final:
             self._stop_all(job)
 
-    def _placed(self, job: BatchJob, key: TaskKey) -> Placed:
-        step = job.step_of(key)
-        return Placed(step.room, self._current_queue(job.submission).priority, step)
-
     def _current_queue(self, submission: Submission) -> Queue:
         """Return a job's queue as it is now, or as it was if operators removed it."""
         return self._catalog.catalog.queues.get(submission.queue.name, submission.queue)
@@ -340,7 +334,7 @@
         job = start.job
         runs = job.assign(start.places, now)
         for run, (key, worker, _) in zip(runs, start.places, strict=True):
-            self._fleet.reserve(worker, run, self._placed(job, key))
+            self._fleet.reserve(worker, run, job.step_of(key))
         tracked = self.jobs[job.job_id]
         epoch = self._epoch
         places = [(run, worker) for run, (_, worker, _) in zip(runs, start.places, strict=True)]
--- a/tests/batch/test_policy.py
+++ b/tests/batch/test_policy.py
@@ -10,7 +10,6 @@
     Candidate,
     DeadlinePolicy,
     Fleet,
-    Placed,
     Plan,
     Queue,
     QueueId,
@@ -56,13 +55,13 @@
         self.candidates.append(Candidate(job, queue))
         return job
 
-    def occupy(self, job: BatchJob, names: list[str], priority: int = 1, age: float = 1.0) -> None:
+    def occupy(self, job: BatchJob, names: list[str], age: float = 1.0) -> None:
         """Let tasks of a job run on workers, one on each entry of the list."""
         tasks = [task for task in job.group(0, 0) if task.assignment is None]
         places = [(task.key, name, 1) for task, name in zip(tasks, names, strict=False)]
         for run, (key, name, _) in zip(job.assign(places, NOW - age), places, strict=True):
             step = job.step_of(key)
-            self.fleet.workers[name].hold(run, Placed(step.room, priority, step))
+            self.fleet.workers[name].hold(run, step)
             job.confirm_running(key, run.number, NOW - age)
 
     def plan(self, now: float = NOW) -> Plan:
@@ -134,7 +133,7 @@
         """Load: one account floods its urgent queue while another one needs its guarantee."""
         self.guarantees = {AccountId("b"): 8}
         for name in self.fleet.workers:
-            self.occupy(self.add(f"old-{name}", StepSpec(1, LARGE, 30.0), URGENT), [name], 0)
+            self.occupy(self.add(f"old-{name}", StepSpec(1, LARGE, 30.0), URGENT), [name])
         step = StepSpec(1, LARGE, 2.0)
         self.add("own", step, URGENT, account="b")
         # Urgent work is short: room often comes free before it is worth stopping any.
@@ -149,7 +148,7 @@
         self.guarantees = {AccountId("a"): 64, AccountId("b"): 64}
         for rack in ("r1", "r2"):
             old = self.add(f"old-{rack}", StepSpec(2, LARGE, 30.0), URGENT, age=5.0)
-            self.occupy(old, [f"{rack}-0", f"{rack}-1"], 0)
+            self.occupy(old, [f"{rack}-0", f"{rack}-1"])
         gang = StepSpec(4, LARGE, 2.0, gang=True, same_rack=True)
         self.add("own", gang, URGENT, account="b")
         self.assertEqual(self.started(self.plan(NOW + 1.0), "own"), [])
