--- a/tests/batch/test_whole_path.py
+++ b/tests/batch/test_whole_path.py
@@ -14,7 +14,7 @@
     Resources,
     StepSpec,
 )
-from chivefall.model import Accepted, JobId, NotRun, NotRunReason
+from chivefall.model import Accepted, JobId, NotRun, NotRunReason, Unknown
 from chivefall.store import Unavailable
 from tests.batch.deployment import ACCOUNT, NORMAL, URGENT, Deployment
 
@@ -369,6 +369,24 @@
         self.assertIsNotNone(outcome.retry_after)
         self.assertLess(sut.clock.now() - before, 0.1)
 
+    def test_submission_of_unknown_outcome_is_answered_in_time_for_a_repeat(self) -> None:
+        # Guards against callers who wait out their whole time at one instance that the
+        # store does not answer, while the other instances serve.
+        sut = Deployment(instances=2)
+        cut, other = sut.instances
+        cut.store.faults.reply_delay = 30.0
+        before = sut.clock.now()
+        self.assertIsInstance(sut.submit("a1", step(), instance=cut), Unknown)
+        self.assertLess(sut.clock.now() - before, 1.1)  # a third of the caller's time
+        self.assertIsInstance(sut.submit("a1", step(), instance=other), Accepted)
+
+    def test_submission_outlives_a_reply_that_is_lost_at_once(self) -> None:
+        # Guards against an unknown outcome that a second look would have settled.
+        sut = Deployment()
+        sut.instances[0].store.faults.lose_replies = 1
+        sut.instances[0].store.timeout = 0.3
+        self.assertIsInstance(sut.submit("a1", step()), Accepted)
+
     def test_domain_out_of_service_gets_no_start(self) -> None:
         sut = Deployment()
         sut.write("op/evacuate/zarcero", b"{}")
