Add a randomized soak of the real programs under faults from outside

Entry instances and the stand-in of the platform run as separate processes; loopback proxies delay, cut, reset and silence their connections, signals pause, stop, kill and reload them, the stand-in shows faults of the store and of workers, and operators take domains and keys away. Callers and the histories of workers are checked meanwhile against the promises. A seed decides plan and jobs. The HTTP client takes a Host header.

--- a/chivefall/net/_http_connection.py
+++ b/chivefall/net/_http_connection.py
@@ -83,12 +83,9 @@
 def encode_request(
     address: Address, method: str, path: str, body: bytes, headers: dict[str, str]
 ) -> bytes:
-    """Return a request as bytes."""
-    lines = [
-        f"{method} {path} HTTP/1.1",
-        f"Host: {address}",
-        f"Content-Length: {len(body)}",
-    ]
+    """Return a request as bytes; a ``Host`` among the headers replaces the address."""
+    fields = {"Host": str(address), "Content-Length": str(len(body)), **headers}
+    lines = [f"{method} {path} HTTP/1.1"]
     # Values may come from a caller; a line break in one would begin another header.
-    lines.extend(f"{key}: {_LINE_BREAKS.sub(' ', value)}" for key, value in headers.items())
+    lines.extend(f"{key}: {_LINE_BREAKS.sub(' ', value)}" for key, value in fields.items())
     return "\r\n".join([*lines, "", ""]).encode() + body
--- /dev/null
+++ b/soak/_callers.py
@@ -0,0 +1,170 @@
+"""Callers that hand jobs in, ask for them and cancel some."""
+
+from __future__ import annotations
+
+import json
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
+
+from chivefall.model import JobId
+from chivefall.net import HttpFailure, HttpResponse
+from chivefall.runtime import sleep
+from soak._oracle import JobStory
+from soak._site import KEPT_KEY, REVOKED_KEY
+
+if TYPE_CHECKING:
+    import random
+
+    from chivefall.net import HttpClient
+    from chivefall.runtime import Clock
+    from soak._oracle import Oracle
+    from soak._site import Instance, Site
+
+__all__ = ["Caller", "KeyProbe", "ask_state"]
+
+CALL_SECONDS = 4.0  # time limit of a call
+MAX_ATTEMPTS = 5  # to hand a job in
+ASK_SECONDS = 0.5  # between two calls for the state of a job
+PROBE_SECONDS = 0.4  # between two calls with the key that is revoked
+MAX_RETRY_SECONDS = 2.0  # longest pause after a refusal; later returns would leave the soak idle
+PATIENCE_SECONDS = 12.0  # after which a caller goes on with its next job
+CANCEL_SHARE = 0.15  # part of the jobs that are cancelled
+URGENT_SHARE = 0.4  # part of the jobs that are urgent
+GANG_SHARE = 0.5  # part of the steps whose tasks start together
+_REFUSED = (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
+_NOT_READY = (HTTPStatus.UNAUTHORIZED, HTTPStatus.NOT_FOUND)
+
+
+async def _call(
+    http: HttpClient,
+    instance: Instance,
+    method: str,
+    path: str,
+    body: Any = None,
+    key: str = KEPT_KEY,
+) -> HttpResponse | HttpFailure:
+    headers = {"Host": "batch.example", "Authorization": f"Token {key}"}
+    content = b"" if body is None else json.dumps(body).encode()
+    return await http.request(instance.front, method, path, content, headers, CALL_SECONDS)
+
+
+async def ask_state(
+    http: HttpClient, clock: Clock, oracle: Oracle, instance: Instance, story: JobStory
+) -> None:
+    """Ask one instance for a job and note what it says."""
+    sent_at = clock.now()
+    reply = await _call(http, instance, "GET", story.path)
+    if not isinstance(reply, HttpResponse):
+        return
+    if reply.status == HTTPStatus.GONE:
+        oracle.check_missing(story, sent_at, instance.name)
+    elif reply.status == HTTPStatus.OK:
+        state = json.loads(reply.body)["state"]
+        if state == "completed" and story.completed_at is None:
+            story.completed_at = clock.now()
+        elif state == "failed" or (state == "cancelled" and not story.cancel_sent):
+            oracle.report(f"{instance.name} shows job {story.job} as {state}")
+
+
+class Caller:
+    """Hands in one job after the other and keeps its connections open."""
+
+    def __init__(
+        self, http: HttpClient, clock: Clock, site: Site, oracle: Oracle, rng: random.Random
+    ) -> None:
+        self._http = http
+        self._clock = clock
+        self._site = site
+        self._oracle = oracle
+        self._rng = rng
+
+    async def run(self, until: float) -> None:
+        """Hand jobs in until a time."""
+        while self._clock.now() < until:
+            await self._play_job()
+            await sleep(self._clock, self._rng.uniform(0.0, 0.5))
+
+    def _any_instance(self) -> Instance:
+        return self._rng.choice(self._site.instances)
+
+    def _steps(self) -> list[dict[str, Any]]:
+        first = {
+            "count": self._rng.randint(1, 5),
+            "cpu": 4000,
+            "mem_mb": 16_384,
+            "gpu": self._rng.randint(1, 4),
+            "gang": self._rng.random() < GANG_SHARE,
+            "est_runtime_ms": 1000,
+        }
+        if self._rng.random() < GANG_SHARE:
+            return [first]
+        return [first, {"count": 1, "cpu": 1000, "mem_mb": 1024, "after": [0]}]
+
+    async def _play_job(self) -> None:
+        prefix = "urgent" if self._rng.random() < URGENT_SHARE else "jobs"
+        job = JobId(f"{self._rng.getrandbits(64):016x}")
+        story = self._oracle.stories[job] = JobStory(job, f"/{prefix}/{job}")
+        begun_at = self._clock.now()
+        await self._submit(story)
+        if story.accepted_at is None:
+            return
+        cancels = self._rng.random() < CANCEL_SHARE
+        if cancels:
+            await sleep(self._clock, self._rng.uniform(0.0, 1.5))
+            await self._cancel(story)
+        while story.completed_at is None and story.cancelled_at is None:
+            if self._clock.now() > begun_at + PATIENCE_SECONDS:
+                return
+            await sleep(self._clock, ASK_SECONDS)
+            await ask_state(self._http, self._clock, self._oracle, self._any_instance(), story)
+
+    async def _submit(self, story: JobStory) -> None:
+        body = {"task_spec": "text", "steps": self._steps()}
+        may_run = False
+        for _ in range(MAX_ATTEMPTS):
+            reply = await _call(self._http, self._any_instance(), "POST", story.path, body)
+            if isinstance(reply, HttpFailure):
+                self._oracle.count("no answer")
+                may_run |= reply.sent
+                continue
+            self._oracle.count(f"submit {reply.status}")
+            if reply.status == HTTPStatus.OK:
+                story.accepted_at = self._clock.now()
+                return
+            if reply.status in _REFUSED:
+                pause = float(reply.headers.get("retry-after", "1"))
+                await sleep(self._clock, min(pause, MAX_RETRY_SECONDS))
+            elif reply.status in _NOT_READY:
+                await sleep(self._clock, ASK_SECONDS)
+            else:
+                may_run = True
+        story.refused = not may_run
+
+    async def _cancel(self, story: JobStory) -> None:
+        for _ in range(MAX_ATTEMPTS):
+            story.cancel_sent = True
+            reply = await _call(self._http, self._any_instance(), "DELETE", story.path)
+            if isinstance(reply, HttpResponse) and reply.status == HTTPStatus.OK:
+                story.cancelled_at = self._clock.now()
+                return
+            await sleep(self._clock, ASK_SECONDS)
+
+
+class KeyProbe:
+    """Uses the key that is revoked now and then on every instance."""
+
+    def __init__(self, http: HttpClient, clock: Clock, site: Site, oracle: Oracle) -> None:
+        self._http = http
+        self._clock = clock
+        self._site = site
+        self._oracle = oracle
+
+    async def run(self, until: float) -> None:
+        """Ask each instance in turn until a time."""
+        while self._clock.now() < until:
+            for instance in self._site.instances:
+                sent_at = self._clock.now()
+                reply = await _call(self._http, instance, "GET", "/jobs/", key=REVOKED_KEY)
+                if isinstance(reply, HttpResponse) and reply.status == HTTPStatus.OK:
+                    self._oracle.check_key(sent_at, instance.name)
+            await sleep(self._clock, PROBE_SECONDS)
--- /dev/null
+++ b/soak/_faults.py
@@ -0,0 +1,267 @@
+"""What is done to the deployment from outside, and the plan of a seed."""
+
+from __future__ import annotations
+
+import json
+import random
+import signal
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING
+
+from chivefall.runtime import sleep
+from soak._model import FaultKind, LinkState, PlannedFault, Seed, SoakSize
+from soak._site import DOMAINS, KEPT_KEY, REVOKED_KEY
+from standins.platform import WorkerAct
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from chivefall.model import DomainId
+    from soak._oracle import Oracle
+    from soak._proxy import LinkProxy
+    from soak._site import Instance, Site
+
+__all__ = ["FAULTS", "Fault", "make_plan", "play_fault"]
+
+SHORTEST_SECONDS, LONGEST_SECONDS = 0.3, 6.0  # below and far above the leader lease of 1.5 s
+QUIET_START_SECONDS = 3.0  # in which every instance serves once before the first fault
+SERIES_SHARE = 0.3  # part of the faults that come again right after their end
+MAX_SERIES = 3  # times that a fault comes in one series
+SERIES_PAUSE_SECONDS = 0.5
+
+FAULTS: dict[FaultKind, type[Fault]] = {}
+
+
+def _register(kind: FaultKind) -> Callable[[type[Fault]], type[Fault]]:
+    def add(cls: type[Fault]) -> type[Fault]:
+        FAULTS[kind] = cls
+        return cls
+
+    return add
+
+
+class Fault(ABC):
+    """One kind of fault on one target of a site."""
+
+    def __init__(self, site: Site, oracle: Oracle, target: int) -> None:
+        self._site = site
+        self._oracle = oracle
+        self._target = target
+
+    @property
+    def _instance(self) -> Instance:
+        return self._site.instances[self._target % len(self._site.instances)]
+
+    @property
+    def _link(self) -> LinkProxy:
+        links = self._site.links.all()
+        return links[self._target % len(links)]
+
+    @property
+    def _worker(self) -> int:
+        return self._target % self._site.worker_count
+
+    @property
+    def _domain(self) -> DomainId:
+        return DOMAINS[self._target % len(DOMAINS)]
+
+    @abstractmethod
+    async def begin(self) -> None:
+        """Inject the fault."""
+
+    async def end(self) -> None:  # noqa: B027 - some faults are over at once
+        """Mend the fault."""
+
+
+@_register(FaultKind.INSTANCE_KILLED)
+class _InstanceKilled(Fault):
+    async def begin(self) -> None:
+        self._site.kill(self._instance)
+
+    async def end(self) -> None:
+        self._site.restart(self._instance)
+
+
+@_register(FaultKind.INSTANCE_PAUSED)
+class _InstancePaused(Fault):
+    async def begin(self) -> None:
+        self._instance.send(signal.SIGSTOP)
+
+    async def end(self) -> None:
+        self._instance.send(signal.SIGCONT)
+
+
+@_register(FaultKind.INSTANCE_STOPPED)
+class _InstanceStopped(Fault):
+    async def begin(self) -> None:
+        self._site.stop(self._instance)
+
+    async def end(self) -> None:
+        process = self._instance.process
+        while process is not None and process.poll() is None and self._instance.ends_by:
+            await sleep(self._site.clock, SERIES_PAUSE_SECONDS)
+        self._site.restart(self._instance)
+
+
+@_register(FaultKind.INSTANCE_RELOADED)
+class _InstanceReloaded(Fault):
+    async def begin(self) -> None:
+        self._instance.send(signal.SIGHUP)
+
+
+@_register(FaultKind.PLATFORM_PAUSED)
+class _PlatformPaused(Fault):
+    async def begin(self) -> None:
+        self._site.pause_platform(paused=True)
+
+    async def end(self) -> None:
+        self._site.pause_platform(paused=False)
+
+
+class _LinkFault(Fault):
+    state: LinkState
+
+    async def begin(self) -> None:
+        self._site.set_link(self._link, self.state)
+
+    async def end(self) -> None:
+        self._site.set_link(self._link, LinkState.OPEN)
+
+
+@_register(FaultKind.LINK_DELAYED)
+class _LinkDelayed(_LinkFault):
+    state = LinkState.DELAYED
+
+
+@_register(FaultKind.LINK_CUT)
+class _LinkCut(_LinkFault):
+    state = LinkState.CUT
+
+
+@_register(FaultKind.LINK_CUT_ONE_WAY)
+class _LinkCutOneWay(_LinkFault):
+    @property
+    def state(self) -> LinkState:
+        return LinkState.NO_REQUESTS if self._target % 2 else LinkState.NO_REPLIES
+
+
+@_register(FaultKind.LINK_RESET)
+class _LinkReset(Fault):
+    async def begin(self) -> None:
+        self._link.reset()
+
+
+@_register(FaultKind.LINK_SILENCED)
+class _LinkSilenced(Fault):
+    async def begin(self) -> None:
+        self._link.silence()
+
+
+class _StoreFault(Fault):
+    faults: dict[str, bool | float]
+
+    async def begin(self) -> None:
+        await self._site.control("PUT", "faults", self.faults)
+
+    async def end(self) -> None:
+        await self._site.control("PUT", "faults", {})
+
+
+@_register(FaultKind.STORE_DOWN)
+class _StoreDown(_StoreFault):
+    faults = {"down": True}  # noqa: RUF012
+
+
+@_register(FaultKind.STORE_SLOW)
+class _StoreSlow(_StoreFault):
+    faults = {"delay": 0.2, "reply_delay": 0.1}  # noqa: RUF012
+
+
+@_register(FaultKind.STORE_REPLIES_LOST)
+class _StoreRepliesLost(_StoreFault):
+    faults = {"lose_replies": 3, "lose_lease_replies": 2}  # noqa: RUF012
+
+
+class _WorkerFault(Fault):
+    act: WorkerAct
+
+    async def begin(self) -> None:
+        await self._site.change_worker(self._worker, self.act)
+
+    async def end(self) -> None:
+        await self._site.change_worker(self._worker, WorkerAct.RECOVER)
+
+
+@_register(FaultKind.WORKER_RESTARTED)
+class _WorkerRestarted(_WorkerFault):
+    act = WorkerAct.RESTART
+
+
+@_register(FaultKind.WORKER_LISTED_ANEW)
+class _WorkerListedAnew(_WorkerFault):
+    act = WorkerAct.LIST_ANEW
+
+
+@_register(FaultKind.WORKER_FAILS)
+class _WorkerFails(_WorkerFault):
+    act = WorkerAct.FAIL
+
+
+@_register(FaultKind.WORKER_HANGS)
+class _WorkerHangs(_WorkerFault):
+    act = WorkerAct.HANG
+
+
+@_register(FaultKind.DOMAIN_EVACUATED)
+class _DomainEvacuated(Fault):
+    async def begin(self) -> None:
+        await self._site.control("PUT", f"key?key=op/evacuate/{self._domain}", {})
+        self._oracle.note_evacuation(self._domain)
+
+    async def end(self) -> None:
+        self._oracle.end_evacuation(self._domain)
+        await self._site.control("DELETE", f"key?key=op/evacuate/{self._domain}")
+
+
+@_register(FaultKind.KEY_REVOKED)
+class _KeyRevoked(Fault):
+    async def begin(self) -> None:
+        await self._site.write_catalog((KEPT_KEY,))
+        self._oracle.revoked_at = self._site.clock.now()
+
+    async def end(self) -> None:
+        self._oracle.revoked_at = None
+        await self._site.write_catalog((KEPT_KEY, REVOKED_KEY))
+
+
+def make_plan(seed: Seed, size: SoakSize) -> list[PlannedFault]:
+    """Return the faults of a seed; some come in series, and many overlap."""
+    rng = random.Random(f"plan {seed}")
+    plan = []
+    while len(plan) < size.faults:
+        kind = rng.choice(list(FaultKind))
+        at = rng.uniform(QUIET_START_SECONDS, size.seconds)
+        target = rng.randrange(1000)
+        times = rng.randint(2, MAX_SERIES) if rng.random() < SERIES_SHARE else 1
+        for _ in range(times):
+            seconds = rng.uniform(SHORTEST_SECONDS, LONGEST_SECONDS)
+            plan.append(PlannedFault(kind, round(at, 2), round(seconds, 2), target))
+            at += seconds + SERIES_PAUSE_SECONDS
+    return sorted(plan, key=lambda item: item.at)
+
+
+async def play_fault(planned: PlannedFault, site: Site, oracle: Oracle) -> None:
+    """Play one fault of a plan to its end."""
+    fault = FAULTS[planned.kind](site, oracle, planned.target)
+    await sleep(site.clock, planned.at)
+    log(planned, "begins")
+    await fault.begin()
+    await sleep(site.clock, planned.seconds)
+    await fault.end()
+    log(planned, "has ended")
+
+
+def log(planned: PlannedFault, what: str) -> None:
+    """Print one line about a fault."""
+    line = {"fault": planned.kind.value, "target": planned.target, "what": what, "at": planned.at}
+    print(json.dumps(line), flush=True)
--- /dev/null
+++ b/soak/_oracle.py
@@ -0,0 +1,173 @@
+"""What is promised to callers and workers, checked while the soak runs."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from chivefall.model import JobId
+from standins.run_history import late_starts, repeated_runs, spans_of
+
+if TYPE_CHECKING:
+    from chivefall.model import DomainId, WorkerId
+    from chivefall.runtime import Clock
+    from soak._model import SoakSize
+    from standins.run_history import LifeHistory, Span
+
+__all__ = ["JobStory", "Oracle", "Violation"]
+
+CANCEL_SECONDS = 3.0  # from the confirmation of a cancel to the last start; platform bound
+EVACUATION_SECONDS = 5.0  # from the operators' write to the last start; platform bound
+REVOKE_SECONDS = 5.0  # from the operators' write to the last answer to a key; platform bound
+VISIBLE_SECONDS = 3.0  # from the acceptance until every instance knows a job; platform bound
+HELD_SLACK_SECONDS = 0.5  # in which orders that were held up arrive after the fault
+LEAST_SERVED_SHARE = 0.25  # of all jobs; the platform asks for as much after a loss of power
+COMPLETED_SECONDS = 1.0  # from a shown completion to the last start; platform bound
+
+
+@dataclass(frozen=True)
+class Violation:
+    """A broken promise.
+
+    Attributes
+    ----------
+    at : float
+        Seconds since the start of the traffic.
+    """
+
+    at: float
+    text: str
+
+
+@dataclass
+class JobStory:
+    """One job as its caller saw it; times in seconds since the epoch.
+
+    Attributes
+    ----------
+    refused : bool
+        Whether every attempt to hand it in was refused, which is known after the last one.
+    """
+
+    job: JobId
+    path: str
+    accepted_at: float | None = None
+    cancelled_at: float | None = None
+    completed_at: float | None = None
+    refused: bool = False
+    cancel_sent: bool = False
+
+    @property
+    def is_owed(self) -> bool:
+        """Return whether the job has to be completed."""
+        return self.accepted_at is not None and not self.cancel_sent
+
+
+class Oracle:
+    """Collects what was promised and reports what was broken."""
+
+    def __init__(self, clock: Clock, size: SoakSize) -> None:
+        self._clock = clock
+        self._size = size
+        self.begun_at = clock.now()
+        self.stories: dict[JobId, JobStory] = {}
+        self.violations: dict[str, Violation] = {}
+        self.revoked_at: float | None = None
+        self._evacuations: list[tuple[DomainId, float, float]] = []
+        self._out: dict[DomainId, float] = {}
+        self._held: list[tuple[WorkerId | None, float, float]] = []
+        self.answers: dict[str, int] = {}
+        self.starts = 0
+
+    def report(self, text: str) -> None:
+        """Note a broken promise once."""
+        at = self._clock.now() - self.begun_at
+        self.violations.setdefault(text, Violation(round(at, 2), text))
+
+    def count(self, answer: str) -> None:
+        """Count an answer to a caller."""
+        self.answers[answer] = self.answers.get(answer, 0) + 1
+
+    def note_evacuation(self, domain: DomainId) -> None:
+        """Note that the operators' write was confirmed."""
+        self._out.setdefault(domain, self._clock.now())
+
+    def end_evacuation(self, domain: DomainId) -> None:
+        """Note that a domain is about to be taken back."""
+        since = self._out.pop(domain, None)
+        if since is not None:
+            self._evacuations.append((domain, since, self._clock.now()))
+
+    def note_held_orders(self, worker: WorkerId | None, since: float) -> None:
+        """Note that orders to a worker, or to all, were held up on their way until now.
+
+        The platform counts starts that a worker carried out late for none of the bounds.
+        """
+        self._held.append((worker, since, self._clock.now() + HELD_SLACK_SECONDS))
+
+    def _was_held(self, span: Span) -> bool:
+        return any(
+            worker in (None, span.worker) and since <= span.begin <= until
+            for worker, since, until in self._held
+        )
+
+    def check_key(self, sent_at: float, instance: str) -> None:
+        """Check an answer to the revoked key that was no refusal."""
+        if self.revoked_at is not None and sent_at > self.revoked_at + REVOKE_SECONDS:
+            self.report(f"{instance} served a key {sent_at - self.revoked_at:.1f} s after its end")
+
+    def check_missing(self, story: JobStory, sent_at: float, instance: str) -> None:
+        """Check an answer that says that a job was never accepted."""
+        if story.is_owed and sent_at > story.accepted_at + VISIBLE_SECONDS:
+            self.report(f"{instance} does not know job {story.job}, which was accepted")
+
+    def check_runs(self, lives: list[LifeHistory], domain_of: dict[str, DomainId]) -> None:
+        """Check all that workers ran so far."""
+        spans = spans_of(lives)
+        self.starts = len(spans)
+        for text in repeated_runs(spans):
+            self.report(text)
+        refused = {story.job: -math.inf for story in self.stories.values() if story.refused}
+        for text in late_starts(spans, refused):
+            self.report(f"{text}, although it was refused")
+        limits: dict[JobId, float] = {}
+        for story in self.stories.values():
+            limits[story.job] = min(
+                _after(story.cancelled_at, CANCEL_SECONDS),
+                _after(story.completed_at, COMPLETED_SECONDS),
+            )
+        timely = [span for span in spans if not self._was_held(span)]
+        for text in late_starts(timely, limits):
+            self.report(f"{text}, after it was cancelled or completed")
+        for span in timely:
+            self._check_place(span, domain_of[span.worker])
+
+    def check_rest(self, lives: list[LifeHistory]) -> None:
+        """Check that nothing of a cancelled job runs on once all faults are over."""
+        for span in spans_of(lives):
+            story = self.stories.get(span.run.job)
+            if story is not None and story.cancelled_at is not None and span.kind == "running":
+                self.report(f"{span.run} runs on although its job was cancelled")
+
+    def _check_place(self, span: Span, domain: DomainId) -> None:
+        ongoing = [(name, since, math.inf) for name, since in self._out.items()]
+        for name, since, until in (*self._evacuations, *ongoing):
+            if name == domain and since + EVACUATION_SECONDS < span.begin < until:
+                self.report(f"{span.run} started in {domain}, which is out of service")
+
+    def check_service(self) -> None:
+        """Check that the soak tested anything: a quarter of the jobs has to be served."""
+        served = sum(story.completed_at is not None for story in self.stories.values())
+        if served < LEAST_SERVED_SHARE * len(self.stories) or not served:
+            self.report(f"only {served} of {len(self.stories)} jobs were served")
+
+    def unfinished(self) -> list[JobStory]:
+        """Return the accepted jobs that nobody has seen completed."""
+        return [
+            story for story in self.stories.values() if story.is_owed and story.completed_at is None
+        ]
+
+
+def _after(at: float | None, seconds: float) -> float:
+    return math.inf if at is None else at + seconds
--- /dev/null
+++ b/soak/_site.py
@@ -0,0 +1,276 @@
+"""The processes and links of a soak, and what operators do to them."""
+
+from __future__ import annotations
+
+import json
+import signal
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from circuits import BaseComponent
+
+from chivefall.config import Address
+from chivefall.model import DomainId, InstanceId, WorkerId
+from chivefall.net import HttpResponse
+from chivefall.runtime import sleep, spawn
+from soak._model import LinkState
+from soak._proxy import LinkProxy
+from standins.deployment import HOST, free_ports
+
+if TYPE_CHECKING:
+    from chivefall.net import HttpClient
+    from chivefall.runtime import Clock
+    from soak._model import SoakSize
+    from soak._oracle import Oracle
+    from standins.platform import WorkerAct
+
+__all__ = ["DOMAINS", "KEPT_KEY", "REVOKED_KEY", "Instance", "Site"]
+
+ROOT = Path(__file__).resolve().parents[1]
+DOMAINS = (DomainId("zarcero"), DomainId("tarrazu"))
+KEPT_KEY, REVOKED_KEY = "kept-key", "revoked-key"
+TASK_SECONDS = 1.0
+CONTROL_SECONDS = 1.0  # time limit of an operator's call, which is repeated until it is confirmed
+WATCH_SECONDS = 0.2  # between two looks at the processes
+TIMING = {
+    "leader_lease": 1.5,
+    "leader_renewal": 0.4,
+    "shutdown_grace": 6,
+    "store_timeout": 1.2,
+    "worker_timeout": 1.2,
+}
+STOP_SLACK_SECONDS = 1.5  # beyond the grace period until a stopped process has to be gone
+
+
+@dataclass
+class Instance:
+    """One entry instance and its process.
+
+    Attributes
+    ----------
+    ends_by : float or None
+        Time by which a process that was told to stop has to be gone.
+    """
+
+    name: InstanceId
+    settings: Path
+    log: Path
+    front: Address
+    ready: Address
+    process: subprocess.Popen[bytes] | None = None
+    ends_by: float | None = None
+
+    def start(self) -> None:
+        """Start the process."""
+        command = [sys.executable, "-m", "chivefall", "run", "--settings", str(self.settings)]
+        self.process = _start(command, self.log)
+        self.ends_by = None
+
+    def send(self, signo: signal.Signals) -> None:
+        """Send a signal to the process if it runs."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(signo)
+
+
+@dataclass
+class Links:
+    """The proxies, by what they connect."""
+
+    stores: list[LinkProxy] = field(default_factory=list)
+    workers: list[LinkProxy] = field(default_factory=list)
+    callers: list[LinkProxy] = field(default_factory=list)
+
+    def all(self) -> list[LinkProxy]:
+        """Return all links; those to the store come first."""
+        return [*self.stores, *self.workers, *self.callers]
+
+
+class Site(BaseComponent):
+    """A platform stand-in, entry instances and proxies between all of them."""
+
+    def __init__(
+        self, size: SoakSize, directory: Path, clock: Clock, http: HttpClient, oracle: Oracle
+    ) -> None:
+        super().__init__()
+        self.clock = clock
+        self._http = http
+        self._oracle = oracle
+        self._directory = directory
+        self._version = 0
+        self.links = Links()
+        self._held_since: dict[LinkProxy | None, float] = {}
+        self.instances: list[Instance] = []
+        self.worker_count = size.workers
+        self._closed = False
+        ports = iter(free_ports(1 + size.workers + 6 * size.instances))
+        self._platform = Address(HOST, next(ports))
+        listed = []
+        for _ in range(size.workers):
+            listed.append(Address(HOST, next(ports)))
+            self._link(self.links.workers, listed[-1], self._platform)
+        self._command = [
+            *(sys.executable, "-m", "standins.platform", "--listen", str(self._platform)),
+            *("--workers", ",".join(map(str, listed)), "--domains", ",".join(DOMAINS)),
+            *("--seconds", str(TASK_SECONDS)),
+        ]
+        self.platform: subprocess.Popen[bytes] | None = None
+        for number in range(size.instances):
+            self.instances.append(self._instance(number, [next(ports) for _ in range(6)]))
+
+    def _link(self, links: list[LinkProxy], listen: Address, target: Address) -> None:
+        links.append(LinkProxy(listen, target, self.clock).register(self))
+
+    def _instance(self, number: int, ports: list[int]) -> Instance:
+        own, front, ready, metrics, peer, store = (Address(HOST, port) for port in ports)
+        domain = DOMAINS[number % len(DOMAINS)]
+        name = InstanceId(f"{domain}-{number}")
+        self._link(self.links.stores, store, self._platform)
+        self._link(self.links.callers, front, own)
+        settings = {
+            "instance": name,
+            "region": "meseta",
+            "failure_domain": domain,
+            "listen": str(own),
+            "peer_listen": str(peer),
+            "store": str(store),
+            "log_file": "stdout",
+            "timing": TIMING,
+            "batch": {"ready_listen": str(ready), "metrics_listen": str(metrics)},
+        }
+        path = self._directory / f"{name}.json"
+        path.write_text(json.dumps(settings, indent=2), encoding="utf-8")
+        return Instance(name, path, self._directory / f"{name}.log", front, ready)
+
+    async def start(self) -> None:
+        """Start all processes and wait until all instances are ready."""
+        self.platform = _start(self._command, self._directory / "platform.log")
+        for link in self.links.all():
+            link.start()
+        await self.write_catalog((KEPT_KEY, REVOKED_KEY))
+        for instance in self.instances:
+            instance.start()
+        for instance in self.instances:
+            while not await self._is_ready(instance):
+                await sleep(self.clock, WATCH_SECONDS)
+        spawn(self._watch_processes())
+
+    async def _is_ready(self, instance: Instance) -> bool:
+        reply = await self._http.request(
+            instance.ready, "GET", "/chivefall/ready", timeout=CONTROL_SECONDS
+        )
+        return isinstance(reply, HttpResponse) and reply.status == HTTPStatus.OK
+
+    async def _watch_processes(self) -> None:
+        """Report processes that end by themselves or do not end when they should."""
+        while not self._closed:
+            now = self.clock.now()
+            for instance in self.instances:
+                process = instance.process
+                if process is None:
+                    continue
+                if process.poll() is None:
+                    if instance.ends_by is not None and now > instance.ends_by:
+                        self._oracle.report(f"{instance.name} did not end after SIGTERM")
+                        instance.ends_by = None
+                elif instance.ends_by is None:
+                    code = process.returncode
+                    self._oracle.report(f"{instance.name} ended by itself with {code}")
+                    instance.start()
+            await sleep(self.clock, WATCH_SECONDS)
+
+    def kill(self, instance: Instance) -> None:
+        """End a process without warning."""
+        if instance.process is not None:
+            instance.process.kill()
+            instance.process.wait()
+            instance.process = None
+
+    def stop(self, instance: Instance) -> None:
+        """Ask a process to end in order."""
+        instance.send(signal.SIGTERM)
+        grace = TIMING["shutdown_grace"] + STOP_SLACK_SECONDS
+        instance.ends_by = self.clock.now() + grace
+
+    def restart(self, instance: Instance) -> None:
+        """Start a process again, after the end of the one before."""
+        if instance.process is not None:
+            instance.process.kill()
+            instance.process.wait()
+        instance.start()
+
+    def set_link(self, link: LinkProxy, state: LinkState) -> None:
+        """Change a link; the oracle learns when orders to a worker were held up."""
+        link.set_state(state)
+        if link in self.links.workers:
+            worker = WorkerId(f"w{self.links.workers.index(link)}")
+            self._note_hold(link, worker, held=state is not LinkState.OPEN)
+
+    def pause_platform(self, *, paused: bool) -> None:
+        """Stop the store and all workers for a while, or let them go on."""
+        self.platform.send_signal(signal.SIGSTOP if paused else signal.SIGCONT)
+        self._note_hold(None, None, held=paused)
+
+    def _note_hold(self, link: LinkProxy | None, worker: WorkerId | None, *, held: bool) -> None:
+        if held:
+            self._held_since.setdefault(link, self.clock.now())
+            return
+        since = self._held_since.pop(link, None)
+        if since is not None:
+            self._oracle.note_held_orders(worker, since)
+
+    async def control(self, method: str, path: str, body: Any = None) -> bytes:
+        """Make an operator's call, again and again until it is confirmed."""
+        content = b"" if body is None else json.dumps(body).encode()
+        while True:
+            reply = await self._http.request(
+                self._platform, method, f"/control/{path}", content, timeout=CONTROL_SECONDS
+            )
+            if isinstance(reply, HttpResponse) and reply.status == HTTPStatus.OK:
+                return reply.body
+            await sleep(self.clock, WATCH_SECONDS)
+
+    async def change_worker(self, number: int, act: WorkerAct) -> None:
+        """Change a worker."""
+        await self.control("PUT", f"worker?name=w{number}&act={act.value}")
+
+    async def write_catalog(self, keys: tuple[str, ...]) -> None:
+        """Write the queues and the given keys as operators do."""
+        self._version += 1
+        queue = {
+            "name": "r-1",
+            "host": "batch.example",
+            "prefix": "/jobs/",
+            "service": "pool",
+            "priority": 1,
+            "max_attempts": 100,  # no job runs out of attempts because of the soak's faults
+            "stretch": 1.5,
+            "target_latency_ms": 250,
+        }
+        urgent = {**queue, "name": "r-2", "prefix": "/urgent/", "priority": 0}
+        catalog = {
+            "version": self._version,
+            "routes": [queue, urgent],
+            "services": [{"name": "pool"}],
+            "tenants": [{"name": "farm", "api_keys": list(keys), "guaranteed": {"gpu": 8}}],
+        }
+        await self.control("PUT", "key?key=op/config", catalog)
+
+    def end(self) -> None:
+        """End every process that was started and close the proxies."""
+        self._closed = True
+        for link in self.links.all():
+            link.close()
+        processes = [self.platform, *(instance.process for instance in self.instances)]
+        for process in processes:
+            if process is not None:
+                process.kill()
+                process.wait()
+
+
+def _start(command: list[str], log: Path) -> subprocess.Popen[bytes]:
+    with log.open("ab") as output:
+        return subprocess.Popen(command, cwd=ROOT, stdout=output, stderr=subprocess.STDOUT)
