Add chivefall report: a page with plots from logs

Waiting times by queue, runs in progress, refusals by reason and the age of evidence, and what the logs lack. matplotlib draws; it is an extra of its own and loaded only by this command. The parser of log lines is shared with explain.

--- a/chivefall/cli/_main.py
+++ b/chivefall/cli/_main.py
@@ -8,7 +8,7 @@
 import typer
 
 from chivefall import __version__
-from chivefall.cli import _document, _domains, _explain, _jobs
+from chivefall.cli import _document, _domains, _explain, _jobs, _report
 from chivefall.config import load_settings
 from chivefall.errors import ChivefallError
 
@@ -24,6 +24,7 @@
 app.add_typer(_jobs.app, name="job")
 
 app.command(name="explain")(_explain.explain)
+app.command(name="report")(_report.report)
 
 
 @app.callback()
--- /dev/null
+++ b/chivefall/cli/_report.py
@@ -0,0 +1,141 @@
+"""The command that turns logs into a page with plots."""
+
+from __future__ import annotations
+
+import html
+import io
+import itertools
+from collections import Counter
+from collections.abc import Callable, Iterable
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import TYPE_CHECKING, Annotated
+
+import typer
+
+from chivefall.errors import ConfigError
+from chivefall.telemetry import LogSummary, Point, summarize
+
+if TYPE_CHECKING:
+    from matplotlib.axes import Axes
+
+__all__ = ["report"]
+
+PLOT_INCHES = (9.0, 2.6)  # width and height of one plot
+MAX_REASONS = 6  # refusals shown one by one; the legend holds no more
+_PAGE = """<!doctype html><meta charset="utf-8"><title>chivefall report</title>
+<style>body {{ font: 15px sans-serif; margin: 2em; max-width: 60em }}</style>
+<h1>chivefall report</h1>
+<p>{span}: {lines} events of {instances} instances, {answered} requests answered.</p>
+<h2>Missing</h2><ul>{missing}</ul>
+{plots}
+"""
+
+
+def report(
+    logs: Annotated[list[Path], typer.Argument(help="Log files, or folders with *.log files.")],
+    out: Annotated[Path, typer.Option(help="Page to write.")] = Path("report.html"),
+) -> None:
+    """Write a page about waiting, runs, refusals and the age of evidence in logs."""
+    files = [path.open(encoding="utf-8", errors="replace") for path in _find_files(logs)]
+    try:
+        summary = summarize(itertools.chain(*files))
+    finally:
+        for file in files:
+            file.close()
+    for gap in summary.missing():
+        typer.echo(f"missing: {gap}")
+    out.write_text(_render_page(summary), encoding="utf-8")
+    typer.echo(f"{out}: {summary.lines} events of {len(summary.instances)} instances")
+
+
+def _find_files(paths: Iterable[Path]) -> list[Path]:
+    found: list[Path] = []
+    for path in paths:
+        found += sorted(path.glob("*.log")) if path.is_dir() else [path]
+    for path in found:
+        if not path.is_file():
+            raise ConfigError(f"{path} is no file", "name log files or folders that hold them")
+    if not found:
+        raise ConfigError("no log file was found", "name log files or folders with *.log files")
+    return found
+
+
+def _render_page(summary: LogSummary) -> str:
+    plots = [
+        _plot("Waiting: seconds from submission to first start", summary, _draw_waits),
+        _plot("Runs in progress", summary, _draw_runs),
+        _plot("Refused requests by reason", summary, _draw_refusals),
+        _plot("Age of the desired state at each answer, seconds", summary, _draw_ages),
+    ]
+    gaps = summary.missing() or ["nothing that the events themselves tell of"]
+    return _PAGE.format(
+        span=_span(summary),
+        lines=summary.lines,
+        instances=len(summary.instances),
+        answered=summary.answered,
+        missing="".join(f"<li>{html.escape(gap)}</li>" for gap in gaps),
+        plots="\n".join(plots),
+    )
+
+
+def _span(summary: LogSummary) -> str:
+    if not summary.lines:
+        return "no time"
+    begin = datetime.fromtimestamp(summary.begin, UTC).isoformat(" ", "seconds")
+    return f"{begin} and {summary.end - summary.begin:.1f} s from then"
+
+
+def _plot(title: str, summary: LogSummary, draw: Callable[[Axes, LogSummary], None]) -> str:
+    """Return a plot as SVG below its title."""
+    try:
+        # Imported here, since only this command needs it.
+        from matplotlib.figure import Figure  # noqa: PLC0415
+    except ImportError as exc:
+        raise ConfigError(
+            "matplotlib is not installed", "install chivefall with the extra 'report'"
+        ) from exc
+    figure = Figure(figsize=PLOT_INCHES, layout="constrained")
+    axes = figure.add_subplot()
+    draw(axes, summary)
+    for at, _ in summary.leaderships:
+        axes.axvline(at - summary.begin, color="grey", linestyle=":", linewidth=0.8)
+    if summary.lines:
+        axes.set_xlim(0.0, max(1.0, summary.end - summary.begin))
+    axes.set_xlabel("seconds; dotted lines: another leader")
+    if axes.get_legend_handles_labels()[0]:
+        axes.legend(fontsize="x-small")
+    content = io.StringIO()
+    figure.savefig(content, format="svg")
+    svg = content.getvalue()
+    return f"<h2>{html.escape(title)}</h2>\n{svg[svg.index('<svg') :]}"
+
+
+def _series(points: Iterable[Point], begin: float) -> tuple[list[float], list[float]]:
+    ordered = sorted(points)
+    return [point.at - begin for point in ordered], [point.value for point in ordered]
+
+
+def _draw_waits(axes: Axes, summary: LogSummary) -> None:
+    for queue, points in sorted(summary.waits.items()):
+        axes.plot(*_series(points, summary.begin), ".", markersize=3, label=queue)
+
+
+def _draw_runs(axes: Axes, summary: LogSummary) -> None:
+    axes.step(*_series(summary.runs, summary.begin), where="post")
+
+
+def _draw_refusals(axes: Axes, summary: LogSummary) -> None:
+    counts = Counter({reason: len(times) for reason, times in summary.refusals.items()})
+    times = [
+        [at - summary.begin for at in summary.refusals[reason]]
+        for reason, _ in counts.most_common(MAX_REASONS)
+    ]
+    labels = [f"{reason} ({count})" for reason, count in counts.most_common(MAX_REASONS)]
+    if times:
+        axes.hist(times, bins=60, stacked=True, label=labels)
+
+
+def _draw_ages(axes: Axes, summary: LogSummary) -> None:
+    for instance, points in sorted(summary.evidence_ages.items()):
+        axes.plot(*_series(points, summary.begin), ".", markersize=2, label=instance)
--- a/chivefall/telemetry/_timeline.py
+++ b/chivefall/telemetry/_timeline.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-__all__ = ["Timeline", "TimelineEntry", "read_timeline"]
+__all__ = ["GAPS", "Timeline", "TimelineEntry", "parse_line", "read_timeline"]
 
 CONTEXT_SECONDS = 1.0  # before a job's first event, in which other events may explain it
 _BY_NUMBER = {event.number: event for event in LogEvent}
@@ -45,7 +45,7 @@
         LogEvent.UNHANDLED_ERROR,
     }
 )
-_GAPS = frozenset({LogEvent.LOG_DROPPED, LogEvent.LOG_SUPPRESSED})
+GAPS = frozenset({LogEvent.LOG_DROPPED, LogEvent.LOG_SUPPRESSED})
 _FIRST_ERROR = 400  # HTTP status
 _HIDDEN = frozenset({"timestamp", "message_type", "instance", "job"})
 
@@ -105,7 +105,7 @@
             "leader's log is missing",
         }
         found = [text for event, text in wanted.items() if event not in events]
-        if events & _GAPS:
+        if events & GAPS:
             found.append("lines were dropped or suppressed meanwhile")
         return found
 
@@ -119,7 +119,7 @@
     own: list[TimelineEntry] = []
     context: list[TimelineEntry] = []
     for text in lines:
-        line = _parse(text)
+        line = parse_line(text)
         if line is None:
             continue
         if job in text:
@@ -133,7 +133,8 @@
     return Timeline(job, tuple(sorted(own, key=lambda line: line.at)))
 
 
-def _parse(text: str) -> TimelineEntry | None:
+def parse_line(text: str) -> TimelineEntry | None:
+    """Return the event in a log line, or None for a line that holds none."""
     try:
         fields = msgspec.json.decode(text[text.index("{") :].strip())
         number = int(fields["message_type"].split(":")[1])
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -32,6 +32,30 @@
     return status, out.getvalue(), err.getvalue()
 
 
+class ReportTest(unittest.TestCase):
+    def test_page_with_plots(self) -> None:
+        """Guards against a report that cannot be written from a folder of logs."""
+        event = {"timestamp": 1.0, "message_type": "chivefall:7101:batch_answered"}
+        with tempfile.TemporaryDirectory() as directory:
+            folder, page = Path(directory), Path(directory) / "page.html"
+            fields = {"instance": "i<0>", "status": 503, "detail": "<later>", "catalog_age": 1.0}
+            (folder / "a.log").write_text(json.dumps({**event, **fields}), encoding="utf-8")
+            status, out, _ = run("report", directory, "--out", str(page))
+            content = page.read_text(encoding="utf-8")
+        self.assertEqual(status, 0)
+        self.assertIn("1 events of 1 instances", out)
+        self.assertIn("missing: no runs", out)
+        self.assertEqual(content.count("<svg"), 4)
+        self.assertNotIn("<later>", content)
+
+    def test_folder_without_logs(self) -> None:
+        """Guards against an empty page for a mistyped folder."""
+        with tempfile.TemporaryDirectory() as directory:
+            status, _, err = run("report", directory)
+        self.assertEqual(status, 2)
+        self.assertIn("name log files", err)
+
+
 class MainTest(unittest.TestCase):
     def test_bad_settings_name_the_key(self) -> None:
         """Guards against a traceback, or a start, with settings that are not valid."""
