--- a/chivefall/controllers/__init__.py
+++ b/chivefall/controllers/__init__.py
@@ -9,14 +9,12 @@
 if TYPE_CHECKING:
     from chivefall.controllers._base import Controller
     from chivefall.controllers._claims import ClaimController, ClaimRequest, Held, Unclaimed
-    from chivefall.controllers._document import DocumentController
-    from chivefall.controllers._drain import DrainController
-    from chivefall.controllers._endpoints import EndpointController, ServiceRequest
-    from chivefall.controllers._job_router import JobRouter
-    from chivefall.controllers._jobs import JobController
     from chivefall.controllers._leader import LeaderController, LeaderState
     from chivefall.controllers._membership import MembershipController
-    from chivefall.controllers._workers import WorkerController
+    from chivefall.controllers.document import DocumentController
+    from chivefall.controllers.endpoints import EndpointController, ServiceRequest
+    from chivefall.controllers.jobs import DrainController, JobController, JobRouter
+    from chivefall.controllers.workers import WorkerController
 
 __all__ = [
     "ClaimController",
@@ -42,17 +40,17 @@
         "ClaimController": "_claims",
         "ClaimRequest": "_claims",
         "Controller": "_base",
-        "DocumentController": "_document",
-        "DrainController": "_drain",
-        "EndpointController": "_endpoints",
+        "DocumentController": "document",
+        "DrainController": "jobs",
+        "EndpointController": "endpoints",
         "Held": "_claims",
-        "JobController": "_jobs",
-        "JobRouter": "_job_router",
+        "JobController": "jobs",
+        "JobRouter": "jobs",
         "LeaderController": "_leader",
         "LeaderState": "_leader",
         "MembershipController": "_membership",
-        "ServiceRequest": "_endpoints",
+        "ServiceRequest": "endpoints",
         "Unclaimed": "_claims",
-        "WorkerController": "_workers",
+        "WorkerController": "workers",
     },
 )
--- a/chivefall/controllers/_document_changes.py
+++ b/chivefall/controllers/document/_changes.py
@@ -40,7 +40,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from chivefall.controllers._document_history import DocumentHistory
+    from chivefall.controllers.document._history import DocumentHistory
 
 __all__ = ["DocumentChanges"]
 
--- a/chivefall/controllers/_document.py
+++ b/chivefall/controllers/document/_document.py
@@ -9,8 +9,8 @@
 from circuits import handler
 
 from chivefall.controllers._base import Controller
-from chivefall.controllers._document_changes import DocumentChanges
-from chivefall.controllers._document_history import DocumentHistory
+from chivefall.controllers.document._changes import DocumentChanges
+from chivefall.controllers.document._history import DocumentHistory
 from chivefall.document import (
     ChangeAccepted,
     ChangeNotMade,
--- a/chivefall/controllers/_endpoints.py
+++ b/chivefall/controllers/endpoints/_endpoints.py
@@ -13,7 +13,7 @@
 
 from chivefall.config import Address
 from chivefall.controllers._base import Controller
-from chivefall.controllers._endpoint_queue import Waiter, WaitQueue
+from chivefall.controllers.endpoints._queue import Waiter, WaitQueue
 from chivefall.endpoints import EndpointClient, EndpointRequest
 from chivefall.model import (
     AccountId,
@@ -46,7 +46,7 @@
     from typing import Any
 
     from chivefall.config import Settings
-    from chivefall.controllers._document import DocumentController
+    from chivefall.controllers.document._document import DocumentController
     from chivefall.runtime import Clock, TimerHandle
     from chivefall.workers import Instance
 
--- a/chivefall/controllers/_attempts.py
+++ b/chivefall/controllers/jobs/_attempts.py
@@ -6,7 +6,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Any
 
-from chivefall.controllers._job_table import workers_of
+from chivefall.controllers.jobs._table import workers_of
 from chivefall.model import JobRecord, JobState, TaskState
 
 if TYPE_CHECKING:
--- a/chivefall/controllers/_drain.py
+++ b/chivefall/controllers/jobs/_drain.py
@@ -30,12 +30,12 @@
 
 if TYPE_CHECKING:
     from chivefall.config import Settings
-    from chivefall.controllers._document import DocumentController
-    from chivefall.controllers._job_table import Job
-    from chivefall.controllers._jobs import JobController
     from chivefall.controllers._leader import LeaderController
     from chivefall.controllers._membership import MembershipController
-    from chivefall.controllers._workers import WorkerController
+    from chivefall.controllers.document._document import DocumentController
+    from chivefall.controllers.jobs._jobs import JobController
+    from chivefall.controllers.jobs._table import Job
+    from chivefall.controllers.workers._workers import WorkerController
     from chivefall.runtime import Clock
 
 __all__ = ["DrainController"]
--- a/chivefall/controllers/_gangs.py
+++ b/chivefall/controllers/jobs/_gangs.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from chivefall.controllers._job_table import Job, shares_of, workers_of
+from chivefall.controllers.jobs._table import Job, shares_of, workers_of
 from chivefall.runtime import gather, sleep
 from chivefall.workers import Accepted, CommandOutcome, Refusal, Refused, Unreachable
 
@@ -13,7 +13,7 @@
     from collections.abc import Callable, Coroutine
 
     from chivefall.config import Timing
-    from chivefall.controllers._workers import WorkerController
+    from chivefall.controllers.workers._workers import WorkerController
     from chivefall.model import WorkerId
     from chivefall.runtime import Clock
 
--- a/chivefall/controllers/_jobs.py
+++ b/chivefall/controllers/jobs/_jobs.py
@@ -10,12 +10,13 @@
 from circuits import handler
 
 from chivefall.controllers._base import Controller
-from chivefall.controllers._job_records import MAX_RECORD_BYTES, JobRecords, encode_record
-from chivefall.controllers._job_table import Job, WaitReply, workers_of
-from chivefall.controllers._lifecycle import RETRY_DELAY, JobLifecycle
-from chivefall.controllers._rounds import RoundTimer, view_of
-from chivefall.controllers._takeover import Takeover
-from chivefall.events import job_rejected
+from chivefall.controllers.jobs._lifecycle import RETRY_DELAY, JobLifecycle
+from chivefall.controllers.jobs._owner import JobOwner
+from chivefall.controllers.jobs._records import MAX_RECORD_BYTES, JobRecords, encode_record
+from chivefall.controllers.jobs._rounds import RoundTimer, view_of
+from chivefall.controllers.jobs._table import Job, WaitReply, workers_of
+from chivefall.controllers.jobs._takeover import Takeover
+from chivefall.events import job_rejected, job_started
 from chivefall.model import (
     Accepted,
     Epoch,
@@ -36,9 +37,9 @@
 
 if TYPE_CHECKING:
     from chivefall.config import Settings
-    from chivefall.controllers._document import DocumentController
     from chivefall.controllers._leader import LeaderController
-    from chivefall.controllers._workers import WorkerController
+    from chivefall.controllers.document._document import DocumentController
+    from chivefall.controllers.workers._workers import WorkerController
     from chivefall.model import Placement
     from chivefall.runtime import Clock
     from chivefall.scheduling import ClusterView, SchedulingPolicy
@@ -55,7 +56,7 @@
 CANCEL_BOUND = 10.0  # seconds until a cancellation is answered with the present state
 
 
-class JobController(Controller):
+class JobController(Controller, JobOwner):
     """Accepts, starts and finishes jobs while this instance leads."""
 
     def __init__(
@@ -207,6 +208,10 @@
         seconds = record.progress + record.finished_at - record.started_at
         self._policy.observe_finished(record.spec, max(0.0, seconds))
 
+    def announce_started(self, record: JobRecord) -> None:
+        """Tell other controllers that a job runs."""
+        self.fire(job_started(record))
+
     def drain_order(self, now: float) -> tuple[JobId, ...]:
         """Return the running jobs that can be moved, in the policy's order."""
         return self._policy.drain_order(self._view(now), now)
--- a/chivefall/controllers/_lifecycle.py
+++ b/chivefall/controllers/jobs/_lifecycle.py
@@ -5,10 +5,14 @@
 import secrets
 from typing import TYPE_CHECKING
 
-from chivefall.controllers._attempts import AttemptFate, after_release, decide_attempt, succeeded
-from chivefall.controllers._gangs import Gangs
-from chivefall.controllers._job_table import Job, final_outcome, shares_of, workers_of
-from chivefall.events import job_started
+from chivefall.controllers.jobs._attempts import (
+    AttemptFate,
+    after_release,
+    decide_attempt,
+    succeeded,
+)
+from chivefall.controllers.jobs._gangs import Gangs
+from chivefall.controllers.jobs._table import Job, final_outcome, shares_of, workers_of
 from chivefall.model import AttemptId, JobRecord, JobState, TaskState
 from chivefall.telemetry import LogEvent, log_event
 
@@ -16,8 +20,8 @@
     from collections.abc import Callable
 
     from chivefall.config import Settings
-    from chivefall.controllers._jobs import JobController
-    from chivefall.controllers._workers import WorkerController
+    from chivefall.controllers.jobs._owner import JobOwner
+    from chivefall.controllers.workers._workers import WorkerController
     from chivefall.model import Placement
     from chivefall.runtime import Clock
 
@@ -31,7 +35,7 @@
 
     def __init__(
         self,
-        jobs: JobController,
+        jobs: JobOwner,
         clock: Clock,
         cfg: Settings,
         workers: WorkerController,
@@ -108,7 +112,7 @@
         job.record = job.record.with_state(JobState.RUNNING, started_at=self._clock.now())
         self._jobs.records.save(job)
         log_event(LogEvent.JOB_STARTED, job=job.record.job_id, attempt=job.record.attempt)
-        self._jobs.fire(job_started(job.record))
+        self._jobs.announce_started(job.record)
         self.check(job)
         # A job that runs can be checkpointed, which a waiting one may need.
         self._jobs.request_round()
--- a/chivefall/controllers/_job_records.py
+++ b/chivefall/controllers/jobs/_records.py
@@ -28,7 +28,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from chivefall.controllers._job_table import Job
+    from chivefall.controllers.jobs._table import Job
     from chivefall.model import DomainId, JobId
     from chivefall.runtime import Clock
 
--- a/chivefall/controllers/_rounds.py
+++ b/chivefall/controllers/jobs/_rounds.py
@@ -13,8 +13,8 @@
     from collections.abc import Callable, Iterable
 
     from chivefall.config import Settings
-    from chivefall.controllers._job_table import Job
-    from chivefall.controllers._workers import WorkerController
+    from chivefall.controllers.jobs._table import Job
+    from chivefall.controllers.workers._workers import WorkerController
     from chivefall.model import Document
     from chivefall.runtime import Clock, TimerHandle
 
--- a/chivefall/controllers/_job_router.py
+++ b/chivefall/controllers/jobs/_router.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from chivefall.controllers._base import Controller
-from chivefall.controllers._job_table import WaitReply
+from chivefall.controllers.jobs._table import WaitReply
 from chivefall.model import (
     Accepted,
     DomainId,
@@ -27,10 +27,10 @@
 
 if TYPE_CHECKING:
     from chivefall.config import Settings
-    from chivefall.controllers._document import DocumentController
-    from chivefall.controllers._jobs import JobController
     from chivefall.controllers._leader import LeaderController
     from chivefall.controllers._membership import MembershipController
+    from chivefall.controllers.document._document import DocumentController
+    from chivefall.controllers.jobs._jobs import JobController
     from chivefall.runtime import Clock
 
 __all__ = ["JobRouter"]
--- a/chivefall/controllers/_takeover.py
+++ b/chivefall/controllers/jobs/_takeover.py
@@ -4,16 +4,16 @@
 
 from typing import TYPE_CHECKING
 
-from chivefall.controllers._job_table import Job, final_outcome
+from chivefall.controllers.jobs._table import Job, final_outcome
 from chivefall.model import JobState
 from chivefall.runtime import sleep
 from chivefall.telemetry import LogEvent, log_event
 
 if TYPE_CHECKING:
-    from chivefall.controllers._jobs import JobController
     from chivefall.controllers._leader import LeaderController
-    from chivefall.controllers._lifecycle import JobLifecycle
-    from chivefall.controllers._workers import WorkerController
+    from chivefall.controllers.jobs._lifecycle import JobLifecycle
+    from chivefall.controllers.jobs._owner import JobOwner
+    from chivefall.controllers.workers._workers import WorkerController
     from chivefall.model import Epoch, WorkerId
     from chivefall.runtime import Clock
     from chivefall.workers import TaskReport
@@ -29,7 +29,7 @@
 
     def __init__(
         self,
-        jobs: JobController,
+        jobs: JobOwner,
         clock: Clock,
         leader: LeaderController,
         workers: WorkerController,
--- a/chivefall/controllers/_workers.py
+++ b/chivefall/controllers/workers/_workers.py
@@ -9,8 +9,8 @@
 
 from chivefall.config import Address
 from chivefall.controllers._base import Controller
-from chivefall.controllers._quarantine import Quarantine
-from chivefall.controllers._worker_table import Worker, forgotten_tasks
+from chivefall.controllers.workers._quarantine import Quarantine
+from chivefall.controllers.workers._table import Worker, forgotten_tasks
 from chivefall.events import instances_listed, task_reported, worker_lost, workers_changed
 from chivefall.model import (
     AttemptId,
--- /dev/null
+++ b/tests/controllers/document/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the document's controller."""
--- a/tests/controllers/test_document.py
+++ b/tests/controllers/document/test_document.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from unittest import mock
 
-from chivefall.controllers import _document_history
+from chivefall.controllers.document import _history
 from chivefall.document import (
     ChangeAccepted,
     ChangeConflict,
@@ -272,9 +272,9 @@
 
     def test_history_is_bounded(self) -> None:
         """Guards against a history that grows for ever."""
-        limit = _document_history.MAX_RECORDS
-        self.addCleanup(setattr, _document_history, "MAX_RECORDS", limit)
-        _document_history.MAX_RECORDS = 20
+        limit = _history.MAX_RECORDS
+        self.addCleanup(setattr, _history, "MAX_RECORDS", limit)
+        _history.MAX_RECORDS = 20
         for number in range(110):
             self.add_account(FIRST, f"a{number % 2}-{number}")
         self.assertEqual(self.history()[0], "history/000000000081")
--- /dev/null
+++ b/tests/controllers/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the job controllers."""
--- a/tests/controllers/test_gangs.py
+++ b/tests/controllers/jobs/test_gangs.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 from math import inf
 
-from chivefall.controllers._attempts import (
+from chivefall.controllers.jobs._attempts import (
     AttemptFate,
     after_release,
     decide_attempt,
--- a/tests/controllers/test_jobs.py
+++ b/tests/controllers/jobs/test_jobs.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from chivefall.controllers._job_records import MAX_RECORD_BYTES, encode_record
+from chivefall.controllers.jobs._records import MAX_RECORD_BYTES, encode_record
 from chivefall.model import (
     Accepted,
     AccountId,
--- a/tests/controllers/test_workers.py
+++ b/tests/controllers/workers/test_workers.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from chivefall.controllers._quarantine import FIRST_PROBE_DELAY, Quarantine
+from chivefall.controllers.workers._quarantine import FIRST_PROBE_DELAY, Quarantine
 from chivefall.model import (
     Completed,
     DomainId,
