Avoid workers that fail part of their runs for longer

Each good run set the count of bad runs to zero, so that a grey worker was avoided for 0.5 s at a time and broke the next gang. Change: a good run makes up for one bad run; avoidance doubles up to 4 s after failures and 12 s after stalls.

--- a/chivefall/batch/_fleet.py
+++ b/chivefall/batch/_fleet.py
@@ -13,7 +13,8 @@
 __all__ = ["Fleet", "Worker"]
 
 
-MAX_BAD_RUNS = 3  # in a row, after which further ones no longer double the time
+MAX_BAD_RUNS = 4  # above which further ones no longer double the time
+MAX_AVOID_SECONDS = 12.0  # of one avoidance; grey workers recover after 5 to 10 s
 
 
 @dataclass
@@ -31,7 +32,9 @@
     avoided_until : float
         Time until which no tasks start, in seconds since the epoch.
     bad_runs : int
-        Failed, stalled or slow runs since the last one that was done in good time.
+        Failed, stalled or slow runs, less the runs done since; never below 0. A worker
+        that fails half of its runs keeps a high count, where a count of failures in a
+        row would often start again.
     leaves_at : float
         Time by which a draining worker may be gone; infinite for others.
     """
@@ -63,10 +66,15 @@
             self.used += step.room
 
     def avoid_for(self, seconds: float, now: float) -> None:
-        """Avoid the worker for a while, longer with each time in a row."""
+        """Avoid the worker for a while, longer the more of its runs were bad."""
         self.bad_runs += 1
         factor = 2 ** (min(self.bad_runs, MAX_BAD_RUNS) - 1)
-        self.avoided_until = max(self.avoided_until, now + seconds * factor)
+        until = now + min(MAX_AVOID_SECONDS, seconds * factor)
+        self.avoided_until = max(self.avoided_until, until)
+
+    def note_good_run(self) -> None:
+        """Note a run that was done; it makes up for one bad run."""
+        self.bad_runs = max(0, self.bad_runs - 1)
 
     def release(self, run: RunId) -> bool:
         """Give a run's room back; return whether it held any."""
--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -53,7 +53,7 @@
 STOP_SETTLE_SECONDS = 1.2  # a stop takes at most 0.9 s
 PROBES_PER_SECOND = 150.0  # of workers without runs; a call takes the leader 0.5 ms
 MIN_PROBE_SECONDS = 1.0  # between calls to a worker without runs
-FAILED_SECONDS = 0.5  # avoidance after a failed run, doubled with each one in a row
+FAILED_SECONDS = 0.5  # avoidance after a failed run, doubled with each bad run before it
 HELD_UP_SECONDS = 3.0  # avoidance after a stalled or slow run, doubled likewise
 AVOID_SECONDS = 2.0  # no starts on a worker that refused one for want of room or health
 UNCONFIRMED_HOLD_SECONDS = 5.0
@@ -382,10 +382,10 @@
         self._listener.fleet_changed()
 
     def _note_result(self, session: Session, kind: EndKind) -> None:
-        """Avoid a worker on which several runs in a row failed."""
+        """Avoid a worker whose runs fail."""
         worker = session.worker
         if kind is EndKind.DONE:
-            worker.bad_runs = 0
+            worker.note_good_run()
         elif kind is EndKind.FAILED:
             worker.avoid_for(FAILED_SECONDS, self.clock.now())
 
