Report a failed watch over the soak's processes; test the machine in the settings

The soak's watch ran without an error handler, so that its failure would have gone unseen. The oracle loses an argument that it did not use.

--- a/soak/_application.py
+++ b/soak/_application.py
@@ -38,7 +38,7 @@
         self.clock = LoopClock()
         self.clock.source.register(self)
         self._http = HttpClient(self.clock).register(self)
-        self.oracle = Oracle(self.clock, size)
+        self.oracle = Oracle(self.clock)
         self.site = Site(size, directory, self.clock, self._http, self.oracle).register(self)
         self._playing = True
 
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -254,14 +254,13 @@
     """Play one fault of a plan to its end."""
     fault = FAULTS[planned.kind](site, oracle, planned.target)
     await sleep(site.clock, planned.at)
-    log(planned, "begins")
+    _log(planned, "begins")
     await fault.begin()
     await sleep(site.clock, planned.seconds)
     await fault.end()
-    log(planned, "has ended")
+    _log(planned, "has ended")
 
 
-def log(planned: PlannedFault, what: str) -> None:
-    """Print one line about a fault."""
+def _log(planned: PlannedFault, what: str) -> None:
     line = {"fault": planned.kind.value, "target": planned.target, "what": what, "at": planned.at}
     print(json.dumps(line), flush=True)
--- a/soak/_oracle.py
+++ b/soak/_oracle.py
@@ -12,7 +12,6 @@
 if TYPE_CHECKING:
     from chivefall.model import DomainId, WorkerId
     from chivefall.runtime import Clock
-    from soak._model import SoakSize
     from standins.run_history import LifeHistory, Span
 
 __all__ = ["JobStory", "Oracle", "Violation"]
@@ -67,9 +66,8 @@
 class Oracle:
     """Collects what was promised and reports what was broken."""
 
-    def __init__(self, clock: Clock, size: SoakSize) -> None:
+    def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._size = size
         self.begun_at = clock.now()
         self.stories: dict[JobId, JobStory] = {}
         self.violations: dict[str, Violation] = {}
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -156,7 +156,7 @@
         for instance in self.instances:
             while not await self._is_ready(instance):
                 await sleep(self.clock, WATCH_SECONDS)
-        spawn(self._watch_processes())
+        spawn(self._watch_processes(), self._on_error)
 
     async def _is_ready(self, instance: Instance) -> bool:
         reply = await self._http.request(
@@ -164,6 +164,9 @@
         )
         return isinstance(reply, HttpResponse) and reply.status == HTTPStatus.OK
 
+    def _on_error(self, exc: BaseException) -> None:
+        self._oracle.report(f"the watch over the processes failed: {exc!r}")
+
     async def _watch_processes(self) -> None:
         """Report processes that end by themselves or do not end when they should."""
         while not self._closed:
--- a/tests/soak/test_oracle.py
+++ b/tests/soak/test_oracle.py
@@ -7,7 +7,6 @@
 from chivefall.batch import RunId, RunNumber, TaskKey
 from chivefall.model import DomainId, JobId, WorkerId
 from chivefall.runtime import ManualClock
-from soak._model import SoakSize
 from soak._oracle import JobStory, Oracle
 from standins.run_history import LifeHistory
 
@@ -28,7 +27,7 @@
 class Checks(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = ManualClock()
-        self.oracle = Oracle(self.clock, SoakSize())
+        self.oracle = Oracle(self.clock)
         self.now = self.clock.now()
         self.story = JobStory(JOB, "/jobs/a1", accepted_at=self.now)
         self.oracle.stories[JOB] = self.story
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -40,6 +40,18 @@
             self.assertIn(key, str(caught.exception))
             self.assertIn(remedy, str(caught.exception))
 
+    def test_machine_of_a_batch_instance(self) -> None:
+        """Guards against a machine without processor or link, and against one that must be told."""
+        batch = '"batch": {"ready_listen": "127.0.0.1:1", "metrics_listen": "127.0.0.1:2"%s},\n}'
+        text = GOOD.rstrip().removesuffix("}")
+        cfg = parse_settings(text + batch % "")
+        self.assertEqual(cfg.batch.cores, float("inf"))
+        for key in ("cores", "core_share", "link_mbps"):
+            with self.subTest(key), self.assertRaises(ConfigError) as caught:
+                parse_settings(text + batch % f', "{key}": 0')
+            self.assertIn(f"batch.{key}", str(caught.exception))
+            self.assertIn("give what the machine has", str(caught.exception))
+
     def test_address_round_trip(self) -> None:
         """Guards against losing the port when an address is written and read."""
         self.assertEqual(Address.parse(str(Address("127.0.0.1", 80))), Address("127.0.0.1", 80))
