--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -31,6 +31,7 @@
 CANCEL_SHARE = 0.15  # part of the jobs that are cancelled
 URGENT_SHARE = 0.4  # part of the jobs that are urgent
 GANG_SHARE = 0.5  # part of the steps whose tasks start together
+SECOND_STEP_SHARE = 0.5  # part of the jobs with a step that waits for the first
 _REFUSED = (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
 _NOT_READY = (HTTPStatus.UNAUTHORIZED, HTTPStatus.NOT_FOUND)
 
@@ -96,9 +97,9 @@
             "gang": self._rng.random() < GANG_SHARE,
             "est_runtime_ms": 1000,
         }
-        if self._rng.random() < GANG_SHARE:
-            return [first]
-        return [first, {"count": 1, "cpu": 1000, "mem_mb": 1024, "after": [0]}]
+        if self._rng.random() < SECOND_STEP_SHARE:
+            return [first, {"count": 1, "cpu": 1000, "mem_mb": 1024, "after": [0]}]
+        return [first]
 
     async def _play_job(self) -> None:
         prefix = "urgent" if self._rng.random() < URGENT_SHARE else "jobs"
@@ -108,8 +109,7 @@
         await self._submit(story)
         if story.accepted_at is None:
             return
-        cancels = self._rng.random() < CANCEL_SHARE
-        if cancels:
+        if self._rng.random() < CANCEL_SHARE:
             await sleep(self._clock, self._rng.uniform(0.0, 1.5))
             await self._cancel(story)
         while story.completed_at is None and story.cancelled_at is None:
@@ -145,7 +145,11 @@
             story.cancel_sent = True
             reply = await _call(self._http, self._any_instance(), "DELETE", story.path)
             if isinstance(reply, HttpResponse) and reply.status == HTTPStatus.OK:
-                story.cancelled_at = self._clock.now()
+                # A job that had ended before keeps its state.
+                if json.loads(reply.body)["state"] == "cancelled":
+                    story.cancelled_at = self._clock.now()
+                else:
+                    story.completed_at = self._clock.now()
                 return
             await sleep(self._clock, ASK_SECONDS)
 
