--- a/standins/platform.py
+++ b/standins/platform.py
@@ -43,6 +43,12 @@
 WORKER_ROOM = Resources(32_000, 131_072, 8)
 DEFAULT_WORKERS = 4
 UNLISTED_SECONDS = 0.3  # for which a worker that is listed anew is missing
+_KINDS = {
+    "kv-key": CallKind.READ,
+    "kv-range": CallKind.READ,
+    "kv-watch": CallKind.WATCH,
+    "kv-txn": CallKind.WRITE,
+}
 _REASONS = {
     RefusalReason.FENCED: "fence",
     RefusalReason.OUTDATED: "old",
@@ -162,7 +168,10 @@
             self._list(entry)
         elif act is WorkerAct.LIST_ANEW:
             self._state.write_all([], [f"servers/{name}"])
-            self.clock.call_later(UNLISTED_SECONDS, lambda: self._list(worker.entry))
+            # It may have started again until then.
+            self.clock.call_later(
+                UNLISTED_SECONDS, lambda: self._list(self._fleet.workers[name].entry)
+            )
         else:
             worker.fails = act is WorkerAct.FAIL
             if worker.hangs:
@@ -174,10 +183,8 @@
     async def _store_call(
         self, call: list[str], query: dict[str, str], body: dict[str, Any]
     ) -> HttpReply:
-        reading = call[0] in ("kv-key", "kv-range", "kv-watch")
-        kind = CallKind.READ if reading else CallKind.LEASE
-        if call == ["kv-txn"]:
-            kind = CallKind.WRITE
+        """Return the reply to a call as the faults of the store leave it."""
+        kind = _KINDS.get(call[0], CallKind.LEASE)
         if self._faults.delay:
             await sleep(self.clock, self._faults.delay)
         if self._faults.refuses(kind):
