--- a/soak/_site.py
+++ b/soak/_site.py
@@ -200,9 +200,7 @@
 
     def restart(self, instance: Instance) -> None:
         """Start a process again, after the end of the one before."""
-        if instance.process is not None:
-            instance.process.kill()
-            instance.process.wait()
+        self.kill(instance)
         instance.start()
 
     def set_link(self, link: LinkProxy, state: LinkState) -> None:
