Reject odd messages and records in the decoders of the product's own interface

Cause: decoders caught only msgspec's errors. Deep nesting raises RecursionError, a port of 5,000 digits ValueError, and one invalid instance in the platform's list, or an address with a port out of range in it, kept all others from being followed. An undecodable job record kept a new leader from loading any record.

Odd instances and job records are logged and left out; a list in which no entry can be decoded stays an error, so that a broken response removes no workers. Requests of the HTTP client can expire before they are sent.

--- a/chivefall/cli/_client.py
+++ b/chivefall/cli/_client.py
@@ -97,7 +97,7 @@
         return json5.loads(path.read_text(encoding="utf-8"))
     except (OSError, UnicodeDecodeError) as exc:
         raise RequestError(f"{path} cannot be read: {exc}", "check the file name") from exc
-    except ValueError as exc:
+    except (ValueError, RecursionError) as exc:
         raise RequestError(
             f"{path} is not JSON with comments: {exc}", "correct the syntax at that position"
         ) from exc
@@ -106,7 +106,7 @@
 def _decode_response(status: int, data: bytes, headers: Any) -> Response:
     try:
         body = json.loads(data) if data else None
-    except ValueError as exc:
+    except (ValueError, RecursionError) as exc:
         raise RequestError(
             f"the response with status {status} is not JSON",
             "check that --instance names an instance",
--- a/chivefall/config.py
+++ b/chivefall/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import re
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -18,6 +19,8 @@
 __all__ = ["Address", "BatchSettings", "Settings", "Timing", "load_settings", "parse_settings"]
 
 MAX_PORT = 65535
+MAX_QUOTED_LENGTH = 100  # characters of an invalid value that an error message quotes
+_PORT = re.compile(r"[0-9]{1,5}")
 
 
 @dataclass(frozen=True, order=True)
@@ -40,9 +43,10 @@
             If the text is not a valid address.
         """
         host, _, port = text.rpartition(":")
-        if not host or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+        if not host or not _PORT.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
             raise ConfigError(
-                f"{text!r} is not an address", "use the form host:port, such as 127.0.0.1:8080"
+                f"{text[:MAX_QUOTED_LENGTH]!r} is not an address",
+                "use the form host:port, such as 127.0.0.1:8080",
             )
         return cls(host, int(port))
 
@@ -167,7 +171,7 @@
     """
     try:
         raw = json5.loads(text)
-    except ValueError as exc:
+    except (ValueError, RecursionError) as exc:
         raise ConfigError(
             f"{source} is not JSON with comments: {exc}", "correct the syntax at that place"
         ) from exc
--- a/chivefall/controllers/document/_changes.py
+++ b/chivefall/controllers/document/_changes.py
@@ -237,5 +237,5 @@
     try:
         raw: Any = msgspec.json.decode(entry.value) if entry else {}
         return Revision(max(0, int(raw["revision"])))
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError):
+    except (msgspec.DecodeError, KeyError, TypeError, ValueError, RecursionError):
         return Revision(0)
--- a/chivefall/controllers/jobs/_records.py
+++ b/chivefall/controllers/jobs/_records.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from chivefall.decoding import decode_json
+from chivefall.errors import MessageError
 from chivefall.model import Accepted, JobRecord, NotRun, NotRunReason, Outcome, Unknown
 from chivefall.runtime import Future, sleep
 from chivefall.store import (
@@ -24,6 +26,7 @@
     job_key,
     jobs_prefix,
 )
+from chivefall.telemetry import LogEvent, log_event
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -131,15 +134,22 @@
         return Unknown(f"the leader's lease ended while it recorded job {job_id}")
 
     async def load(self) -> list[tuple[JobRecord, Version]] | None:
-        """Read all records of the domain, shard by shard; None if a read fails."""
+        """Read all records of the domain, shard by shard; None if a read fails.
+
+        Records that cannot be decoded are logged and left out.
+        """
         loaded = []
         for shard in range(JOB_SHARDS):
             listed = await self._store.list(jobs_prefix(self._domain, shard))
             if not isinstance(listed, Listed):
                 return None
             for entry in listed.entries:
-                record = msgspec.json.decode(entry.value, type=JobRecord)
-                loaded.append((record, entry.version))
+                try:
+                    record = decode_json(entry.value, JobRecord, "a job record", "remove the key")
+                except MessageError as exc:
+                    log_event(LogEvent.JOB_RECORD_INVALID, key=entry.key, reason=str(exc))
+                else:
+                    loaded.append((record, entry.version))
         return loaded
 
     def save(self, job: Job) -> Future[bool]:
--- a/chivefall/document/_codec.py
+++ b/chivefall/document/_codec.py
@@ -4,13 +4,12 @@
 
 import msgspec
 
-from chivefall.errors import DocumentError
+from chivefall.decoding import decode_json
+from chivefall.errors import DocumentError, MessageError
 from chivefall.model import ChangeRecord, Document
 
 __all__ = ["decode_change", "decode_document", "encode_change", "encode_document"]
 
-_decoder = msgspec.json.Decoder(Document)
-
 
 def encode_document(document: Document) -> bytes:
     """Encode the document as JSON."""
@@ -25,13 +24,11 @@
     DocumentError
         If the data is not a document in this version's format.
     """
+    remedy = "apply a valid document with 'chivefall document apply'"
     try:
-        return _decoder.decode(data)
-    except msgspec.DecodeError as exc:
-        raise DocumentError(
-            f"stored document cannot be decoded: {exc}",
-            "apply a valid document with 'chivefall document apply'",
-        ) from exc
+        return decode_json(data, Document, "stored document", remedy)
+    except MessageError as exc:
+        raise DocumentError(exc.problem, exc.remedy) from exc
 
 
 def encode_change(change: ChangeRecord) -> bytes:
@@ -47,9 +44,8 @@
     DocumentError
         If the data is not an audit record in this version's format.
     """
+    remedy = "delete the record from the history"
     try:
-        return msgspec.json.decode(data, type=ChangeRecord)
-    except msgspec.DecodeError as exc:
-        raise DocumentError(
-            f"audit record cannot be decoded: {exc}", "delete the record from the history"
-        ) from exc
+        return decode_json(data, ChangeRecord, "audit record", remedy)
+    except MessageError as exc:
+        raise DocumentError(exc.problem, exc.remedy) from exc
--- a/chivefall/endpoints/_http_client.py
+++ b/chivefall/endpoints/_http_client.py
@@ -81,6 +81,6 @@
         return None
     try:
         return msgspec.json.decode(response.body)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         content_type = response.headers.get("content-type", "application/octet-stream")
         return {"content_type": content_type, "base64": base64.b64encode(response.body).decode()}
--- a/chivefall/net/_codec.py
+++ b/chivefall/net/_codec.py
@@ -36,7 +36,7 @@
     try:
         kind = _TYPES_BY_TAG[raw["outcome"]]
         return msgspec.convert({k: v for k, v in raw.items() if k != "outcome"}, kind)
-    except (KeyError, TypeError, msgspec.ValidationError) as exc:
+    except (KeyError, TypeError, RecursionError, msgspec.ValidationError) as exc:
         raise MessageError(
             f"outcome cannot be decoded: {exc}", "run the same version on all instances"
         ) from exc
--- a/chivefall/net/_http_client.py
+++ b/chivefall/net/_http_client.py
@@ -4,6 +4,7 @@
 
 import errno
 import itertools
+import math
 import socket
 from collections import defaultdict
 from typing import TYPE_CHECKING
@@ -74,6 +75,7 @@
         verify: Callable[[HttpResponse], bool] | None = None,
         max_body_bytes: int = MAX_RESPONSE_BYTES,
         restart_timeout_on_data: bool = False,
+        expires_at: float = math.inf,
     ) -> Future[HttpResponse | HttpFailure]:
         """Send a request and return a future of its response.
 
@@ -93,6 +95,9 @@
         restart_timeout_on_data : bool
             Whether received data restarts the timeout, so that a large response can
             be received over a slow link.
+        expires_at : float
+            Time from which the request is no longer sent, in seconds since the Unix
+            epoch; it may pass while the connection is established or the process is paused.
         """
         fut: Future[HttpResponse | HttpFailure] = Future()
         try:
@@ -101,6 +106,7 @@
             fut.set_result(HttpFailure(f"cannot connect to {address}: {exc}", sent=False))
             return fut
         conn.fut, conn.verify, conn.sent = fut, verify, False
+        conn.expires_at = expires_at
         conn.framer = MessageFramer(MessageLimits(max_body_bytes=max_body_bytes), responses=True)
         data = encode_request(address, method, path, body, headers or {})
         conn.outgoing.append(memoryview(data))
@@ -157,6 +163,9 @@
         if code:
             self._fail(conn, f"cannot connect to {conn.address}: {errno.errorcode.get(code)}")
             return
+        if not conn.sent and self.clock.now() >= conn.expires_at:
+            self._fail(conn, "the request expired before it was sent")
+            return
         try:
             self._send_pending(conn)
         except BlockingIOError:
--- a/chivefall/net/_http_connection.py
+++ b/chivefall/net/_http_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 import socket
 from collections import deque
@@ -48,6 +49,7 @@
 
     __slots__ = (
         "address",
+        "expires_at",
         "framer",
         "fut",
         "outgoing",
@@ -67,6 +69,7 @@
         self.timer: TimerHandle | None = None
         self.verify: Callable[[HttpResponse], bool] | None = None
         self.sent = False
+        self.expires_at = math.inf
         self.read_timeout: float | None = None
 
     def is_alive(self) -> bool:
--- a/chivefall/net/_messages.py
+++ b/chivefall/net/_messages.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from chivefall.errors import MessageError
+from chivefall.decoding import decode_msgpack
 
 __all__ = [
     "Envelope",
@@ -120,7 +120,6 @@
 
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Envelope)
 
 
 def encode_envelope(envelope: Envelope) -> bytes:
@@ -136,9 +135,4 @@
     MessageError
         If the data is not a message of this version.
     """
-    try:
-        return _decoder.decode(data)
-    except msgspec.DecodeError as exc:
-        raise MessageError(
-            f"peer message cannot be decoded: {exc}", "run the same version on all instances"
-        ) from exc
+    return decode_msgpack(data, Envelope, "peer message", "run the same version on all instances")
--- a/chivefall/store/_claims.py
+++ b/chivefall/store/_claims.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from chivefall.decoding import decode_json
 from chivefall.errors import MessageError
 from chivefall.model import InstanceId, NotRun, NotRunReason, Outcome, Unknown
 from chivefall.net import decode_outcome, encode_outcome
@@ -142,8 +143,8 @@
 def decode_claim(value: bytes) -> ClaimRecord | None:
     """Return the decoded claim, or None if the value is not a valid claim."""
     try:
-        return msgspec.json.decode(value, type=ClaimRecord)
-    except msgspec.DecodeError:
+        return decode_json(value, ClaimRecord, "the claim", "remove the key")
+    except MessageError:
         return None
 
 
--- a/chivefall/store/_http_store.py
+++ b/chivefall/store/_http_store.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from chivefall.decoding import decode_json
+from chivefall.errors import MessageError
 from chivefall.net import HttpClient, HttpFailure, HttpResponse
 from chivefall.store._store import (
     Changed,
@@ -38,6 +40,7 @@
 
 T = TypeVar("T")
 
+MAX_VERSION_DIGITS = 18  # of a version in a header; longer numbers are not converted
 WATCH_TIMEOUT_MARGIN_SECONDS = 2.0  # added to the wait of a watch to get its timeout
 
 
@@ -173,14 +176,15 @@
     if response.status != HTTPStatus.OK:
         return None
     try:
-        return msgspec.json.decode(response.body, type=kind)
-    except msgspec.DecodeError:
+        return decode_json(response.body, kind, "the response", "check the store's address")
+    except MessageError:
         return None
 
 
 def _version(response: HttpResponse) -> Version | None:
     text = response.headers.get("x-version", "")
-    return Version(int(text)) if text.isdigit() else None
+    is_number = text.isascii() and text.isdigit() and len(text) <= MAX_VERSION_DIGITS
+    return Version(int(text)) if is_number else None
 
 
 def _unexpected(response: HttpResponse) -> Unavailable:
--- a/chivefall/telemetry/_batch_metrics.py
+++ b/chivefall/telemetry/_batch_metrics.py
@@ -53,6 +53,9 @@
         self.run_ends = self._counter(
             "run_ends_total", "Ended runs that workers reported, by kind."
         )
+        self.invalid_entries = self._counter(
+            "invalid_entries_total", "Revisions of stored keys that could not be decoded, by kind."
+        )
         self.displacements = self._counter(
             "displacements_total", "Runs stopped to continue on another worker, by reason."
         )
--- a/chivefall/telemetry/_events.py
+++ b/chivefall/telemetry/_events.py
@@ -56,6 +56,7 @@
     JOB_TRANSFERRED = (5008, "The leader of another failure domain took over a job.")
     RECORDS_LOADED = (5009, "A new leader has read the job records.")
     UNKNOWN_TASK_STOPPED = (5010, "A task without a job record was stopped.")
+    JOB_RECORD_INVALID = (5011, "A stored job record is invalid and was ignored.")
     REQUEST_ANSWERED = (6001, "A caller's request was answered.")
     ENDPOINT_LEAVING = (6002, "An endpoint announced that it is shutting down.")
     ENDPOINT_EJECTED = (6003, "An endpoint failed repeatedly and receives no requests for a while.")
@@ -82,6 +83,10 @@
     FLEET_CHANGED = (7301, "A worker's entry was added, changed or removed.")
     WORKER_SUSPECTED = (7302, "A worker does not respond and gets no new runs.")
     WORKER_ANSWERS = (7303, "A suspected worker responds again.")
+    WORKER_ENTRY_INVALID = (
+        7305,
+        "A stored entry does not describe a usable worker; logged once for each revision.",
+    )
     HISTORY_LOST = (7304, "The store no longer holds the changes to a prefix; it is listed again.")
 
     def __init__(self, number: int, meaning: str) -> None:
--- a/chivefall/telemetry/_timeline.py
+++ b/chivefall/telemetry/_timeline.py
@@ -142,5 +142,5 @@
         return TimelineEntry(
             float(fields["timestamp"]), fields.get("instance", ""), _BY_NUMBER[number], fields
         )
-    except (ValueError, KeyError, IndexError, TypeError, AttributeError):
+    except (ValueError, KeyError, IndexError, TypeError, AttributeError, RecursionError):
         return None
--- a/chivefall/workers/_http_client.py
+++ b/chivefall/workers/_http_client.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import msgspec
 
+from chivefall.config import Address
+from chivefall.decoding import decode_json
+from chivefall.errors import ConfigError, MessageError
 from chivefall.net import HttpClient, HttpFailure
+from chivefall.telemetry import LogEvent, log_event
 from chivefall.workers._client import (
     CommandAccepted,
     CommandOutcome,
@@ -22,11 +26,15 @@
 )
 
 if TYPE_CHECKING:
-    from chivefall.config import Address
     from chivefall.model import AttemptId, Epoch
 
 __all__ = ["HttpWorkerClient"]
 
+T = TypeVar("T")
+
+MAX_AMOUNT = 1_000_000  # accelerators or slots of one instance
+MAX_QUOTED_LENGTH = 100  # characters of an instance's name that a log line quotes
+
 RENEWAL_TIMEOUT_MARGIN_SECONDS = 2.0  # added to the wait of a renewal to get its timeout
 
 
@@ -58,9 +66,9 @@
                 f"the platform sent status {response.status}, not the list of instances", sent=True
             )
         try:
-            self._instances = msgspec.json.decode(response.body, type=tuple[Instance, ...])
-        except msgspec.DecodeError as exc:
-            return Unreachable(f"the list of instances cannot be decoded: {exc}", sent=True)
+            self._instances = _decode_instances(response.body)
+        except MessageError as exc:
+            return Unreachable(str(exc), sent=True)
         self._list_etag = response.headers.get("etag", "")
         return self._instances
 
@@ -80,7 +88,10 @@
             return Unreachable(response.reason, response.sent)
         if response.status >= HTTPStatus.MULTIPLE_CHOICES:
             return _refused(response.status, response.body)
-        return msgspec.json.decode(response.body, type=LeaseReport)
+        try:
+            return _decode(response.body, LeaseReport)
+        except MessageError as exc:
+            return Unreachable(str(exc), sent=True)
 
     async def reserve(
         self, address: Address, epoch: Epoch, share: TaskShare, ttl: float
@@ -122,13 +133,57 @@
             return Unreachable(response.reason, response.sent)
         if response.status >= HTTPStatus.MULTIPLE_CHOICES:
             return _refused(response.status, response.body)
-        return CommandAccepted(msgspec.json.decode(response.body, type=TaskReport))
+        try:
+            return CommandAccepted(_decode(response.body, TaskReport))
+        except MessageError as exc:
+            return Unreachable(str(exc), sent=True)
+
+
+def _decode_instances(data: bytes) -> tuple[Instance, ...]:
+    """Return the instances in the platform's list, without entries that name no instance.
+
+    Raises
+    ------
+    MessageError
+        If the data is not a list, or no entry can be decoded.
+    """
+    instances: list[Instance] = []
+    entries = _decode(data, list[msgspec.Raw])
+    for raw in entries:
+        try:
+            instances.append(_decode_instance(raw))
+        except MessageError as exc:
+            log_event(LogEvent.WORKER_ENTRY_INVALID, key="", version=0, reason=str(exc))
+    if entries and not instances:
+        raise MessageError(
+            "no entry of the list of instances can be decoded", "check the address of the platform"
+        )
+    return tuple(instances)
+
+
+def _decode_instance(data: bytes) -> Instance:
+    instance = _decode(data, Instance)
+    amounts = (instance.accelerators, instance.slots)
+    if not all(0 <= amount <= MAX_AMOUNT for amount in amounts):
+        raise MessageError(
+            f"instance {instance.instance[:MAX_QUOTED_LENGTH]!r} has an invalid capacity",
+            f"use numbers from 0 to {MAX_AMOUNT}",
+        )
+    try:
+        Address.parse(instance.address)
+    except ConfigError as exc:
+        raise MessageError(exc.problem, exc.remedy) from exc
+    return instance
+
+
+def _decode(data: bytes, kind: type[T]) -> T:
+    return decode_json(data, kind, "the response", "check which program listens at the address")
 
 
 def _refused(status: int, body: bytes) -> CommandRefused | Unreachable:
     try:
-        return msgspec.json.decode(body, type=CommandRefused)
-    except msgspec.DecodeError:
+        return _decode(body, CommandRefused)
+    except MessageError:
         return Unreachable(
             f"the worker sent status {status} without a refusal that can be decoded", sent=True
         )
--- a/tests/net/test_http_client.py
+++ b/tests/net/test_http_client.py
@@ -100,6 +100,26 @@
         self.assertEqual(old.wait_closed().count(b"body"), 1)
         self.assertEqual(self.client.open_connections(self.address), 1)
 
+    def send_after_a_pause(self) -> HttpFailure:
+        """Send a request that expires before the loop runs again."""
+        fut = self.send(expires_at=self.loop.clock.now() + 0.5)
+        self.loop.clock.advance(0.6)
+        self.loop.run_until(fut.done)
+        self.assertEqual(self.client.open_connections(self.address), 0)
+        return fut.result()
+
+    def test_expired_request_is_not_sent(self) -> None:
+        """Guards against an order that a paused process sends after its permission ran out."""
+        self.assertFalse(self.send_after_a_pause().sent)
+
+    def test_expired_request_is_not_sent_on_an_open_connection(self) -> None:
+        """Guards against the same on a connection that needs no time to be established."""
+        first = self.send()
+        peer = self.accept()
+        self.respond(first, peer)
+        self.assertFalse(self.send_after_a_pause().sent)
+        self.assertEqual(peer.wait_closed().count(b"body"), 1)
+
     def test_connection_is_not_reused_after_a_timeout(self) -> None:
         """Guards against a late response that is taken for that of the next request (G4)."""
         first = self.send(timeout=1)
--- a/tests/workers/test_http_client.py
+++ b/tests/workers/test_http_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import unittest
 from typing import Any
 
@@ -46,6 +47,30 @@
         tags = [headers.get("If-None-Match") for headers in http.headers]
         self.assertEqual(tags, [None, '"1"', '"1"', '"2"'])
 
+    def test_odd_instance_beside_others(self) -> None:
+        """Guards against following no instance any more because of one malformed entry."""
+        instances = json.loads(LIST)
+        valid = instances[0]
+        for odd in (
+            {},
+            [],
+            None,
+            {"id": -1},
+            {**valid, "accelerators": 10**40},
+            {**valid, "address": "w:99999"},
+            {**valid, "address": "w:" + "9" * 5000},
+            {**valid, "slots": -1},
+        ):
+            body = json.dumps([odd, *instances]).encode()
+            (outcome,) = self.list(FakeHttp(HttpResponse(200, body)), 1)
+            self.assertEqual(len(outcome), len(instances), odd)
+
+    def test_deeply_nested_list_is_an_error(self) -> None:
+        """Guards against an exception that ends the reading of the list for good."""
+        body = b"[" * 5000 + b"]" * 5000
+        (outcome,) = self.list(FakeHttp(HttpResponse(200, body)), 1)
+        self.assertIsInstance(outcome, Unreachable)
+
     def test_malformed_list_is_an_error(self) -> None:
         """Guards against removing all workers because a response cannot be decoded."""
         (outcome,) = self.list(FakeHttp(HttpResponse(200, b"[{}]")), 1)
