Keep following workers, jobs and the desired state beside odd entries in the store

Cause: an entry of a worker with one deeply nested field raised RecursionError out of the decoder. The mirror of the workers listed again, met it again and never loaded, so that the leader started nothing while the entry stood (operators' report). Ports 0, 99999 and of 5,000 digits, host names, addresses such as 999.1.1.1, negative and huge capacities were taken for usable workers. An undecodable progress record made each leader step down in turn, an undecodable desired state refused all submissions, an odd waiting key cost a list every 0.5 s, and a stored step count of 10**9 exhausted the leader's memory.

Change: the decoders bound all numbers, names and lists and raise only MessageError. The fleet logs each invalid revision once, with the reason, and goes on with the other workers. A lower incarnation does not end one that has runs. The last valid desired state stays in force. Jobs with an invalid record are logged and not scheduled; their state is answered as unknown. The steps of stored jobs are checked like those of submissions.

Shown by tests that fail on the code before, where the list of all workers was read again after each failure.

--- a/chivefall/batch/__init__.py
+++ b/chivefall/batch/__init__.py
@@ -46,6 +46,7 @@
     JobStatus,
     PendingJobs,
 )
+from chivefall.batch._validation import find_spec_problem
 
 __all__ = [
     "NO_CHECKPOINT",
@@ -96,5 +97,6 @@
     "encode_progress",
     "encode_submission",
     "find_displacements",
+    "find_spec_problem",
     "restore_progress",
 ]
--- a/chivefall/batch/_codec.py
+++ b/chivefall/batch/_codec.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
 from chivefall.batch._job import Assignment, BatchJob, Submission, TaskState
@@ -14,6 +16,8 @@
     RunNumber,
     TaskKey,
 )
+from chivefall.batch._validation import find_spec_problem
+from chivefall.decoding import decode_json
 from chivefall.errors import MessageError
 from chivefall.model import AccountId, JobId, WorkerId
 
@@ -25,9 +29,15 @@
     "restore_progress",
 ]
 
+REMEDY = "check which program wrote the key"
+MAX_REASON_LENGTH = 200  # characters
 _STATES = list(TaskState)
 
 
+_Count = Annotated[int, msgspec.Meta(ge=0)]
+_StateIndex = Annotated[int, msgspec.Meta(ge=0, lt=len(_STATES))]
+
+
 class _Submission(msgspec.Struct):
     job_id: str
     queue: Queue
@@ -37,16 +47,16 @@
 
 
 class _TaskRow(msgspec.Struct, array_like=True):
-    occurrence: int
-    step: int
-    index: int
-    state: int
-    runs: int
-    failures: int
+    occurrence: _Count
+    step: _Count
+    index: _Count
+    state: _StateIndex
+    runs: _Count
+    failures: _Count
     checkpoint: str
     worker: str = ""
     incarnation: int = 0
-    number: int = 0
+    number: _Count = 0
 
 
 class _Progress(msgspec.Struct):
@@ -76,6 +86,9 @@
         If the record cannot be read.
     """
     raw = _decode(value, _Submission)
+    problem = find_spec_problem(raw.spec)
+    if problem:
+        raise MessageError(f"a stored record is invalid: {problem[:MAX_REASON_LENGTH]}", REMEDY)
     return Submission(
         JobId(raw.job_id), raw.queue, AccountId(raw.account), raw.submitted_at, raw.spec
     )
@@ -143,9 +156,4 @@
 
 
 def _decode(value: bytes, kind):
-    try:
-        return msgspec.json.decode(value, type=kind)
-    except msgspec.MsgspecError as exc:
-        raise MessageError(
-            f"a stored record cannot be read: {exc}", "check which program wrote the key"
-        ) from exc
+    return decode_json(value, kind, "a stored record", REMEDY)
--- a/chivefall/batch/_platform.py
+++ b/chivefall/batch/_platform.py
@@ -44,5 +44,11 @@
         """Return the worker that a key belongs to."""
 
     @abstractmethod
-    def decode_worker(self, key: str, value: bytes) -> WorkerEntry | None:
-        """Return a worker's entry, or None if it does not describe a usable worker."""
+    def decode_worker(self, key: str, value: bytes) -> WorkerEntry:
+        """Return a worker's entry.
+
+        Raises
+        ------
+        MessageError
+            If it does not describe a usable worker.
+        """
--- a/chivefall/controllers/batch/_catalog.py
+++ b/chivefall/controllers/batch/_catalog.py
@@ -44,7 +44,8 @@
     catalog : Catalog
         Newest version read; version 0 until one has been read.
     version : Version
-        The store's version of the catalog key; ABSENT until it has been read.
+        The store's version of the catalog key; ABSENT until a valid catalog has been read.
+        If the newest version cannot be decoded, ``catalog`` is the last one that could.
     domains_out_of_service : frozenset of DomainId
         Failure domains that operators have taken out of service.
     """
@@ -60,6 +61,7 @@
         self._refresh_failed_at = float("-inf")
         self._pending_read: Future[None] | None = None
         self._listeners: list[Callable[[], None]] = []
+        self._invalid_version = ABSENT
         self.catalog = Catalog()
         self.version = ABSENT
         self.domains_out_of_service: frozenset[DomainId] = frozenset()
@@ -117,7 +119,7 @@
         try:
             catalog = self._codec.decode_catalog(entry.value)
         except MessageError as exc:
-            log_event(LogEvent.CATALOG_INVALID, version=entry.version, reason=str(exc))
+            self._record_invalid(entry, str(exc))
             return
         self.catalog, self.version = catalog, Version(entry.version)
         log_event(
@@ -129,6 +131,19 @@
         )
         self._notify()
 
+    def _record_invalid(self, entry: Entry, reason: str) -> None:
+        """Keep the last valid catalog, and its conditions for writes, in force.
+
+        Writes are conditional on the version of the key, so it moves on; otherwise all of
+        them would be refused until the operators write again.
+        """
+        if entry.version <= self._invalid_version:
+            return
+        self._invalid_version = Version(entry.version)
+        log_event(LogEvent.CATALOG_INVALID, version=entry.version, reason=reason)
+        if self.is_loaded:
+            self.version = self._invalid_version
+
     def _apply(
         self, entries: tuple[Entry, ...], deleted: tuple[str, ...], is_snapshot: bool
     ) -> None:
--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -16,6 +16,7 @@
 from chivefall.controllers._base import Controller
 from chivefall.controllers.batch._mirror import PrefixMirror
 from chivefall.controllers.batch._session import Session
+from chivefall.errors import MessageError
 from chivefall.runtime import sleep
 from chivefall.telemetry import LogEvent, log_event
 from chivefall.workers import (
@@ -34,7 +35,7 @@
     from chivefall.controllers.batch._run_listener import RunListener
     from chivefall.model import Epoch, WorkerId
     from chivefall.runtime import Clock
-    from chivefall.store import Entry, Store
+    from chivefall.store import Entry, Store, Version
     from chivefall.telemetry import BatchMetrics
     from chivefall.workers import OrderOutcome, RunClient, RunEnd
 
@@ -51,6 +52,7 @@
 RETRY_DELAY_SECONDS = 0.4  # between calls to an unresponsive worker
 START_ATTEMPTS = 3  # starts are idempotent; gang members wait 3 s for each other
 STOP_COMPLETION_SECONDS = 1.2  # a stop takes at most 0.9 s
+MAX_LOGGED_KEY_LENGTH = 200  # characters; other programs choose the keys of their entries
 MAX_PROBES_PER_SECOND = 150.0  # of idle workers; each call takes the leader 0.5 ms
 MIN_PROBE_INTERVAL_SECONDS = 1.0  # between calls to an idle worker
 FAILED_RUN_AVOID_SECONDS = 0.5  # no starts after a failed run; doubled per earlier bad run
@@ -99,6 +101,7 @@
         self._listener: RunListener | None = None
         self._sessions: dict[WorkerId, Session] = {}
         self._orphans: dict[WorkerId, list[tuple[RunId, StepSpec, Incarnation]]] = {}
+        self._invalid_entries: dict[str, Version] = {}
         self._epoch: Epoch | None = None
         self.is_loaded = False
         self.fleet = Fleet()
@@ -139,15 +142,20 @@
     ) -> None:
         if not self._is_current(epoch):
             return
-        seen = set()
+        seen, removed = set(), {self._codec.worker_id(key) for key in deleted}
         for item in entries:
-            entry = self._codec.decode_worker(item.key, item.value)
+            entry = self._decode_entry(item)
             if entry is None:
-                deleted = (*deleted, item.key)
-                continue
-            seen.add(entry.worker_id)
-            self._record_entry(entry)
-        removed = {self._codec.worker_id(key) for key in deleted}
+                removed.add(self._codec.worker_id(item.key))
+            else:
+                seen.add(entry.worker_id)
+                self._record_entry(entry)
+        keys = {item.key for item in entries} if is_snapshot else self._invalid_entries.keys()
+        self._invalid_entries = {
+            key: version
+            for key, version in self._invalid_entries.items()
+            if key in keys and key not in deleted
+        }
         if is_snapshot:
             removed |= self._sessions.keys() - seen
         for worker_id in removed:
@@ -157,8 +165,30 @@
             self._schedule_orphan_release(epoch)
         self._listener.fleet_changed()
 
+    def _decode_entry(self, item: Entry) -> WorkerEntry | None:
+        """Return a worker's entry, or None if it describes no usable worker."""
+        try:
+            entry = self._codec.decode_worker(item.key, item.value)
+        except MessageError as exc:
+            # Watches and lists repeat entries, so each revision is reported once.
+            if self._invalid_entries.get(item.key) != item.version:
+                self._invalid_entries[item.key] = item.version
+                self._metrics.invalid_entries.inc({"kind": "worker"})
+                log_event(
+                    LogEvent.WORKER_ENTRY_INVALID,
+                    key=item.key[:MAX_LOGGED_KEY_LENGTH],
+                    version=item.version,
+                    reason=str(exc),
+                )
+            return None
+        self._invalid_entries.pop(item.key, None)
+        return entry
+
     def _record_entry(self, entry: WorkerEntry) -> None:
         session = self._sessions.get(entry.worker_id)
+        if session is not None and session.is_newer_with_runs(entry):
+            # The worker's reports and the end of its leases show whether it restarted.
+            return
         if session is not None and session.worker.entry.incarnation != entry.incarnation:
             self._end_incarnation(session, "worker restarted")
             session = None
--- a/chivefall/controllers/batch/_scheduler.py
+++ b/chivefall/controllers/batch/_scheduler.py
@@ -95,6 +95,7 @@
         self._writer = ProgressWriter(clock, store, leader, self.run_task, self._record_written)
         self._checking_missed = False
         self._next_missed_check = 0.0
+        self._ignored_jobs: set[JobId] = set()
         self.jobs: dict[JobId, TrackedJob] = {}
         catalog.on_change(self.fleet_changed)
 
@@ -142,7 +143,7 @@
 
     def _close(self) -> None:
         self._epoch, self._loaded = None, False
-        self.jobs = {}
+        self.jobs, self._ignored_jobs = {}, set()
         self._writer.close()
         self._fleet.close()
 
@@ -179,12 +180,14 @@
         self._request_round()
 
     def _add(self, job_id: JobId, entry: Entry) -> None:
-        if job_id in self.jobs:
+        if job_id in self.jobs or job_id in self._ignored_jobs:
             return
         try:
             submission = decode_submission(entry.value)
+            if submission.job_id != job_id:
+                raise MessageError("the record is that of another job", "remove the key")
         except MessageError as exc:
-            log_event(LogEvent.BATCH_RECORD_INVALID, key=entry.key, reason=str(exc))
+            self._ignore_job(job_id, entry.key, str(exc))
             return
         queue = self._current_queue(submission)
         self.jobs[job_id] = TrackedJob(BatchJob(submission, queue.max_attempts))
@@ -199,6 +202,12 @@
             steps=[_describe_step(step) for step in submission.spec.steps],
         )
 
+    def _ignore_job(self, job_id: JobId, key: str, reason: str) -> None:
+        """Do not schedule a job with an invalid record while this instance leads."""
+        self._ignored_jobs.add(job_id)
+        self._metrics.invalid_entries.inc({"kind": "job"})
+        log_event(LogEvent.BATCH_RECORD_INVALID, key=key, reason=reason)
+
     def _restore(self, job_id: JobId, entry: Entry) -> None:
         tracked = self.jobs.get(job_id)
         if tracked is None:
@@ -206,7 +215,9 @@
         try:
             restore_progress(tracked.job, entry.value)
         except MessageError as exc:
-            log_event(LogEvent.BATCH_RECORD_INVALID, key=entry.key, reason=str(exc))
+            # What the job's tasks did is unknown, so none of them may start.
+            del self.jobs[job_id]
+            self._ignore_job(job_id, entry.key, str(exc))
             return
         tracked.version = Version(entry.version)
         tracked.logged_state = tracked.job.state
@@ -251,11 +262,15 @@
             return
         for entry in listed.entries:
             job_id = parse_waiting_key(entry.key)
-            if job_id in self.jobs:
+            if job_id in self.jobs or job_id in self._ignored_jobs:
                 continue
             found = await self._store.list(batch_prefix(job_id))
-            if isinstance(found, Listed):
-                self._apply(epoch, found.entries, (), False)
+            if not isinstance(found, Listed) or not self._is_current(epoch):
+                return
+            self._apply(epoch, found.entries, (), False)
+            if job_id not in self.jobs and job_id not in self._ignored_jobs:
+                # Both keys are created together, so a key without a job has another writer.
+                self._ignore_job(job_id, entry.key, "the store has no job with this id")
 
     # Scheduling rounds
 
--- a/chivefall/controllers/batch/_session.py
+++ b/chivefall/controllers/batch/_session.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from chivefall.batch import EndSequence, RunId, Worker
+from chivefall.batch import EndSequence, RunId, Worker, WorkerEntry
 from chivefall.workers import RunEnd
 
 __all__ = ["Session"]
@@ -59,6 +59,14 @@
     failures: int = 0
     _clock_reading: tuple[float, float] | None = None
 
+    def is_newer_with_runs(self, entry: WorkerEntry) -> bool:
+        """Return whether an entry has a lower incarnation than this one, which still has runs.
+
+        It is a delayed write of an earlier incarnation, or the worker restarted after its
+        clock had stepped back.
+        """
+        return bool(self.worker.runs) and entry.incarnation < self.worker.entry.incarnation
+
     def record_clock(self, clock: float, now: float) -> None:
         """Record the worker's clock, in seconds, from a response received at ``now``."""
         if self._clock_reading is None:
--- a/chivefall/controllers/batch/_submissions.py
+++ b/chivefall/controllers/batch/_submissions.py
@@ -18,6 +18,7 @@
     encode_submission,
 )
 from chivefall.controllers._base import Controller
+from chivefall.errors import MessageError
 from chivefall.model import Accepted, JobId, NotRun, NotRunReason, Unknown
 from chivefall.runtime import sleep
 from chivefall.store import (
@@ -32,6 +33,7 @@
     waiting_key,
     waiting_prefix,
 )
+from chivefall.telemetry import LogEvent, log_event
 
 if TYPE_CHECKING:
     from chivefall.controllers.batch._catalog import CatalogController
@@ -86,7 +88,9 @@
             return entries
         if BatchPart.SPEC not in entries:
             return JobNotFound()
-        state = _job_state(entries)
+        state = _job_state(req.job_id, entries)
+        if not isinstance(state, JobState):
+            return state
         if state.is_final:
             return JobStatus(state)
         key = batch_key(req.job_id, BatchPart.CANCEL)
@@ -134,7 +138,10 @@
         entries = await self._read_job(job_id)
         if not isinstance(entries, dict):
             return entries
-        return JobStatus(_job_state(entries)) if BatchPart.SPEC in entries else JobNotFound()
+        if BatchPart.SPEC not in entries:
+            return JobNotFound()
+        state = _job_state(job_id, entries)
+        return JobStatus(state) if isinstance(state, JobState) else state
 
     async def _read_job(self, job_id: JobId) -> dict[BatchPart, Entry] | BatchOutcome:
         prefix = batch_prefix(job_id)
@@ -158,9 +165,14 @@
     )
 
 
-def _job_state(entries: dict[BatchPart, Entry]) -> JobState:
+def _job_state(job_id: JobId, entries: dict[BatchPart, Entry]) -> JobState | Unknown:
+    """Return the state of a job, or Unknown if its progress record is invalid."""
     progress = entries.get(BatchPart.PROGRESS)
-    state = JobState.QUEUED if progress is None else decode_job_state(progress.value)
+    try:
+        state = JobState.QUEUED if progress is None else decode_job_state(progress.value)
+    except MessageError as exc:
+        log_event(LogEvent.BATCH_RECORD_INVALID, key=progress.key, reason=str(exc))
+        return Unknown(f"the record of job {job_id} is invalid; ask the operators to check it")
     if BatchPart.CANCEL in entries and not state.is_final:
         return JobState.CANCELLED
     return state
--- a/chivefall/platform/_codec.py
+++ b/chivefall/platform/_codec.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-import msgspec
+import re
+import socket
 
 from chivefall.batch import (
     ApiKey,
@@ -18,13 +19,18 @@
     WorkerEntry,
     WorkerStatus,
 )
-from chivefall.errors import MessageError
+from chivefall.config import Address
+from chivefall.decoding import decode_json
+from chivefall.errors import ConfigError, MessageError
 from chivefall.model import AccountId, DomainId, RackId, ServiceId, WorkerId
 from chivefall.platform._wire import Capacity, CatalogBody, WorkerBody
 
 __all__ = ["JsonPlatformCodec"]
 
 EVACUATION_PREFIX = "op/evacuate/"
+FIRST_OCTETS_OF_HOSTS = range(1, 224)  # 0 is unspecified; multicast and reserved from 224
+ENTRY_REMEDY = "ask who wrote the entry; it names no worker to use"
+_WORKER_ID = re.compile(r"[!-.0-~]{1,192}")  # printable ASCII without a slash; sent in a header
 
 
 class JsonPlatformCodec(PlatformCodec):
@@ -42,13 +48,12 @@
         MessageError
             If it cannot be decoded.
         """
-        try:
-            body = msgspec.json.decode(value, type=CatalogBody)
-        except msgspec.MsgspecError as exc:
-            raise MessageError(
-                f"the desired state cannot be decoded: {exc}",
-                "ask the operators to correct the key op/config",
-            ) from exc
+        body: CatalogBody = decode_json(
+            value,
+            CatalogBody,
+            "the desired state",
+            "ask the operators to correct the key op/config",
+        )
         return Catalog(
             body.version,
             tuple(_queue(route) for route in body.routes),
@@ -76,23 +81,28 @@
         """Return the id of the worker that a key belongs to."""
         return WorkerId(key.removeprefix(self.worker_prefix))
 
-    def decode_worker(self, key: str, value: bytes) -> WorkerEntry | None:
-        """Return a worker's entry, or None if it does not describe a usable worker.
+    def decode_worker(self, key: str, value: bytes) -> WorkerEntry:
+        """Return a worker's entry.
 
         Other programs write below the same prefix, so a value may contain anything.
+
+        Raises
+        ------
+        MessageError
+            If the entry does not describe a usable worker.
         """
+        worker_id = self.worker_id(key)
+        if not _WORKER_ID.fullmatch(worker_id):
+            raise MessageError("the key does not end with a worker id", ENTRY_REMEDY)
+        body: WorkerBody = decode_json(value, WorkerBody, "the entry", ENTRY_REMEDY)
         try:
-            body = msgspec.json.decode(value, type=WorkerBody)
             status = WorkerStatus(body.state)
-        except (msgspec.MsgspecError, ValueError, UnicodeDecodeError):
-            return None
-        host, _, port = body.addr.rpartition(":")
-        if not host or not port.isdigit():
-            return None
+        except ValueError:
+            raise MessageError(f"the state {body.state!r} is unknown", ENTRY_REMEDY) from None
         return WorkerEntry(
-            self.worker_id(key),
+            worker_id,
             ServiceId(body.service),
-            body.addr,
+            str(_worker_address(body.addr)),
             DomainId(body.zone),
             Incarnation(body.born),
             status,
@@ -103,6 +113,24 @@
         )
 
 
+def _worker_address(text: str) -> Address:
+    """Return the IPv4 address and port in an entry.
+
+    Raises
+    ------
+    MessageError
+        If a worker cannot be reached at the address.
+    """
+    try:
+        address = Address.parse(text)
+        octets = socket.inet_pton(socket.AF_INET, address.host)
+    except (ConfigError, OSError, ValueError):
+        raise MessageError(f"{text!r} is not an IPv4 address with a port", ENTRY_REMEDY) from None
+    if octets[0] not in FIRST_OCTETS_OF_HOSTS:
+        raise MessageError(f"{text!r} is not the address of a host", ENTRY_REMEDY)
+    return address
+
+
 def _resources(capacity: Capacity) -> Resources:
     return Resources(capacity.cpu, capacity.mem_mb, capacity.gpu)
 
--- a/chivefall/platform/_http_api.py
+++ b/chivefall/platform/_http_api.py
@@ -6,8 +6,6 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from chivefall.batch import (
     ApiKey,
     BatchOperation,
@@ -21,6 +19,8 @@
     Resources,
     StepSpec,
 )
+from chivefall.decoding import decode_json
+from chivefall.errors import MessageError
 from chivefall.model import Accepted, NotRun, NotRunReason, RackId
 from chivefall.net import HttpReply, HttpRequest, json_reply
 from chivefall.platform._wire import JobBody, StepBody
@@ -35,6 +35,8 @@
 __all__ = ["BatchHttpApi"]
 
 DEFAULT_DEADLINE_SECONDS = 3.0  # of a request without the header X-Deadline-Ms
+MAX_DEADLINE_SECONDS = 3600.0
+MAX_DEADLINE_DIGITS = 12  # of the header, in milliseconds; longer numbers are not converted
 AUTHORIZATION_SCHEME = "Token "
 
 _OPERATIONS = {
@@ -74,10 +76,8 @@
         now = self._clock.now()
         try:
             ctx = _decode_request(req, operation, now)
-        except msgspec.MsgspecError as exc:
-            return json_reply(
-                HTTPStatus.BAD_REQUEST, {"error": f"the job cannot be decoded: {exc}"}
-            )
+        except MessageError as exc:
+            return json_reply(HTTPStatus.BAD_REQUEST, {"error": str(exc)})
         outcome = await self._chain.run(ctx)
         reply = _encode(outcome)
         self._record_request(ctx, outcome, reply)
@@ -106,13 +106,12 @@
 
 def _decode_request(req: HttpRequest, operation: BatchOperation, now: float) -> BatchRequest:
     # Despite its name, the header holds a duration and not a point in time.
-    text = req.headers.get("x-deadline-ms", "")
-    remaining = int(text) / 1000 if text.isdigit() else DEFAULT_DEADLINE_SECONDS
+    remaining = _remaining_seconds(req.headers.get("x-deadline-ms", ""))
     authorization = req.headers.get("authorization", "")
     key = authorization.removeprefix(AUTHORIZATION_SCHEME)
     spec = None
     if operation is BatchOperation.SUBMIT:
-        spec = _spec(msgspec.json.decode(req.body, type=JobBody))
+        spec = _spec(decode_json(req.body, JobBody, "the job", "correct the body"))
     return BatchRequest(
         operation,
         req.headers.get("host", "").partition(":")[0],
@@ -124,6 +123,15 @@
     )
 
 
+def _remaining_seconds(text: str) -> float:
+    """Return the time that the caller waits, with defaults for values that are no such time."""
+    if not text.isascii() or not text.isdigit():
+        return DEFAULT_DEADLINE_SECONDS
+    if len(text) > MAX_DEADLINE_DIGITS:
+        return MAX_DEADLINE_SECONDS
+    return min(MAX_DEADLINE_SECONDS, int(text) / 1000)
+
+
 def _spec(body: JobBody) -> BatchSpec:
     return BatchSpec(
         body.task_spec,
--- a/chivefall/platform/_run_client.py
+++ b/chivefall/platform/_run_client.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import re
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import msgspec
 
@@ -18,9 +19,11 @@
     WorkerEntry,
 )
 from chivefall.config import Address
+from chivefall.decoding import decode_json
+from chivefall.errors import MessageError
 from chivefall.model import JobId
 from chivefall.net import AdaptiveTimeout, HttpClient, HttpFailure, HttpResponse
-from chivefall.platform._wire import HoldBody
+from chivefall.platform._wire import HoldBody, Milliseconds
 from chivefall.workers import (
     IncarnationMismatch,
     NoResponse,
@@ -43,6 +46,8 @@
 
 __all__ = ["HttpRunClient"]
 
+T = TypeVar("T")
+
 MIN_TIMEOUT_SECONDS = 0.4  # a start without response is repeated well before its gang stops waiting
 _REFUSAL_REASONS = {
     "fence": OrderRefusalReason.FENCED,
@@ -51,11 +56,15 @@
     "room": OrderRefusalReason.NO_ROOM,
     "ticket": OrderRefusalReason.TICKET,
 }
+REPORT_REMEDY = "check which program listens at the worker's address"
+MAX_QUOTED_LENGTH = 40  # characters of an unknown value that a log line quotes
+# Names of tasks in other forms belong to other programs.
+_TASK_NAME = re.compile(r"([0-9A-Fa-f]{1,64})\.([0-9]{1,18})\.([0-9]{1,18})\.([0-9]{1,18})")
 _UNHEALTHY_STATUSES = (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
 
 
 class _OrderResponseBody(msgspec.Struct):
-    clock_ms: float = 0
+    clock_ms: Milliseconds = 0
     reason: str = ""
 
 
@@ -129,12 +138,17 @@
                 else outcome
             )
         try:
-            return _run_report(msgspec.json.decode(response.body, type=HoldBody))
-        except (msgspec.MsgspecError, ValueError) as exc:
-            return NoResponse(f"the response cannot be decoded: {exc}")
+            return _run_report(response.body)
+        except MessageError as exc:
+            return NoResponse(str(exc))
 
     async def _call(
-        self, worker: WorkerEntry, call: str, body: dict[str, Any], timeout: float
+        self,
+        worker: WorkerEntry,
+        call: str,
+        body: dict[str, Any],
+        permission: OrderPermission,
+        timeout: float,
     ) -> HttpResponse | HttpFailure:
         self.calls += 1
         headers = {
@@ -165,9 +179,13 @@
     return f"{run.job}.{run.task.occurrence}.{run.task.step}.{run.task.index}"
 
 
-def _run_id(name: str, number: int) -> RunId:
-    job, occurrence, step, index = name.split(".")
-    return RunId(JobId(job), TaskKey(int(occurrence), int(step), int(index)), RunNumber(number))
+def _run_id(name: str, number: int) -> RunId | None:
+    """Return the run of a task name and a run number, or None for a name of another program."""
+    match = _TASK_NAME.fullmatch(name)
+    if match is None:
+        return None
+    job, *key = match.groups()
+    return RunId(JobId(job), TaskKey(*map(int, key)), RunNumber(number))
 
 
 def _order_outcome(response: HttpResponse | HttpFailure) -> OrderOutcome:
@@ -180,9 +198,9 @@
     if response.status == HTTPStatus.BAD_REQUEST:
         return OrderRefused(OrderRefusalReason.MALFORMED, response.body[:200].decode("latin-1"))
     try:
-        body = msgspec.json.decode(response.body, type=_OrderResponseBody)
-    except msgspec.MsgspecError:
-        return NoResponse(f"the response with status {response.status} cannot be decoded")
+        body: _OrderResponseBody = _decode(response.body, _OrderResponseBody)
+    except MessageError as exc:
+        return NoResponse(f"status {response.status}: {exc}")
     if response.status == HTTPStatus.OK:
         return OrderAccepted(body.clock_ms / 1000)
     if response.status == HTTPStatus.CONFLICT and body.reason in _REFUSAL_REASONS:
@@ -190,21 +208,40 @@
     return NoResponse(f"unexpected status {response.status}")
 
 
-def _run_report(body: HoldBody) -> RunReport:
+def _run_report(data: bytes) -> RunReport:
+    """Return the report in a response to ``hold``, without the runs of other programs.
+
+    Raises
+    ------
+    MessageError
+        If it cannot be decoded. A part of it is not used, because a run that is
+        missing in a report is taken for ended.
+    """
+    body: HoldBody = _decode(data, HoldBody)
     return RunReport(
         body.clock_ms / 1000,
         Incarnation(body.born),
         tuple(
-            RunStatus(_run_id(row.task, row.run_id), Checkpoint(row.checkpoint), row.percent / 100)
+            RunStatus(run, Checkpoint(row.checkpoint), min(1.0, max(0.0, row.percent / 100)))
             for row in body.running
+            if (run := _run_id(row.task, row.run_id)) is not None
         ),
         tuple(
-            RunEnd(
-                EndSequence(row.number),
-                _run_id(row.task, row.run_id),
-                EndKind(row.how),
-                Checkpoint(row.checkpoint),
-            )
+            RunEnd(EndSequence(row.number), run, _end_kind(row.how), Checkpoint(row.checkpoint))
             for row in body.finished
+            if (run := _run_id(row.task, row.run_id)) is not None
         ),
     )
+
+
+def _end_kind(text: str) -> EndKind:
+    try:
+        return EndKind(text)
+    except ValueError:
+        raise MessageError(
+            f"the kind of end {text[:MAX_QUOTED_LENGTH]!r} is unknown", REPORT_REMEDY
+        ) from None
+
+
+def _decode(data: bytes, kind: type[T]) -> T:
+    return decode_json(data, kind, "the worker's response", REPORT_REMEDY)
--- a/chivefall/platform/_store.py
+++ b/chivefall/platform/_store.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from chivefall.decoding import decode_json
+from chivefall.errors import MessageError
 from chivefall.net import AdaptiveTimeout, HttpClient, HttpFailure, HttpResponse
 from chivefall.platform._wire import Item, LeaseBody, RangeBody, WatchBody
 from chivefall.store import (
@@ -286,12 +288,15 @@
 
 
 def _decode(response: HttpResponse, kind: type[T], status: int = HTTPStatus.OK) -> T | None:
-    """Return the decoded body, or None if the status differs or the body is invalid."""
+    """Return the decoded body, or None if the status differs or the body is invalid.
+
+    The caller reports None as an unexpected response.
+    """
     if response.status != status:
         return None
     try:
-        return msgspec.json.decode(response.body, type=kind)
-    except msgspec.MsgspecError:
+        return decode_json(response.body, kind, "the response", "check the store's address")
+    except MessageError:
         return None
 
 
--- a/chivefall/platform/_wire.py
+++ b/chivefall/platform/_wire.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -14,6 +14,7 @@
     "Item",
     "JobBody",
     "LeaseBody",
+    "Milliseconds",
     "RangeBody",
     "RunningRow",
     "StepBody",
@@ -22,28 +23,40 @@
 ]
 
 
+MAX_INTEGER = 2**53 - 1  # the largest integer that all JSON implementations represent exactly
+MAX_RESOURCE = 1_000_000_000  # a million cores in millicores, or a petabyte in megabytes
+MAX_NAME_LENGTH = 200  # characters; the store limits keys to as many bytes
+MAX_LABELS = 100
+MAX_PAYLOAD_LENGTH = 4000  # characters of a task's payload
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_RESOURCE)]
+Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
+
+
 class Capacity(msgspec.Struct):
     """Capacity of a worker, or guaranteed capacity of a client account."""
 
-    cpu: int = 0  # millicores
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Amount = 0  # millicores
+    mem_mb: Amount = 0
+    gpu: Amount = 0
 
 
 class StepBody(msgspec.Struct):
     """A step of a submitted job; callers omit fields that are 0, false or empty."""
 
     count: int = 1
-    cpu: int = 0  # millicores for each task
-    mem_mb: int = 0
-    gpu: int = 0
-    est_runtime_ms: float = 0
+    cpu: Amount = 0  # millicores for each task
+    mem_mb: Amount = 0
+    gpu: Amount = 0
+    est_runtime_ms: Milliseconds = 0
     after: list[int] = []  # indices of the steps that must be done first
     gang: bool = False
     same_rack: bool = False
-    constraints: str = ""  # a single label that workers must have, despite the plural
-    affinity: str = ""  # the rack with the data; a preference, not a requirement
-    anti_affinity: int = 0  # maximum tasks of the step on one worker
+    constraints: Name = ""  # a single label that workers must have, despite the plural
+    affinity: Name = ""  # the rack with the data; a preference, not a requirement
+    anti_affinity: Count = 0  # maximum tasks of the step on one worker
     checkpointing: bool = False
     speculative: bool = False  # not used
     long_running: bool = False
@@ -56,11 +69,12 @@
 class JobBody(msgspec.Struct):
     """A submitted job."""
 
-    task_spec: str = ""  # opaque payload of the tasks, not a description of them
+    # Opaque payload of the tasks, not a description of them.
+    task_spec: Annotated[str, msgspec.Meta(max_length=MAX_PAYLOAD_LENGTH)] = ""
     steps: list[StepBody] = []
-    repeat_count: int = 0
-    first_run_ms: float = 0  # Unix time in milliseconds
-    interval_ms: float = 0
+    repeat_count: Count = 0
+    first_run_ms: Milliseconds = 0  # Unix time
+    interval_ms: Milliseconds = 0
 
 
 class _Route(msgspec.Struct):
@@ -70,10 +84,11 @@
     host: str
     prefix: str
     service: str
-    priority: int = 0  # 0 is the highest
-    max_attempts: int = 1
-    stretch: float = 1.0  # factor on a job's critical path that gives its target time
-    target_latency_ms: float = 0
+    priority: Count = 0  # 0 is the highest
+    max_attempts: Count = 1
+    # Factor on a job's critical path that gives its target time.
+    stretch: Annotated[float, msgspec.Meta(ge=0, le=MAX_INTEGER)] = 1.0
+    target_latency_ms: Milliseconds = 0
     public: bool = False  # requests need no API key
     advice: Any = None  # set if the queue needs placement advice, which is not implemented
 
@@ -96,7 +111,7 @@
 class CatalogBody(msgspec.Struct):
     """The operators' desired state: queues, services and client accounts."""
 
-    version: int
+    version: Count
     routes: list[_Route] = []
     services: list[_Service] = []
     tenants: list[_Tenant] = []
@@ -105,21 +120,23 @@
 class WorkerBody(msgspec.Struct):
     """The entry that a worker writes about itself."""
 
-    service: str
-    addr: str
-    zone: str  # the failure domain
-    state: str
+    service: Name
+    addr: Name
+    zone: Name  # the failure domain
+    state: Name
     capacity: Capacity
-    labels: list[str]  # kind and rack; the last one is the rack
-    born: int  # Unix time in milliseconds; identifies the incarnation
-    remaining_ms: float = 0  # minimum time for which a draining worker keeps running
+    # Kind and rack; the last one is the rack.
+    labels: Annotated[list[Name], msgspec.Meta(max_length=MAX_LABELS)]
+    # Unix time in milliseconds; identifies the incarnation.
+    born: Annotated[int, msgspec.Meta(ge=1, le=MAX_INTEGER)]
+    remaining_ms: Milliseconds = 0  # minimum time for which a draining worker keeps running
 
 
 class RunningRow(msgspec.Struct, array_like=True):
     """A run that has not ended; further elements of the array are ignored."""
 
     task: str
-    run_id: int  # number of the run, unique only within its task
+    run_id: Count  # number of the run, unique only within its task
     checkpoint: str
     percent: float
 
@@ -127,9 +144,9 @@
 class FinishedRow(msgspec.Struct, array_like=True):
     """The end of a run."""
 
-    number: int  # sequence number of the end
+    number: Count  # sequence number of the end
     task: str
-    run_id: int
+    run_id: Count
     how: str  # kind of the end
     checkpoint: str
 
@@ -137,10 +154,10 @@
 class HoldBody(msgspec.Struct):
     """The response to ``hold``, which renews the leases of a worker."""
 
-    clock_ms: float  # the worker's clock
+    clock_ms: Milliseconds  # the worker's clock
     running: list[RunningRow] = []
     finished: list[FinishedRow] = []
-    born: int = 0  # as in WorkerBody
+    born: Count = 0  # as in WorkerBody
 
 
 class Item(msgspec.Struct):
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -11,6 +11,7 @@
 from chivefall.runtime import sleep
 from soak._model import FaultKind, LinkState, PlannedFault, Seed, SoakSize
 from soak._testbed import DOMAINS, REVOKED_KEY, VALID_KEY
+from standins.odd_entries import ODD_ENTRIES
 from standins.platform import WorkerAction
 
 if TYPE_CHECKING:
@@ -235,12 +236,28 @@
         await self._testbed.write_catalog((VALID_KEY, REVOKED_KEY))
 
 
+@_register(FaultKind.ODD_ENTRIES)
+class _OddEntries(Fault):
+    async def begin(self) -> None:
+        values = list(ODD_ENTRIES.values())
+        for number, value in enumerate(values):
+            await self._testbed.write_key(f"servers/odd-{number}", value)
+        value = values[self._target % len(values)]
+        await self._testbed.write_key(f"servers/w{self._worker}", value)
+
+    async def end(self) -> None:
+        await self._testbed.change_worker(self._worker, WorkerAction.LIST_ANEW)
+        for number in range(len(ODD_ENTRIES)):
+            await self._testbed.control("DELETE", f"key?key=servers/odd-{number}")
+
+
 def make_plan(seed: Seed, size: SoakSize) -> list[PlannedFault]:
     """Return the planned faults of a seed; some are repeated in series, and many overlap."""
     rng = random.Random(f"plan {seed}")
     plan = []
+    kinds = [kind for kind in FaultKind if kind is not FaultKind.ODD_ENTRIES]
     while len(plan) < size.faults:
-        kind = rng.choice(list(FaultKind))
+        kind = rng.choice(kinds)
         at = rng.uniform(FAULT_FREE_START_SECONDS, size.seconds)
         target = rng.randrange(1000)
         times = rng.randint(2, MAX_SERIES_LENGTH) if rng.random() < SERIES_SHARE else 1
@@ -248,6 +265,13 @@
             seconds = rng.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
             plan.append(PlannedFault(kind, round(at, 2), round(seconds, 2), target))
             at += seconds + SERIES_PAUSE_SECONDS
+    # Drawn separately, so that the other faults of a recorded seed stay as they were.
+    rng = random.Random(f"odd entries {seed}")
+    for _ in range(size.odd_entries):
+        at = rng.uniform(FAULT_FREE_START_SECONDS, size.seconds)
+        seconds = rng.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
+        target = rng.randrange(1000)
+        plan.append(PlannedFault(FaultKind.ODD_ENTRIES, round(at, 2), round(seconds, 2), target))
     return sorted(plan, key=lambda item: item.at)
 
 
--- a/soak/_model.py
+++ b/soak/_model.py
@@ -30,7 +30,8 @@
 
     KILLED, PAUSED, STOPPED and RELOADED stand for SIGKILL, SIGSTOP, SIGTERM and SIGHUP.
     LINK_SILENCED blackholes the open connections of a link. For the faults of workers
-    see :class:`WorkerAction`.
+    see :class:`WorkerAction`. ODD_ENTRIES: another writer leaves entries among those of the
+    workers, and overwrites one of them.
     """
 
     INSTANCE_KILLED = "instance_killed"
@@ -52,6 +53,7 @@
     WORKER_HANGS = "worker_hangs"
     DOMAIN_EVACUATED = "domain_evacuated"
     KEY_REVOKED = "key_revoked"
+    ODD_ENTRIES = "odd_entries"
 
 
 @dataclass(frozen=True)
@@ -80,6 +82,8 @@
 
     Attributes
     ----------
+    odd_entries : int
+        Number of ODD_ENTRIES faults, in addition to ``faults`` of the other kinds.
     seconds : float
         Duration of the traffic; faults start during it.
     completion_timeout_seconds : float
@@ -90,5 +94,6 @@
     workers: int = 6
     callers: int = 6
     faults: int = 14
+    odd_entries: int = 2
     seconds: float = 30.0
     completion_timeout_seconds: float = 60.0
--- a/soak/_testbed.py
+++ b/soak/_testbed.py
@@ -228,7 +228,13 @@
 
     async def control(self, method: str, path: str, body: Any = None) -> bytes:
         """Call the control interface of the platform; repeat the call until it succeeds."""
-        content = b"" if body is None else json.dumps(body).encode()
+        return await self._control(method, path, b"" if body is None else json.dumps(body).encode())
+
+    async def write_key(self, key: str, value: bytes) -> None:
+        """Write a key of the store as any other program may do."""
+        await self._control("PUT", f"key?key={key}", value)
+
+    async def _control(self, method: str, path: str, content: bytes) -> bytes:
         while True:
             response = await self._http.request(
                 self._platform, method, f"/control/{path}", content, timeout=CONTROL_TIMEOUT_SECONDS
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -57,6 +57,25 @@
 }
 
 
+def worker_body(entry: WorkerEntry) -> dict[str, Any]:
+    """Return the platform's entry of a worker."""
+    capacity = entry.capacity
+    return {
+        "service": entry.service,
+        "addr": entry.address,
+        "zone": entry.domain,
+        "state": entry.status.value,
+        "capacity": {
+            "cpu": capacity.cpu,
+            "mem_mb": capacity.memory,
+            "gpu": capacity.accelerators,
+        },
+        "labels": ["a", entry.rack],
+        "born": entry.incarnation,
+        "seq": entry.incarnation,
+    }
+
+
 class WorkerAction(Enum):
     """Actions of a test on a worker.
 
@@ -117,23 +136,8 @@
             self._write_entry(entry)
 
     def _write_entry(self, entry: WorkerEntry) -> None:
-        capacity = entry.capacity
-        body = {
-            "service": entry.service,
-            "addr": entry.address,
-            "zone": entry.domain,
-            "state": entry.status.value,
-            "capacity": {
-                "cpu": capacity.cpu,
-                "mem_mb": capacity.memory,
-                "gpu": capacity.accelerators,
-            },
-            "labels": ["a", entry.rack],
-            "born": entry.incarnation,
-            "seq": entry.incarnation,
-        }
         key = f"servers/{entry.worker_id}"
-        self._state.write_all([(key, msgspec.json.encode(body), None)], [])
+        self._state.write_all([(key, msgspec.json.encode(worker_body(entry)), None)], [])
 
     async def handle(self, req: HttpRequest) -> HttpReply:
         """Return the reply to a request."""
--- a/tests/batch/deployment.py
+++ b/tests/batch/deployment.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import msgspec
-
 from chivefall.batch import (
     ApiKey,
     BatchOperation,
@@ -25,6 +23,7 @@
 )
 from chivefall.batch_application import BatchApplication, BatchConnections
 from chivefall.config import BatchSettings, Settings, Timing
+from chivefall.decoding import decode_json
 from chivefall.errors import MessageError
 from chivefall.model import AccountId, DomainId, InstanceId, JobId, ServiceId, WorkerId
 from chivefall.runtime import ManualClock, spawn
@@ -64,9 +63,8 @@
     def worker_id(self, key: str) -> WorkerId:
         return WorkerId(key.removeprefix(WORKER_PREFIX))
 
-    def decode_worker(self, key: str, value: bytes) -> WorkerEntry | None:
-        del key
-        return msgspec.json.decode(value, type=WorkerEntry)
+    def decode_worker(self, key: str, value: bytes) -> WorkerEntry:
+        return decode_json(value, WorkerEntry, key, "write it with Deployment.list_worker")
 
 
 class Instance:
@@ -111,7 +109,7 @@
     ) -> None:
         self.clock = ManualClock()
         self.state = KeyValueState(self.clock)
-        self.codec = StubPlatformCodec()
+        self.codec = self.make_codec()
         self.workers = RunWorkers(self.clock)
         self.workers.resources_of = self._resources_of
         self.specs: dict[JobId, BatchSpec] = {}
@@ -123,6 +121,10 @@
             self.add_instance(f"i{number}")
         self.run(2.5)
 
+    def make_codec(self) -> PlatformCodec:
+        """Return the codec of all instances."""
+        return StubPlatformCodec()
+
     def add_instance(self, name: str, cores: float = 1.0) -> Instance:
         self.instances.append(Instance(self, name, cores))
         return self.instances[-1]
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -5,7 +5,6 @@
 import json
 import unittest
 
-import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -15,7 +14,6 @@
 from chivefall.net import HttpRequest
 from chivefall.platform import BatchHttpApi, JsonPlatformCodec
 from chivefall.platform._run_client import _order_outcome, _run_report
-from chivefall.platform._wire import HoldBody
 from chivefall.runtime import ManualClock
 from chivefall.telemetry import BatchMetrics
 from chivefall.workers import NoResponse, OrderRefusalReason, OrderRefused
@@ -55,20 +53,28 @@
     def test_entry_without_start_time_is_ignored(self) -> None:
         """Guards against taking an entry of another program for a new incarnation."""
         body = {key: value for key, value in WORKER.items() if key != "born"}
-        self.assertIsNone(self.codec.decode_worker("servers/i-1", json.dumps(body).encode()))
+        with self.assertRaises(MessageError):
+            self.codec.decode_worker("servers/i-1", json.dumps(body).encode())
 
     @settings(derandomize=True, max_examples=300, deadline=None)
     @given(st.sampled_from(sorted(WORKER)), JSON)
     def test_mutated_worker_entry(self, key: str, value: object) -> None:
         """Guards against an exception that stops updates of the local copy of the workers."""
-        entry = self.codec.decode_worker("servers/i", json.dumps({**WORKER, key: value}).encode())
-        self.assertTrue(entry is None or isinstance(entry, WorkerEntry))
+        try:
+            entry = self.codec.decode_worker(
+                "servers/i", json.dumps({**WORKER, key: value}).encode()
+            )
+        except MessageError as exc:
+            self.assertTrue(exc.remedy)
+            return
+        self.assertIsInstance(entry, WorkerEntry)
 
     @settings(derandomize=True, max_examples=200, deadline=None)
     @given(st.binary(max_size=60))
     def test_arbitrary_bytes(self, value: bytes) -> None:
         """Guards against an unexpected exception for bytes that are no valid message."""
-        self.assertIsNone(self.codec.decode_worker("servers/i", value))
+        with self.assertRaises(MessageError):
+            self.codec.decode_worker("servers/i", value)
         try:
             self.assertIsInstance(self.codec.decode_catalog(value), Catalog)
         except MessageError as exc:
@@ -80,15 +86,15 @@
         """Guards against exceptions of types that the client does not handle."""
         body = json.dumps({"clock_ms": 1, "running": rows, "finished": rows}).encode()
         try:
-            _run_report(msgspec.json.decode(body, type=HoldBody))
-        except (msgspec.MsgspecError, ValueError):
+            _run_report(body)
+        except MessageError:
             return
 
     def test_rows_of_a_report(self) -> None:
         """Guards against a wrong order of array elements, which have no names on the wire."""
         running = [["0a.0.1.17", 2, "c1", 41, 3]]
         body = {"clock_ms": 1500, "running": running, "finished": [[58, "0a.0.1.9", 1, "done", ""]]}
-        report = _run_report(msgspec.json.decode(json.dumps(body).encode(), type=HoldBody))
+        report = _run_report(json.dumps(body).encode())
         self.assertEqual((report.clock, report.running[0].progress), (1.5, 0.41))
         self.assertEqual(report.running[0].run.task, (0, 1, 17))
         self.assertEqual((report.ends[0].sequence, report.ends[0].kind.value), (58, "done"))
@@ -156,6 +162,38 @@
         step = ctx.spec.steps[0]
         self.assertEqual((step.count, step.data_rack, step.gang), (2, "r1", True))
 
+    def test_odd_deadlines(self) -> None:
+        """Guards against an exception, or an endless wait, for odd values of a header."""
+        for text in ("²", "٣", "9" * 5000, "9" * 400, "-1", "1e9", "", " ", "nan"):
+            with self.subTest(text[:10]):
+                headers = {"x-deadline-ms": text}
+                reply = self.serve(Accepted(JobId("00ff")), "GET", **headers)
+                self.assertEqual(reply.status, 200)
+                remaining = self.chain.ctx.deadline - self.chain.ctx.received_at
+                self.assertLessEqual(remaining, 3600.0)
+                self.assertGreater(remaining, 0.0)
+
+    def test_odd_jobs_are_refused(self) -> None:
+        """Guards against numbers that fail in arithmetic or cannot be stored, and deep nesting."""
+        for body in (
+            b"[" * 5000 + b"]" * 5000,
+            b'{"steps": [{"count": 1, "unknown": ' + b"[" * 5000 + b"]" * 5000 + b"}]}",
+            b'{"steps": [{"cpu": -1}]}',
+            b'{"steps": [{"gpu": ' + b"9" * 30 + b"}]}",
+            b'{"steps": [{"est_runtime_ms": -5}]}',
+            b'{"steps": [{"est_runtime_ms": 1e300}]}',
+            b'{"steps": [{"anti_affinity": -5}]}',
+            b'{"repeat_count": -1}',
+            b'{"first_run_ms": 1e999}',
+            b'{"interval_ms": -1}',
+            b'{"task_spec": "' + b"x" * 5000 + b'"}',
+            b"\xff",
+        ):
+            with self.subTest(body[:30]):
+                reply = self.serve(Accepted(JobId("00ff")), "POST", body)
+                self.assertEqual(reply.status, 400)
+                self.assertLess(len(reply.body), 500)
+
     def test_status_codes(self) -> None:
         """Guards against mixing up the status codes of refusals and of unknown outcomes."""
         refused = self.serve(NotRun(NotRunReason.STORE_UNAVAILABLE, "x", 0.4), "POST")
