Send orders to workers only under the leadership that decided them

Cause: a start was repeated up to three times under the epoch at the time of each attempt, without a look at the lease. After leadership was lost it went out without an epoch, which workers take as 0; after it was regained, with the epoch of a later leadership; and a leader whose lease had lapsed, or that was paused between the record of an assignment and the start, sent it too. Stops had the same fault.

Change: each order carries an OrderPermission, the epoch under which it was decided and the end of the leader's lease. It is checked before each attempt, and again by the HTTP client before the first byte is sent, because establishing a connection or a pause takes time. A start that was not sent is released; after the end of the leadership nothing is sent or released, and the next leader adopts the run. Stops wait for a valid lease.

--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -23,6 +23,7 @@
     IncarnationMismatch,
     NoResponse,
     OrderAccepted,
+    OrderPermission,
     OrderRefusalReason,
     OrderRefused,
     RunOrder,
@@ -132,6 +133,12 @@
         self.is_loaded = False
         self.fleet = Fleet()
 
+    def _permission(self, epoch: Epoch, now: float) -> OrderPermission | None:
+        """Return the permission to send orders decided under ``epoch``, or None if it ran out."""
+        if not self._is_current(epoch) or not self._leader.lease_is_valid(now):
+            return None
+        return OrderPermission(epoch, self._leader.valid_until)
+
     def _is_current(self, epoch: Epoch) -> bool:
         return self._epoch == epoch and not self.is_stopped
 
@@ -351,7 +358,7 @@
             sent_at, acknowledged = self.clock.now(), session.acknowledged
             outcome = await self._client.renew_leases(
                 session.worker.entry,
-                epoch,
+                OrderPermission(epoch, self._lease_extensions_end()),
                 session.extend_leases(RUN_LEASE_SECONDS, sent_at),
                 acknowledged,
                 wait,
@@ -369,7 +376,10 @@
 
     def _may_extend_leases(self, now: float) -> bool:
         """Return whether run leases may be extended even if another leader may exist."""
-        return now < self._leader.valid_until + LEASE_EXTENSION_GRACE_SECONDS
+        return now < self._lease_extensions_end()
+
+    def _lease_extensions_end(self) -> float:
+        return self._leader.valid_until + LEASE_EXTENSION_GRACE_SECONDS
 
     async def _wait_for_end_writes(self, session: Session) -> None:
         """Wait briefly for ends to be written, so that the next poll acknowledges them."""
@@ -401,8 +411,11 @@
 
     def _record_running(self, session: Session, run: RunId) -> None:
         if not self._listener.is_current_run(run):
+            permission = self._permission(self._epoch, self.clock.now())
+            if permission is None:
+                return  # The next report shows the run again.
             log_event(LogEvent.UNKNOWN_RUN_STOPPED, run=str(run), worker=session.worker.worker_id)
-            self.run_task(self._client.stop(session.worker.entry, run, self._epoch))
+            self.run_task(self._client.stop(session.worker.entry, run, permission))
             return
         if run not in session.expected_since:
             session.expected_since[run] = self.clock.now()
@@ -501,26 +514,30 @@
             worker.release(run)
 
     async def start_run(
-        self, worker_id: WorkerId, run: RunId, payload: str, checkpoint: Checkpoint
+        self, worker_id: WorkerId, run: RunId, payload: str, checkpoint: Checkpoint, epoch: Epoch
     ) -> bool:
-        """Start a recorded run and return whether it is known to be running.
+        """Start a run recorded under ``epoch`` and return whether it is known to be running.
 
-        Otherwise the run is released, either at once or after a confirmed stop.
+        Otherwise the run is released, either at once or after a confirmed stop. After the end
+        of that leadership nothing is sent or released; the next leader adopts the run.
         """
         session = self._sessions.get(worker_id)
-        if session is None or run not in session.worker.runs:
+        if session is None or run not in session.worker.runs or not self._is_current(epoch):
             return False
         for attempt in range(START_ATTEMPTS):
-            deadline = session.extend_leases(RUN_LEASE_SECONDS, self.clock.now())
-            if deadline is None and attempt == 0:
-                # Nothing was sent, so the run cannot exist.
-                self._release(session, run, "worker became unresponsive before the start")
-                return False
-            if deadline is None:
+            now = self.clock.now()
+            permission = self._permission(epoch, now)
+            deadline = session.extend_leases(RUN_LEASE_SECONDS, now)
+            if permission is None or deadline is None:
+                if attempt == 0:
+                    # Nothing was sent, so the run cannot exist.
+                    reason = "leader lease ended" if deadline else "worker became unresponsive"
+                    self._release(session, run, f"{reason} before the start")
+                    return False
                 break
             order = RunOrder(run, payload, deadline, checkpoint)
-            outcome = await self._client.start(session.worker.entry, order, self._epoch)
-            if run not in session.worker.runs:
+            outcome = await self._client.start(session.worker.entry, order, permission)
+            if session.closed or run not in session.worker.runs or not self._is_current(epoch):
                 return False
             if isinstance(outcome, OrderAccepted):
                 self._record_started(session, run, outcome)
@@ -576,10 +593,12 @@
     async def _stop_until_confirmed(self, session: Session, run: RunId) -> None:
         epoch = self._epoch
         while run in session.worker.runs and not session.closed and self._is_current(epoch):
-            log_event(LogEvent.RUN_STOPPED, run=str(run), worker=session.worker.worker_id)
-            outcome = await self._client.stop(session.worker.entry, run, epoch)
-            if not isinstance(outcome, NoResponse):
-                break
+            permission = self._permission(epoch, self.clock.now())
+            if permission is not None:
+                log_event(LogEvent.RUN_STOPPED, run=str(run), worker=session.worker.worker_id)
+                outcome = await self._client.stop(session.worker.entry, run, permission)
+                if not isinstance(outcome, NoResponse):
+                    break
             await sleep(self.clock, RETRY_DELAY_SECONDS)
         if run in session.worker.runs and not session.closed:
             # The stop fences the run: if a report requested after the longest stop time
--- a/chivefall/controllers/batch/_scheduler.py
+++ b/chivefall/controllers/batch/_scheduler.py
@@ -47,7 +47,7 @@
     from chivefall.controllers._leader import LeaderController
     from chivefall.controllers.batch._catalog import CatalogController
     from chivefall.controllers.batch._fleet import FleetController
-    from chivefall.model import Epoch
+    from chivefall.model import Epoch, WorkerId
     from chivefall.runtime import Clock
     from chivefall.store import Entry, TransactionalStore
     from chivefall.telemetry import BatchMetrics
@@ -372,12 +372,14 @@
                 self._fleet.cancel_reservation(worker, run)
                 self.run_released(run)
             else:
-                self.run_task(self._start_run(job, run, worker))
+                self.run_task(self._start_run(epoch, job, run, worker))
 
-    async def _start_run(self, job: BatchJob, run: RunId, worker) -> None:
+    async def _start_run(self, epoch: Epoch, job: BatchJob, run: RunId, worker: WorkerId) -> None:
         task = job.task(run.task)
         payload = job.submission.spec.payload
-        is_running = await self._fleet.start_run(worker, run, payload, task.checkpoint)
+        is_running = await self._fleet.start_run(worker, run, payload, task.checkpoint, epoch)
+        if not self._is_current(epoch):
+            return  # The next leader adopts the run.
         if not is_running and job.step_of(run.task).gang:
             self._stop_gang(job, run)
         elif is_running and (task.stopping or job.state.is_final):
--- a/chivefall/platform/_run_client.py
+++ b/chivefall/platform/_run_client.py
@@ -29,6 +29,7 @@
     NoResponse,
     OrderAccepted,
     OrderOutcome,
+    OrderPermission,
     OrderRefusalReason,
     OrderRefused,
     RenewalOutcome,
@@ -95,41 +96,43 @@
     def timeout(self, seconds: float) -> None:
         self._adaptive_timeout.max_seconds = seconds
 
-    async def start(self, worker: WorkerEntry, order: RunOrder, epoch: Epoch) -> OrderOutcome:
+    async def start(
+        self, worker: WorkerEntry, order: RunOrder, permission: OrderPermission
+    ) -> OrderOutcome:
         """Start a run; the order is idempotent."""
         body = {
-            **_run_body(order.run, epoch),
+            **_run_body(order.run, permission.epoch),
             "task_spec": order.payload,
             "deadline_ms": round(order.deadline * 1000),
         }
         if order.checkpoint:
             body["checkpoint"] = order.checkpoint
-        return _order_outcome(
-            await self._call(worker, "run-start", body, self._adaptive_timeout.next_timeout())
-        )
+        timeout = self._adaptive_timeout.next_timeout()
+        return _order_outcome(await self._call(worker, "run-start", body, permission, timeout))
 
-    async def stop(self, worker: WorkerEntry, run: RunId, epoch: Epoch) -> OrderOutcome:
+    async def stop(
+        self, worker: WorkerEntry, run: RunId, permission: OrderPermission
+    ) -> OrderOutcome:
         """Stop a run; if it has not started yet, its start will be refused."""
-        body = _run_body(run, epoch)
-        return _order_outcome(
-            await self._call(worker, "run-stop", body, self._adaptive_timeout.next_timeout())
-        )
+        body = _run_body(run, permission.epoch)
+        timeout = self._adaptive_timeout.next_timeout()
+        return _order_outcome(await self._call(worker, "run-stop", body, permission, timeout))
 
     async def renew_leases(
         self,
         worker: WorkerEntry,
-        epoch: Epoch,
+        permission: OrderPermission,
         deadline: float | None,
         acknowledged: EndSequence,
         wait: float,
     ) -> RenewalOutcome:
         """Extend all leases, acknowledge ends and return the worker's report."""
-        body: dict[str, Any] = {"fence_token": epoch, "last_seen": acknowledged}
+        body: dict[str, Any] = {"fence_token": permission.epoch, "last_seen": acknowledged}
         if deadline is not None:
             body["deadline_ms"] = round(deadline * 1000)
         if wait > 0:
             body["wait_ms"] = round(wait * 1000)
-        response = await self._call(worker, "hold", body, self.timeout + wait)
+        response = await self._call(worker, "hold", body, permission, self.timeout + wait)
         if not isinstance(response, HttpResponse) or response.status != HTTPStatus.OK:
             outcome = _order_outcome(response)
             return (
@@ -164,6 +167,7 @@
             msgspec.json.encode(body),
             headers,
             timeout,
+            expires_at=permission.valid_until,
         )
         if "wait_ms" not in body and isinstance(response, HttpResponse):
             self._adaptive_timeout.record_response(self._http.clock.now() - started_at)
--- a/chivefall/workers/_runs.py
+++ b/chivefall/workers/_runs.py
@@ -8,16 +8,17 @@
 from typing import TYPE_CHECKING, Union
 
 from chivefall.batch import Checkpoint, EndKind, EndSequence, Incarnation, RunId
+from chivefall.model import Epoch
 
 if TYPE_CHECKING:
     from chivefall.batch import WorkerEntry
-    from chivefall.model import Epoch
 
 __all__ = [
     "IncarnationMismatch",
     "NoResponse",
     "OrderAccepted",
     "OrderOutcome",
+    "OrderPermission",
     "OrderRefusalReason",
     "OrderRefused",
     "RenewalOutcome",
@@ -41,6 +42,22 @@
     MALFORMED = "malformed"
 
 
+@dataclass(frozen=True)
+class OrderPermission:
+    """The leadership under which an order was decided.
+
+    Attributes
+    ----------
+    epoch : Epoch
+        Sent with the order; workers refuse orders below the highest epoch that they have seen.
+    valid_until : float
+        Time from which the order may no longer be sent, in seconds since the Unix epoch.
+    """
+
+    epoch: Epoch
+    valid_until: float
+
+
 @dataclass(frozen=True)
 class RunOrder:
     """An order to start a run.
@@ -136,21 +153,25 @@
 
 
 class RunClient(ABC):
-    """Sends orders for runs of batch jobs to workers."""
+    """Sends orders for runs of batch jobs to workers, unless their permission has expired."""
 
     @abstractmethod
-    async def start(self, worker: WorkerEntry, order: RunOrder, epoch: Epoch) -> OrderOutcome:
+    async def start(
+        self, worker: WorkerEntry, order: RunOrder, permission: OrderPermission
+    ) -> OrderOutcome:
         """Start a run; the order is idempotent."""
 
     @abstractmethod
-    async def stop(self, worker: WorkerEntry, run: RunId, epoch: Epoch) -> OrderOutcome:
+    async def stop(
+        self, worker: WorkerEntry, run: RunId, permission: OrderPermission
+    ) -> OrderOutcome:
         """Stop a run; if it has not started yet, its start will be refused."""
 
     @abstractmethod
     async def renew_leases(
         self,
         worker: WorkerEntry,
-        epoch: Epoch,
+        permission: OrderPermission,
         deadline: float | None,
         acknowledged: EndSequence,
         wait: float,
--- a/standins/run_workers.py
+++ b/standins/run_workers.py
@@ -27,6 +27,7 @@
     NoResponse,
     OrderAccepted,
     OrderOutcome,
+    OrderPermission,
     OrderRefusalReason,
     OrderRefused,
     RenewalOutcome,
@@ -276,11 +277,14 @@
         self.isolated = False
         self.latency = 0.0
 
-    async def start(self, worker: WorkerEntry, order: RunOrder, epoch: Epoch) -> OrderOutcome:
+    async def start(
+        self, worker: WorkerEntry, order: RunOrder, permission: OrderPermission
+    ) -> OrderOutcome:
         """Start a run."""
-        state = await self._reach(worker)
+        state = await self._reach(worker, permission)
         if not isinstance(state, RunWorker):
             return state
+        epoch = permission.epoch
         resources = self._workers.resources_of(order.run)
         if worker.worker_id in self.delayed:
             self._clock.call_later(
@@ -290,33 +294,40 @@
             return NoResponse("the start is delayed by an injected fault")
         return state.start(order, epoch, resources)
 
-    async def stop(self, worker: WorkerEntry, run: RunId, epoch: Epoch) -> OrderOutcome:
+    async def stop(
+        self, worker: WorkerEntry, run: RunId, permission: OrderPermission
+    ) -> OrderOutcome:
         """Stop a run."""
-        state = await self._reach(worker)
-        return state.stop(run, epoch) if isinstance(state, RunWorker) else state
+        state = await self._reach(worker, permission)
+        return state.stop(run, permission.epoch) if isinstance(state, RunWorker) else state
 
     async def renew_leases(
         self,
         worker: WorkerEntry,
-        epoch: Epoch,
+        permission: OrderPermission,
         deadline: float | None,
         acknowledged: EndSequence,
         wait: float,
     ) -> RenewalOutcome:
         """Extend all leases and return the report."""
-        state = await self._reach(worker)
+        state = await self._reach(worker, permission)
         if not isinstance(state, RunWorker):
             return state
+        epoch = permission.epoch
         outcome = state.renew_leases(epoch, deadline, acknowledged)
         if isinstance(outcome, RunReport) and not outcome.ends and wait > 0:
             await wait_for(self._clock, state.next_end(), wait, None)
-            state = await self._reach(worker)
+            state = await self._reach(worker, permission)
             if not isinstance(state, RunWorker):
                 return state
             outcome = state.renew_leases(epoch, None, acknowledged)
         return outcome
 
-    async def _reach(self, worker: WorkerEntry) -> RunWorker | OrderOutcome:
+    async def _reach(
+        self, worker: WorkerEntry, permission: OrderPermission
+    ) -> RunWorker | OrderOutcome:
+        if self._clock.now() >= permission.valid_until:
+            return NoResponse("the request expired before it was sent")
         if self.latency:
             await sleep(self._clock, self.latency)
         state = self._workers.workers.get(worker.worker_id)
