Derive leases, waits and restart costs from the deployment's bounds

Cause: of the platform's bounds only grace_s was read. The lease of runs (5.5 s), the start time limit (0.8 s), the time for stops (1.2 s), the waits of guaranteed work (1.0 and 1.9 s), the restart cost (0.6 s), the loss of a checkpointed task (1.0 s), the age of the desired state (3.5 s), the retention of jobs (180 s) and the slowdown away from the data (3) were constants that suited the first deployments. Workers that grant 3 s would have shortened leases without the leader's knowledge.

Change: the settings have batch.bounds, which the template fills; an absent bound keeps its default. BatchTiming derives all times with named margins, and a bound that is too short for the calls that it has to cover is an error at the start. A stop costs a checkpointed task the time of the stop and of the restore.

--- a/benchmarks/bench_batch_round.py
+++ b/benchmarks/bench_batch_round.py
@@ -10,6 +10,7 @@
 from chivefall.batch import (
     BatchJob,
     BatchSpec,
+    BatchTiming,
     Candidate,
     DeadlinePolicy,
     Fleet,
@@ -20,6 +21,7 @@
     Submission,
     Worker,
 )
+from chivefall.config import PlatformBounds
 from chivefall.model import AccountId, JobId, ServiceId
 from standins.run_workers import make_worker_entry
 
@@ -66,7 +68,7 @@
     Each round has a different seed. The sizes alternate, so that a change in the
     speed of the processor affects all of them alike.
     """
-    policy = DeadlinePolicy()
+    policy = DeadlinePolicy(BatchTiming.from_bounds(PlatformBounds()))
     times: list[list[float]] = [[] for _ in waiting]
     for seed in range(ROUNDS):
         for jobs, measured in zip(waiting, times, strict=True):
--- a/chivefall/batch/__init__.py
+++ b/chivefall/batch/__init__.py
@@ -46,10 +46,19 @@
     JobStatus,
     PendingJobs,
 )
+from chivefall.batch._timing import (
+    LEASE_EXTENSION_GRACE_SECONDS,
+    MIN_CLOCK_RATE,
+    START_ATTEMPTS,
+    BatchTiming,
+)
 from chivefall.batch._validation import find_spec_problem
 
 __all__ = [
+    "LEASE_EXTENSION_GRACE_SECONDS",
+    "MIN_CLOCK_RATE",
     "NO_CHECKPOINT",
+    "START_ATTEMPTS",
     "ApiKey",
     "Assignment",
     "BatchJob",
@@ -58,6 +67,7 @@
     "BatchPolicy",
     "BatchRequest",
     "BatchSpec",
+    "BatchTiming",
     "Candidate",
     "Catalog",
     "CatalogOutdated",
--- a/chivefall/batch/_displacement.py
+++ b/chivefall/batch/_displacement.py
@@ -16,6 +16,7 @@
     from collections.abc import Iterable, Iterator, Sequence
 
     from chivefall.batch._fleet import Fleet, Worker
+    from chivefall.batch._timing import BatchTiming
 
 __all__ = ["Displacement", "DisplacementReason", "find_displacements"]
 
@@ -31,7 +32,6 @@
 Healthy workers differ by up to 1.6.
 """
 SINGLE_SLOW_FACTOR = 3.5  # for a single run, since tasks of a step may differ by a factor of 2
-RESTART_SECONDS = 0.6  # time to stop a run, record the next one and start it
 MIN_ESTIMATE_PROGRESS = 0.1  # below this, whole percent are too coarse to estimate the run time
 MIN_RUN_SECONDS = 0.8  # younger runs are not compared
 LENIENT_FROM_RUN = 5
@@ -62,24 +62,28 @@
     progress: float
 
 
-def find_displacements(jobs: Iterable[BatchJob], fleet: Fleet, now: float) -> list[Displacement]:
+def find_displacements(
+    jobs: Iterable[BatchJob], fleet: Fleet, now: float, timing: BatchTiming
+) -> list[Displacement]:
     """Return the runs to stop at the time ``now``.
 
     Finds all of them before any is stopped, because a stopped run no longer counts in the
     comparison with others.
     """
     groups = list(_comparable_groups(jobs, now))
-    return list(_iterate_displacements(groups, fleet, now))
+    return list(_iterate_displacements(groups, fleet, now, timing))
 
 
 def _iterate_displacements(
-    groups: list[_RunningGroup], fleet: Fleet, now: float
+    groups: list[_RunningGroup], fleet: Fleet, now: float, timing: BatchTiming
 ) -> Iterator[Displacement]:
     slow = _find_slow_workers(groups, now)
     for group in groups:
         for task in group.running:
             worker = fleet.workers.get(task.assignment.worker)
-            reason = None if worker is None else _find_reason(task, group, worker, slow, now)
+            if worker is None:
+                continue
+            reason = _find_reason(task, group, worker, slow, now, timing)
             if reason is not None:
                 run = RunId(group.job.job_id, task.key, task.assignment.number)
                 yield Displacement(run, worker.worker_id, reason, task.progress)
@@ -148,7 +152,12 @@
 
 
 def _find_reason(
-    task: Task, group: _RunningGroup, worker: Worker, slow: set[WorkerId], now: float
+    task: Task,
+    group: _RunningGroup,
+    worker: Worker,
+    slow: set[WorkerId],
+    now: float,
+    timing: BatchTiming,
 ) -> DisplacementReason | None:
     remaining = _estimate_remaining_seconds(task, group.step, now)
     if worker.earliest_exit < now + remaining:
@@ -159,13 +168,18 @@
         return DisplacementReason.STALLED
     if worker.worker_id not in slow or task.last_run_number >= LENIENT_FROM_RUN:
         return None
-    typical = group.typical_seconds(now, worker.worker_id)
+    return DisplacementReason.SLOW if _saves_time(task, group, now, timing) else None
+
+
+def _saves_time(task: Task, group: _RunningGroup, now: float, timing: BatchTiming) -> bool:
+    """Return whether a task on a slow worker would finish earlier on another one."""
+    typical = group.typical_seconds(now, task.assignment.worker)
     if typical is None:
-        return None
-    restarted = (
-        typical * (1.0 - task.progress if group.step.checkpointed else 1.0) + RESTART_SECONDS
-    )
-    return DisplacementReason.SLOW if remaining > restarted else None
+        return False
+    restarted = typical + timing.restart
+    if group.step.checkpointed:
+        restarted = typical * (1.0 - task.progress) + timing.restart + timing.restore
+    return _estimate_remaining_seconds(task, group.step, now) > restarted
 
 
 def _has_stalled(task: Task, group: _RunningGroup) -> bool:
--- a/chivefall/batch/_policy.py
+++ b/chivefall/batch/_policy.py
@@ -12,6 +12,7 @@
 
     from chivefall.batch._fleet import Fleet
     from chivefall.batch._plan import Candidate, Plan
+    from chivefall.batch._timing import BatchTiming
     from chivefall.model import AccountId
 
 __all__ = ["BatchPolicy", "DeadlinePolicy"]
@@ -52,6 +53,9 @@
     group that does not fit preempts the runs whose stop loses the least work.
     """
 
+    def __init__(self, timing: BatchTiming) -> None:
+        self._timing = timing
+
     def plan(
         self,
         candidates: Iterable[Candidate],
@@ -60,4 +64,4 @@
         guarantees: Mapping[AccountId, int] | None = None,
     ) -> Plan:
         """Return the starts and preemptions of one round at the time ``now``."""
-        return Round(fleet, now, guarantees or {}).run(candidates)
+        return Round(fleet, now, guarantees or {}, self._timing).run(candidates)
--- a/chivefall/batch/_round.py
+++ b/chivefall/batch/_round.py
@@ -29,31 +29,31 @@
     from chivefall.batch._fleet import Fleet, Worker
     from chivefall.batch._model import Resources
     from chivefall.batch._plan import Candidate
+    from chivefall.batch._timing import BatchTiming
     from chivefall.model import AccountId, RackId, WorkerId
 
 __all__ = ["Round"]
 
 MAX_RESERVATIONS = 4  # blocked gangs with reserved resources; more would leave the fleet idle
-REMOTE_SLOWDOWN = 3.0  # run time away from the data or across racks, relative to local
-GUARANTEE_PREEMPTION_SECONDS = 1.0
-"""Wait after which a guaranteed group may preempt other urgent runs.
-
-Urgent runs are short and often end within this time. The platform requires a guaranteed
-start within 2.7 s, of which a stop takes up to 0.9 s.
-"""
-GUARANTEE_SPREAD_SECONDS = 1.9  # wait after which a guaranteed group accepts a slow placement
 MAX_PREEMPTION_COST_FACTOR = 4.0
 """Limit of the work that an urgent group may discard, relative to the work of the group.
 
 By the users' weights a late urgent job costs about as much as redoing four times its work.
-The limit does not hold for a guarantee that has waited ``GUARANTEE_PREEMPTION_SECONDS``.
+The limit does not hold for a guarantee that is due.
 """
 
 
 class Round:
     """Computes the plan of one round."""
 
-    def __init__(self, fleet: Fleet, now: float, guarantees: Mapping[AccountId, int]) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        now: float,
+        guarantees: Mapping[AccountId, int],
+        timing: BatchTiming,
+    ) -> None:
+        self._timing = timing
         self._fleet = fleet
         self._now = now
         self._guarantees = guarantees
@@ -73,7 +73,9 @@
         jobs = {item.job.job_id: item.job for item in found}
         ranks = rank_jobs(found, self._guarantees)
         workers = list(self._fleet.workers.values())
-        self._victims = VictimSearch(workers, self._free, jobs, ranks, self._now)
+        self._victims = VictimSearch(
+            workers, self._free, jobs, ranks, self._now, timing=self._timing
+        )
         for group in find_groups(found, ranks, self._now):
             self._place(group)
         return self._plan
@@ -81,7 +83,7 @@
     def _is_guarantee_due(self, group: TaskGroup) -> bool:
         """Return whether a guaranteed group has waited so long that it may preempt urgent runs."""
         waited = self._now - group.waiting_since
-        return group.rank == GUARANTEED_RANK and waited >= GUARANTEE_PREEMPTION_SECONDS
+        return group.rank == GUARANTEED_RANK and waited >= self._timing.guarantee_preemption
 
     def _place(self, group: TaskGroup) -> None:
         workers = self._workers_for(group)
@@ -169,12 +171,12 @@
             return False
         if (
             group.rank == GUARANTEED_RANK
-            and self._now - group.waiting_since >= GUARANTEE_SPREAD_SECONDS
+            and self._now - group.waiting_since >= self._timing.guarantee_spread
         ):
             return False
         step_number = group.tasks[0].key.step
         waited = self._now - group.job.ready_since(group.occurrence, step_number, self._now)
-        return waited < (REMOTE_SLOWDOWN - 1.0) * max(step.run_time, 1.0)
+        return waited < (self._timing.remote_slowdown - 1.0) * max(step.run_time, 1.0)
 
     def _reserve_or_preempt(
         self, group: TaskGroup, workers: Sequence[Worker], missing: int
--- a/chivefall/batch/_victims.py
+++ b/chivefall/batch/_victims.py
@@ -15,12 +15,11 @@
 
     from chivefall.batch._job import BatchJob
     from chivefall.batch._model import Resources
+    from chivefall.batch._timing import BatchTiming
     from chivefall.model import JobId, WorkerId
 
 __all__ = ["VictimSearch", "Victims"]
 
-CHECKPOINT_LOSS_SECONDS = 1.0  # most work that a stop loses if the task is checkpointed
-
 
 @dataclass
 class Victims:
@@ -60,7 +59,9 @@
         jobs: Mapping[JobId, BatchJob],
         ranks: Mapping[JobId, int],
         now: float,
+        timing: BatchTiming,
     ) -> None:
+        self._timing = timing
         self._free = free
         self._jobs = jobs
         self._ranks = ranks
@@ -89,7 +90,7 @@
         step = job.step_of(run.task)
         seconds = max(0.0, self._now - task.started_at)
         if step.checkpointed:
-            seconds = min(seconds, CHECKPOINT_LOSS_SECONDS)
+            seconds = min(seconds, self._timing.checkpoint_loss)
         members = step.count if step.gang else 1
         return seconds * core_equivalents(step.resources) * members
 
--- a/chivefall/batch_application.py
+++ b/chivefall/batch_application.py
@@ -8,7 +8,7 @@
 
 from circuits import BaseComponent
 
-from chivefall.batch import DeadlinePolicy, JobState, PlatformCodec, Resources
+from chivefall.batch import BatchTiming, DeadlinePolicy, JobState, PlatformCodec, Resources
 from chivefall.controllers._leader import LeaderController
 from chivefall.controllers.batch import (
     BatchScheduler,
@@ -60,17 +60,27 @@
         self.registry = Registry()
         clock, store, codec = connections.clock, connections.store, connections.codec
         add = self.registry.add
-        self.catalog = add(CatalogController(clock, store, codec))
+        timing = BatchTiming.from_bounds(cfg.batch.bounds)
+        self.catalog = add(CatalogController(clock, store, codec, timing))
         self.submissions = add(SubmissionController(clock, store, self.catalog))
         self.leader = add(
             LeaderController(clock, cfg, store, lambda _: Epoch(0), cfg.region, watches=True)
         )
         self.fleet = add(
-            FleetController(clock, store, connections.workers, codec, self.leader, self.metrics)
+            FleetController(
+                clock, store, connections.workers, codec, self.leader, self.metrics, timing
+            )
         )
         self.scheduler = add(
             BatchScheduler(
-                clock, store, DeadlinePolicy(), self.catalog, self.leader, self.fleet, self.metrics
+                clock,
+                store,
+                DeadlinePolicy(timing),
+                self.catalog,
+                self.leader,
+                self.fleet,
+                self.metrics,
+                timing,
             )
         )
         self.chain = FilterChain(
--- a/chivefall/batch_daemon.py
+++ b/chivefall/batch_daemon.py
@@ -10,6 +10,7 @@
 from circuits.core.events import signal
 from circuits.core.pollers import EPoll
 
+from chivefall.batch import BatchTiming
 from chivefall.batch_application import BatchApplication, BatchConnections
 from chivefall.config import Address
 from chivefall.controllers._settings import SettingsController
@@ -51,7 +52,7 @@
         self.http = HttpClient(self.clock).register(self)
         timing = cfg.timing
         self.store = PlatformStore(self.http, Address.parse(cfg.store), timing.store_timeout)
-        self.workers = HttpRunClient(self.http, timing.worker_timeout)
+        self.workers = HttpRunClient(self.http, _worker_timeout(cfg))
         self.settings = SettingsController(self.clock, path, cfg, self._adopt_settings)
         self.settings.register(self)
         self.application = BatchApplication(
@@ -93,7 +94,7 @@
         """Apply changed timeouts; address changes require a restart."""
         self.cfg = cfg
         self.store.timeout = cfg.timing.store_timeout
-        self.workers.timeout = cfg.timing.worker_timeout
+        self.workers.timeout = _worker_timeout(cfg)
 
     @handler("started", channel="*")
     def _on_started(self, *_: object) -> None:
@@ -149,6 +150,11 @@
         self.root.stop()
 
 
+def _worker_timeout(cfg: Settings) -> float:
+    """Return the timeout of calls to workers in seconds, so that a gang's starts can repeat."""
+    return min(cfg.timing.worker_timeout, BatchTiming.from_bounds(cfg.batch.bounds).start_timeout)
+
+
 def _resolved(reply: HttpReply) -> Future[HttpReply]:
     fut: Future[HttpReply] = Future()
     fut.set_result(reply)
--- a/chivefall/config.py
+++ b/chivefall/config.py
@@ -16,7 +16,15 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-__all__ = ["Address", "BatchSettings", "Settings", "Timing", "load_settings", "parse_settings"]
+__all__ = [
+    "Address",
+    "BatchSettings",
+    "PlatformBounds",
+    "Settings",
+    "Timing",
+    "load_settings",
+    "parse_settings",
+]
 
 MAX_PORT = 65535
 MAX_QUOTED_LENGTH = 100  # characters of an invalid value that an error message quotes
@@ -91,6 +99,40 @@
     shutdown_grace: float = 30.0
 
 
+@dataclass(frozen=True)
+class PlatformBounds:
+    """Times that the platform grants to its workers, or requires of the system.
+
+    Attributes
+    ----------
+    max_run_lease_ms : float
+        Longest lease that workers grant to runs.
+    gang_wait_ms : float
+        Time for which a started member of a gang waits for the others.
+    stop_grace_ms : float
+        Longest time from a stop request to the end of the run.
+    guaranteed_start_ms : float
+        Time limit for the start of work within an account's guarantee.
+    checkpoint_restore_ms : float
+        Time to resume a task from its checkpoint.
+    key_revocation_ms : float
+        Time limit for the refusal of a withdrawn API key.
+    status_retention : float
+        Seconds for which the status of a final job must be known.
+    remote_slowdown : float
+        Run time of a task away from its data or its gang's rack, relative to local.
+    """
+
+    max_run_lease_ms: float = 10_000.0
+    gang_wait_ms: float = 3000.0
+    stop_grace_ms: float = 900.0
+    guaranteed_start_ms: float = 2700.0
+    checkpoint_restore_ms: float = 600.0
+    key_revocation_ms: float = 5000.0
+    status_retention: float = 120.0
+    remote_slowdown: float = 3.0
+
+
 @dataclass(frozen=True)
 class BatchSettings:
     """Settings for serving batch jobs on the users' platform.
@@ -107,6 +149,8 @@
         Fraction of these cores that the instance may use.
     link_mbps : float
         Bandwidth of the machine's network link in megabits per second.
+    bounds : PlatformBounds
+        Times that the platform grants or requires.
     """
 
     ready_listen: str
@@ -114,6 +158,7 @@
     cores: float = math.inf
     core_share: float = 1.0
     link_mbps: float = math.inf
+    bounds: PlatformBounds = field(default_factory=PlatformBounds)
 
 
 @dataclass(frozen=True)
@@ -179,7 +224,10 @@
         raise ConfigError(f"{source} is not an object", "enclose all keys between { and }")
     _reject_unknown_keys(raw, Settings, source, "")
     _reject_unknown_keys(raw.get("timing", {}), Timing, source, "timing.")
-    _reject_unknown_keys(raw.get("batch", {}), BatchSettings, source, "batch.")
+    batch = raw.get("batch", {})
+    _reject_unknown_keys(batch, BatchSettings, source, "batch.")
+    if isinstance(batch, dict):
+        _reject_unknown_keys(batch.get("bounds", {}), PlatformBounds, source, "batch.bounds.")
     try:
         cfg = msgspec.convert(raw, Settings)
     except msgspec.ValidationError as exc:
@@ -237,6 +285,12 @@
                 f"{source}: batch.{key} is not positive",
                 "use the value of the machine, or omit the key if it is not a limit",
             )
+    for key in PlatformBounds.__dataclass_fields__:
+        if cfg.batch is not None and not 0 <= getattr(cfg.batch.bounds, key) < math.inf:
+            raise ConfigError(
+                f"{source}: batch.bounds.{key} is not a time that can pass",
+                "use the bound of the deployment, or omit the key for the default",
+            )
     if cfg.timing.leader_renewal * 2 > cfg.timing.leader_lease:
         raise ConfigError(
             f"{source}: timing.leader_renewal is more than half of timing.leader_lease",
--- a/chivefall/controllers/batch/_catalog.py
+++ b/chivefall/controllers/batch/_catalog.py
@@ -15,19 +15,13 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from chivefall.batch import PlatformCodec
+    from chivefall.batch import BatchTiming, PlatformCodec
     from chivefall.model import DomainId
     from chivefall.runtime import Clock, Future
     from chivefall.store import Entry, Store
 
 __all__ = ["CatalogController"]
 
-MAX_CATALOG_AGE_SECONDS = 3.5
-"""Age up to which the catalog may be used without reading it again.
-
-A revoked key must be refused within 5 s. Two consecutive watches take 3 s.
-"""
-
 REFRESH_TIMEOUT_SECONDS = 0.4
 """Time limit for a read that requests are waiting for.
 
@@ -50,12 +44,20 @@
         Failure domains that operators have taken out of service.
     """
 
-    def __init__(self, clock: Clock, store: Store, codec: PlatformCodec) -> None:
+    def __init__(
+        self, clock: Clock, store: Store, codec: PlatformCodec, timing: BatchTiming
+    ) -> None:
         super().__init__(clock)
+        self._max_age = timing.max_catalog_age
         self._store = store
         self._codec = codec
         self._mirror = PrefixMirror(
-            clock, store, codec.operator_prefix, self._apply, lambda: not self.is_stopped
+            clock,
+            store,
+            codec.operator_prefix,
+            self._apply,
+            lambda: not self.is_stopped,
+            timing.watch_wait,
         )
         self._confirmed_at = float("-inf")
         self._refresh_failed_at = float("-inf")
@@ -90,7 +92,7 @@
 
     def is_fresh(self, now: float) -> bool:
         """Return whether the catalog is recent enough to decide requests."""
-        return self.is_loaded and self.age(now) <= MAX_CATALOG_AGE_SECONDS
+        return self.is_loaded and self.age(now) <= self._max_age
 
     async def refresh(self, now: float) -> None:
         """Read the catalog from the store, unless a read failed a moment ago.
--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 
 from chivefall.batch import (
+    LEASE_EXTENSION_GRACE_SECONDS,
+    START_ATTEMPTS,
     DisplacementReason,
     EndKind,
     Fleet,
@@ -31,7 +33,7 @@
 )
 
 if TYPE_CHECKING:
-    from chivefall.batch import Checkpoint, PlatformCodec, StepSpec, WorkerEntry
+    from chivefall.batch import BatchTiming, Checkpoint, PlatformCodec, StepSpec, WorkerEntry
     from chivefall.controllers._leader import LeaderController
     from chivefall.controllers.batch._run_listener import RunListener
     from chivefall.model import Epoch, WorkerId
@@ -42,34 +44,14 @@
 
 __all__ = ["FleetController"]
 
-RUN_LEASE_SECONDS = 5.5
-"""Lease that each call grants to the worker's runs; the platform allows at most 10 s.
-
-A new leader takes over within 2.5 s while the store is available, and the last poll
-may be 0.75 s old. Runs of an unreachable worker are not restarted before it ends.
-"""
-POLL_WAIT_SECONDS = 0.75  # long-poll wait; also the age limit of reported progress
 WATCH_INTERVAL_SECONDS = 0.4  # between watches of worker entries; every heartbeat changes one
 RETRY_DELAY_SECONDS = 0.4  # between calls to an unresponsive worker
-START_ATTEMPTS = 3  # starts are idempotent; gang members wait 3 s for each other
-STOP_COMPLETION_SECONDS = 1.2  # a stop takes at most 0.9 s
 MAX_LOGGED_KEY_LENGTH = 200  # characters; other programs choose the keys of their entries
 MAX_PROBES_PER_SECOND = 150.0  # of idle workers; each call takes the leader 0.5 ms
 MIN_PROBE_INTERVAL_SECONDS = 1.0  # between calls to an idle worker
 FAILED_RUN_AVOID_SECONDS = 0.5  # no starts after a failed run; doubled per earlier bad run
 SLOW_RUN_AVOID_SECONDS = 3.0  # no starts after a stalled or slow run; doubled likewise
 REFUSAL_AVOID_SECONDS = 2.0  # no starts after one was refused for lack of resources or health
-LEASE_EXTENSION_GRACE_SECONDS = 5.0
-"""Time after the end of the leader lease in which run leases are still extended.
-
-Together with the last run leases it bridges a store outage of about 12 s.
-"""
-ORPHAN_TIMEOUT_SECONDS = 11.0
-"""Time after a takeover by which runs on workers that were never reached have ended.
-
-The previous leader extends run leases until 5 s after the end of its own lease, each
-time by 5.5 s on a clock that may run 2 % slow.
-"""
 ACKNOWLEDGE_CHECK_INTERVAL_SECONDS = 0.05  # between checks whether ends have been written
 
 
@@ -92,8 +74,10 @@
         codec: PlatformCodec,
         leader: LeaderController,
         metrics: BatchMetrics,
+        timing: BatchTiming,
     ) -> None:
         super().__init__(clock)
+        self._timing = timing
         self._metrics = metrics
         self._store = store
         self._client = client
@@ -120,6 +104,7 @@
             self._codec.worker_prefix,
             lambda *change: self._apply(epoch, *change),
             lambda: self._is_current(epoch),
+            self._timing.watch_wait,
             WATCH_INTERVAL_SECONDS,
         )
         self.run_task(mirror.run())
@@ -200,7 +185,9 @@
             self._end_incarnation(session, "worker restarted")
             session = None
         if session is None:
-            session = self._sessions[entry.worker_id] = Session(Worker(entry))
+            session = self._sessions[entry.worker_id] = Session(
+                Worker(entry), self._timing.max_lease
+            )
             self.fleet.workers[entry.worker_id] = session.worker
             self._adopt_orphans(session)
             log_event(
@@ -304,7 +291,7 @@
                     for run in list(session.worker.runs):
                         self._release(session, run, "worker not reached since the takeover")
 
-        self.clock.call_later(ORPHAN_TIMEOUT_SECONDS, release)
+        self.clock.call_later(self._timing.orphan_timeout, release)
 
     # Polling of workers
 
@@ -354,12 +341,12 @@
                 if not session.closed and self._is_current(epoch):
                     self._release_expired(session)
                 continue
-            wait = POLL_WAIT_SECONDS if session.worker.synced and session.worker.runs else 0.0
+            wait = self._timing.poll_wait if session.worker.synced and session.worker.runs else 0.0
             sent_at, acknowledged = self.clock.now(), session.acknowledged
             outcome = await self._client.renew_leases(
                 session.worker.entry,
                 OrderPermission(epoch, self._lease_extensions_end()),
-                session.extend_leases(RUN_LEASE_SECONDS, sent_at),
+                session.extend_leases(self._timing.run_lease, sent_at),
                 acknowledged,
                 wait,
             )
@@ -383,7 +370,7 @@
 
     async def _wait_for_end_writes(self, session: Session) -> None:
         """Wait briefly for ends to be written, so that the next poll acknowledges them."""
-        limit = self.clock.now() + POLL_WAIT_SECONDS
+        limit = self.clock.now() + self._timing.poll_wait
         while session.unwritten_ends and not session.closed and self.clock.now() < limit:
             await sleep(self.clock, ACKNOWLEDGE_CHECK_INTERVAL_SECONDS)
 
@@ -527,7 +514,7 @@
         for attempt in range(START_ATTEMPTS):
             now = self.clock.now()
             permission = self._permission(epoch, now)
-            deadline = session.extend_leases(RUN_LEASE_SECONDS, now)
+            deadline = session.extend_leases(self._timing.run_lease, now)
             if permission is None or deadline is None:
                 if attempt == 0:
                     # Nothing was sent, so the run cannot exist.
@@ -604,5 +591,5 @@
             # The stop fences the run: if a report requested after the longest stop time
             # does not list the run, it has ended or will never start.
             now = self.clock.now()
-            session.expected_since.setdefault(run, now + STOP_COMPLETION_SECONDS)
+            session.expected_since.setdefault(run, now + self._timing.stop_completion)
             self._ensure_polling(session)
--- a/chivefall/controllers/batch/_mirror.py
+++ b/chivefall/controllers/batch/_mirror.py
@@ -16,7 +16,6 @@
 
 __all__ = ["PrefixMirror"]
 
-WATCH_TIMEOUT_SECONDS = 1.5  # each response confirms the copy, so this bounds its age
 RETRY_DELAY_SECONDS = 0.25  # after a failed call to the store
 
 
@@ -30,6 +29,8 @@
         entries are a complete snapshot of the prefix.
     is_active : callable
         Returns whether to continue; checked after each response.
+    watch_wait : float
+        Wait of a watch in seconds; each response confirms the copy, so this bounds its age.
     min_interval : float
         Minimum seconds between two watches. Changes within it arrive in one
         response, which reduces the number of store calls.
@@ -49,6 +50,7 @@
         prefix: str,
         apply: Callable[[tuple[Entry, ...], tuple[str, ...], bool], None],
         is_active: Callable[[], bool],
+        watch_wait: float,
         min_interval: float = 0.0,
     ) -> None:
         self._clock = clock
@@ -56,6 +58,7 @@
         self._prefix = prefix
         self._apply = apply
         self._is_active = is_active
+        self._watch_wait = watch_wait
         self._min_interval = min_interval
         self._version: Version | None = None
         self._reachable = True
@@ -68,9 +71,7 @@
             if self._version is None:
                 outcome = await self._store.list(self._prefix)
             else:
-                outcome = await self._store.watch(
-                    self._prefix, self._version, WATCH_TIMEOUT_SECONDS
-                )
+                outcome = await self._store.watch(self._prefix, self._version, self._watch_wait)
             if not self._is_active():
                 return
             self._record_reachable(outcome)
--- a/chivefall/controllers/batch/_scheduler.py
+++ b/chivefall/controllers/batch/_scheduler.py
@@ -43,7 +43,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from chivefall.batch import BatchPolicy, Checkpoint, EndKind, GroupStart, Plan
+    from chivefall.batch import BatchPolicy, BatchTiming, Checkpoint, EndKind, GroupStart, Plan
     from chivefall.controllers._leader import LeaderController
     from chivefall.controllers.batch._catalog import CatalogController
     from chivefall.controllers.batch._fleet import FleetController
@@ -60,7 +60,6 @@
 MISSED_CHECK_INTERVAL_SECONDS = 0.5  # between checks for jobs missed by the watch
 JOBS_PER_REMOVAL = 10  # 3 keys a job; a store transaction takes 32 entries
 LOAD_TIMEOUT_SECONDS = 8.0  # for a new leader to read the jobs; 2 MB take 3 s at 5 Mbit/s
-FINAL_JOB_RETENTION_SECONDS = 180.0  # the platform requires the status of a final job for 120 s
 
 
 class BatchScheduler(Controller, RunListener):
@@ -81,8 +80,10 @@
         leader: LeaderController,
         fleet: FleetController,
         metrics: BatchMetrics,
+        timing: BatchTiming,
     ) -> None:
         super().__init__(clock)
+        self._timing = timing
         self._metrics = metrics
         self._store = store
         self._policy = policy
@@ -121,6 +122,7 @@
             BATCH_JOBS_PREFIX,
             lambda *change: self._apply(epoch, *change),
             lambda: self._is_current(epoch),
+            self._timing.watch_wait,
             WATCH_INTERVAL_SECONDS,
         )
         self.run_task(self._read_jobs(epoch, mirror))
@@ -309,7 +311,7 @@
         if not self._can_plan(now):
             return
         jobs = (tracked.job for tracked in self.jobs.values())
-        for displacement in find_displacements(jobs, self._fleet.fleet, now):
+        for displacement in find_displacements(jobs, self._fleet.fleet, now, self._timing):
             log_event(
                 LogEvent.RUN_DISPLACED,
                 run=str(displacement.run),
@@ -498,7 +500,7 @@
             tracked
             for tracked in self.jobs.values()
             if tracked.final_since is not None
-            and now - tracked.final_since > FINAL_JOB_RETENTION_SECONDS
+            and now - tracked.final_since > self._timing.job_retention
             and not tracked.job.active_tasks()
             and not tracked.dirty
         ][:JOBS_PER_REMOVAL]
--- a/chivefall/controllers/batch/_session.py
+++ b/chivefall/controllers/batch/_session.py
@@ -4,14 +4,12 @@
 
 from dataclasses import dataclass, field
 
-from chivefall.batch import EndSequence, RunId, Worker, WorkerEntry
+from chivefall.batch import MIN_CLOCK_RATE, EndSequence, RunId, Worker, WorkerEntry
 from chivefall.workers import RunEnd
 
 __all__ = ["Session"]
 
 NO_END = EndSequence(0)
-MAX_LEASE_SECONDS = 6.0  # a leader grants 5.5 s and may overestimate the worker's clock
-MIN_CLOCK_RATE = 0.98  # the platform allows worker clocks to run 2 % slow
 
 
 @dataclass
@@ -22,6 +20,8 @@
     ----------
     worker : Worker
         Entry and allocated resources.
+    max_lease : float
+        Longest lease in seconds that an earlier leader may have granted.
     expected_since : dict
         By run, the time in seconds since the Unix epoch from which requested reports
         must list it; absent while its start is not confirmed.
@@ -45,6 +45,7 @@
     """
 
     worker: Worker
+    max_lease: float
     expected_since: dict[RunId, float] = field(default_factory=dict)
     acknowledged: EndSequence = NO_END
     acknowledgement_sent: EndSequence = NO_END
@@ -71,7 +72,7 @@
         """Record the worker's clock, in seconds, from a response received at ``now``."""
         if self._clock_reading is None:
             # An earlier leader may have extended the leases just before this response.
-            self.lease_deadline = max(self.lease_deadline, clock + MAX_LEASE_SECONDS)
+            self.lease_deadline = max(self.lease_deadline, clock + self.max_lease)
         self._clock_reading = (clock, now)
 
     def extend_leases(self, seconds: float, now: float) -> float | None:
--- a/standins/run_workers.py
+++ b/standins/run_workers.py
@@ -63,6 +63,10 @@
     ----------
     run_seconds : float
         Run time of each task.
+    max_lease : float
+        Longest lease in seconds; longer ones are shortened.
+    stop_seconds : float
+        Time from a stop order to the end of the run.
     fails : bool
         Whether runs end as failed.
     hangs : bool
@@ -72,6 +76,8 @@
     entry: WorkerEntry
     clock: Clock
     run_seconds: float = 2.0
+    max_lease: float = MAX_LEASE_SECONDS
+    stop_seconds: float = 0.0
     fails: bool = False
     hangs: bool = False
     crashed: bool = False
@@ -128,7 +134,10 @@
         if refusal is not None:
             return refusal
         self._fence_run(run)
-        self._end(run, EndKind.STOPPED)
+        if self.stop_seconds:
+            self.clock.call_later(self.stop_seconds, lambda: self._end(run, EndKind.STOPPED))
+        else:
+            self._end(run, EndKind.STOPPED)
         return OrderAccepted(self.clock.now())
 
     def renew_leases(
@@ -185,7 +194,7 @@
         return None
 
     def _extend_leases(self, deadline: float) -> None:
-        limit = min(deadline, self.clock.now() + MAX_LEASE_SECONDS)
+        limit = min(deadline, self.clock.now() + self.max_lease)
         if limit > self.lease_until:
             self.lease_until = limit
             self.clock.call_later(limit - self.clock.now(), self._expire_leases)
--- a/tests/batch/deployment.py
+++ b/tests/batch/deployment.py
@@ -22,7 +22,7 @@
     WorkerEntry,
 )
 from chivefall.batch_application import BatchApplication, BatchConnections
-from chivefall.config import BatchSettings, Settings, Timing
+from chivefall.config import BatchSettings, PlatformBounds, Settings, Timing
 from chivefall.decoding import decode_json
 from chivefall.errors import MessageError
 from chivefall.model import AccountId, DomainId, InstanceId, JobId, ServiceId, WorkerId
@@ -39,6 +39,7 @@
 NORMAL = Queue(QueueId("normal"), "host", "/normal/", SERVICE, 1, 2, 3.0, 1.0)
 ACCOUNT = ClientAccount(AccountId("farm"), frozenset({KEY}), 16)
 CLOCK_STEP_SECONDS = 0.01
+TIMING = Timing(leader_lease=3.0, leader_renewal=1.0, store_timeout=1.0)
 
 
 class StubPlatformCodec(PlatformCodec):
@@ -75,14 +76,13 @@
         self.store.faults.delay = 0.002
         self.client = MemoryRunClient(deployment.workers)
         addresses = [f"127.0.0.1:{port}" for port in (1, 2, 3)]
-        timing = Timing(leader_lease=3.0, leader_renewal=1.0, store_timeout=1.0)
         cfg = Settings(
             InstanceId(name),
             "region",
             DomainId("zarcero"),
             *addresses,
-            timing=timing,
-            batch=BatchSettings("127.0.0.1:4", "127.0.0.1:5", cores),
+            timing=deployment.timing,
+            batch=BatchSettings("127.0.0.1:4", "127.0.0.1:5", cores, bounds=deployment.bounds),
         )
         connections = BatchConnections(deployment.clock, self.store, self.client, deployment.codec)
         self.application = BatchApplication(cfg, connections)
@@ -105,8 +105,14 @@
     """A store, workers and instances on one manual clock."""
 
     def __init__(
-        self, instances: int = 1, workers: int = 4, capacity: Resources | None = None
+        self,
+        instances: int = 1,
+        workers: int = 4,
+        capacity: Resources | None = None,
+        timing: Timing = TIMING,
+        bounds: PlatformBounds | None = None,
     ) -> None:
+        self.timing, self.bounds = timing, bounds or PlatformBounds()
         self.clock = ManualClock()
         self.state = KeyValueState(self.clock)
         self.codec = self.make_codec()
--- a/tests/batch/test_displacement.py
+++ b/tests/batch/test_displacement.py
@@ -9,6 +9,7 @@
     NO_CHECKPOINT,
     BatchJob,
     BatchSpec,
+    BatchTiming,
     DisplacementReason,
     Fleet,
     Queue,
@@ -20,11 +21,14 @@
     Worker,
     find_displacements,
 )
+from chivefall.config import PlatformBounds
 from chivefall.model import AccountId, JobId, ServiceId
 from standins.run_workers import make_worker_entry
 
 START = 100.0
 
+TIMING = BatchTiming.from_bounds(PlatformBounds())
+
 
 def running_job(workers: list[str], **fields) -> BatchJob:
     """Return a job with one running task on each worker."""
@@ -61,7 +65,9 @@
         self.fleet = fleet_of(*self.names)
 
     def find(self, job: BatchJob, now: float) -> dict[str, DisplacementReason]:
-        return {item.worker: item.reason for item in find_displacements([job], self.fleet, now)}
+        return {
+            item.worker: item.reason for item in find_displacements([job], self.fleet, now, TIMING)
+        }
 
     def test_run_without_progress_is_stalled(self) -> None:
         """Guards against tasks that never finish because their run makes no progress."""
--- a/tests/batch/test_policy.py
+++ b/tests/batch/test_policy.py
@@ -7,6 +7,7 @@
 from chivefall.batch import (
     BatchJob,
     BatchSpec,
+    BatchTiming,
     Candidate,
     DeadlinePolicy,
     Fleet,
@@ -20,6 +21,7 @@
     Submission,
     Worker,
 )
+from chivefall.config import PlatformBounds
 from chivefall.model import AccountId, JobId, ServiceId
 from standins.run_workers import make_worker_entry
 
@@ -30,6 +32,8 @@
 LARGE = Resources(13_000, 68_000, 2)  # more than half of a worker's memory
 SMALL = Resources(3000, 8000, 1)
 
+TIMING = BatchTiming.from_bounds(PlatformBounds())
+
 
 class RoundTest(unittest.TestCase):
     def setUp(self) -> None:
@@ -65,7 +69,7 @@
             job.confirm_running(key, run.number, NOW - age)
 
     def plan(self, now: float = NOW) -> Plan:
-        return DeadlinePolicy().plan(self.candidates, self.fleet, now, self.guarantees)
+        return DeadlinePolicy(TIMING).plan(self.candidates, self.fleet, now, self.guarantees)
 
     def started(self, plan: Plan, name: str) -> list[str]:
         return [
