Do not take silent workers, long runs and late gang members for stalled runs

Cause: a run counted as stalled when its last report came 1.6 s after the last change of its progress. The first report after a silence of the worker, or a pause of the leader, shows the progress from before, so that running work was stopped and started elsewhere (operators' report). Progress is reported in whole percent: a run of an hour changes it once in 36 s and was stopped again and again. Members of a gang that waited 1.6 s for the last one were stopped at their start.

Change: only the time between reports that show the same progress counts, at most 1 s for each; the limit is three percent steps of the declared run time, slowed down as away from the data, and at least 1.6 s as before; the start of a gang's last member resets it.

--- a/chivefall/batch/_displacement.py
+++ b/chivefall/batch/_displacement.py
@@ -20,11 +20,12 @@
 
 __all__ = ["Displacement", "DisplacementReason", "find_displacements"]
 
-STALL_SECONDS = 1.6
-"""Time without progress after which a run counts as stalled.
+MIN_STALL_SECONDS = 1.6
+"""Time without progress after which a run counts as stalled, if it is short.
 
-Progress is reported in whole percent, so a run of 100 s reports a change each second.
+Progress is reported in whole percent, so a run of an hour reports a change each 36 s.
 """
+STALL_PERCENT_STEPS = 3  # of the declared run time, slowed down as away from the data
 SLOW_FACTOR = 2.0
 """Slowdown from which a worker counts as slow.
 
@@ -164,7 +165,7 @@
         return DisplacementReason.LEAVING
     if worker.suspect:
         return None
-    if _has_stalled(task, group):
+    if _has_stalled(task, group, timing):
         return DisplacementReason.STALLED
     if worker.worker_id not in slow or task.last_run_number >= LENIENT_FROM_RUN:
         return None
@@ -182,13 +183,14 @@
     return _estimate_remaining_seconds(task, group.step, now) > restarted
 
 
-def _has_stalled(task: Task, group: _RunningGroup) -> bool:
+def _has_stalled(task: Task, group: _RunningGroup, timing: BatchTiming) -> bool:
     """Return whether the reports of a run have shown no progress for too long."""
     if task.progress >= 1.0 and any(other.progress < 1.0 for other in group.running):
         return False  # A finished member of a gang waits for the others.
-    limit = STALL_SECONDS * 2 ** max(0, task.last_run_number - LENIENT_FROM_RUN + 1)
-    # Measured up to the last report, because missing reports are no evidence of a stall.
-    return task.reported_at - task.progress_at >= limit
+    percent_seconds = group.step.run_time * timing.remote_slowdown / 100
+    limit = max(MIN_STALL_SECONDS, STALL_PERCENT_STEPS * percent_seconds)
+    limit *= 2 ** max(0, task.last_run_number - LENIENT_FROM_RUN + 1)
+    return task.unchanged_seconds >= limit
 
 
 def _estimate_total_seconds(task: Task, now: float) -> float | None:
--- a/chivefall/batch/_job.py
+++ b/chivefall/batch/_job.py
@@ -28,6 +28,7 @@
 
 
 NO_RUN = RunNumber(0)
+MAX_REPORT_INTERVAL_SECONDS = 1.0  # between two reports; a longer gap counts for no more
 
 
 class TaskState(Enum):
@@ -98,9 +99,10 @@
         Time of the assignment of the current run, in seconds since the Unix epoch.
     progress : float
         Completed fraction of the work by the last report of the current run, 0 to 1.
-    progress_at, reported_at : float
-        Times of the last change of ``progress`` and of the last report, in seconds
-        since the Unix epoch.
+    reported_at : float
+        Time of the last report, in seconds since the Unix epoch.
+    unchanged_seconds : float
+        Time for which reports have shown the same ``progress``.
     stopping : bool
         Whether a stop of the current run was decided.
     """
@@ -113,8 +115,8 @@
     assignment: Assignment | None = None
     started_at: float = 0.0
     progress: float = 0.0
-    progress_at: float = 0.0
     reported_at: float = 0.0
+    unchanged_seconds: float = 0.0
     stopping: bool = False
 
 
@@ -241,7 +243,7 @@
             task.state = TaskState.ASSIGNED
             task.assignment = Assignment(worker, incarnation, task.last_run_number)
             task.started_at, task.progress, task.stopping = now, 0.0, False
-            task.progress_at = task.reported_at = now
+            task.reported_at, task.unchanged_seconds = now, 0.0
             self._ready_since.pop((task.key.occurrence, task.key.step), None)
             runs.append(RunId(self.job_id, task.key, task.last_run_number))
         self.started = True
@@ -252,7 +254,10 @@
         task = self._current(key, number)
         if task is not None and task.state is TaskState.ASSIGNED:
             task.state = TaskState.RUNNING
-            task.progress_at = now
+            task.reported_at = now
+            # The members of a gang make no progress until the last one has started.
+            for member in self._members(task) if self.step_of(key).gang else (task,):
+                member.unchanged_seconds = 0.0
 
     def record_progress(
         self, run: RunId, checkpoint: Checkpoint, progress: float, now: float
@@ -262,7 +267,10 @@
         if task is None:
             return
         if progress != task.progress:
-            task.progress_at = now
+            task.unchanged_seconds = 0.0
+        else:
+            # A silent worker or a paused leader is no evidence against the run.
+            task.unchanged_seconds += min(MAX_REPORT_INTERVAL_SECONDS, now - task.reported_at)
         task.progress, task.reported_at = progress, now
         self._record_checkpoint(task, checkpoint)
 
--- a/chivefall/controllers/batch/_scheduler.py
+++ b/chivefall/controllers/batch/_scheduler.py
@@ -239,7 +239,7 @@
         for task in job.active_tasks():
             assignment = task.assignment
             run = RunId(job.job_id, task.key, assignment.number)
-            task.started_at = task.progress_at = task.reported_at = self.clock.now()
+            task.started_at = task.reported_at = self.clock.now()
             self._fleet.adopt(run, job.step_of(task.key), assignment.worker, assignment.incarnation)
         if job.state.is_final:
             self._stop_all(job)
