Log unexpected errors of the batch daemon and go on without the job or timer

Cause: errors in event handlers and timers of the batch daemon were dropped without a log line; only the other application had a handler. An error in a timer held up the others that were due, and one job whose planning failed kept the whole region from starting anything.

Change: both applications register ErrorLogger; the clock reports errors of its calls and goes on with the next one; a round leaves out the job, and its error is logged.

--- a/chivefall/application.py
+++ b/chivefall/application.py
@@ -20,6 +20,7 @@
     MembershipController,
     WorkerController,
 )
+from chivefall.controllers._errors import ErrorLogger
 from chivefall.endpoints import EndpointClient
 from chivefall.filters import (
     AccountFilter,
@@ -37,7 +38,7 @@
 from chivefall.runtime import Clock
 from chivefall.scheduling import GuaranteePolicy
 from chivefall.store import Store
-from chivefall.telemetry import LogEvent, Metrics, log_event
+from chivefall.telemetry import Metrics
 from chivefall.workers import WorkerClient
 
 if TYPE_CHECKING:
@@ -88,6 +89,7 @@
             self.clock.now,
         )
         self.metrics.add_sampler(self._sample)
+        ErrorLogger().register(self)
         self.api = HttpApi(self.clock, self.chain, self.document, self.job_router, self.metrics)
 
     def _add_controllers(self, connections: Connections) -> None:
@@ -194,15 +196,3 @@
         if record.attempts == 1:
             delay = record.started_at - record.submitted_at
             self.metrics.start_delay.observe({"urgency": record.spec.urgency.value}, delay)
-
-    @handler("exception", channel="*")
-    def _on_exception(self, kind, value, _traceback, handler=None, fevent=None) -> None:
-        name = getattr(fevent, "name", "")
-        if name == "exception":
-            return  # an error in this handler would otherwise trigger it again without end
-        log_event(
-            LogEvent.UNHANDLED_ERROR,
-            error=f"{kind.__name__}: {value}",
-            handler=getattr(handler, "__qualname__", ""),
-            event=name,
-        )
--- a/chivefall/batch/_plan.py
+++ b/chivefall/batch/_plan.py
@@ -6,7 +6,7 @@
 
 from chivefall.batch._job import BatchJob
 from chivefall.batch._model import Incarnation, Queue, RunId, TaskKey
-from chivefall.model import WorkerId
+from chivefall.model import JobId, WorkerId
 
 __all__ = ["Candidate", "GroupStart", "Plan"]
 
@@ -33,10 +33,13 @@
     ----------
     preemptions : list of RunId
         Runs to stop for urgent tasks.
+    errors : dict
+        Unexpected error of each job that could not be planned.
     """
 
     starts: list[GroupStart] = field(default_factory=list)
     preemptions: list[RunId] = field(default_factory=list)
+    errors: dict[JobId, Exception] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
--- a/chivefall/batch/_round.py
+++ b/chivefall/batch/_round.py
@@ -77,7 +77,10 @@
             workers, self._free, jobs, ranks, self._now, timing=self._timing
         )
         for group in find_groups(found, ranks, self._now):
-            self._place(group)
+            try:
+                self._place(group)
+            except Exception as exc:  # noqa: BLE001 - returned; other jobs must start
+                self._plan.errors[group.job.job_id] = exc
         return self._plan
 
     def _is_guarantee_due(self, group: TaskGroup) -> bool:
--- a/chivefall/batch_application.py
+++ b/chivefall/batch_application.py
@@ -9,6 +9,7 @@
 from circuits import BaseComponent
 
 from chivefall.batch import BatchTiming, DeadlinePolicy, JobState, PlatformCodec, Resources
+from chivefall.controllers._errors import ErrorLogger
 from chivefall.controllers._leader import LeaderController
 from chivefall.controllers.batch import (
     BatchScheduler,
@@ -94,6 +95,7 @@
             clock.now,
         )
         self.metrics.add_sampler(self._sample)
+        ErrorLogger().register(self)
         for controller in self.registry:
             controller.register(self)
 
--- a/chivefall/batch_daemon.py
+++ b/chivefall/batch_daemon.py
@@ -13,6 +13,7 @@
 from chivefall.batch import BatchTiming
 from chivefall.batch_application import BatchApplication, BatchConnections
 from chivefall.config import Address
+from chivefall.controllers._errors import log_timer_error
 from chivefall.controllers._settings import SettingsController
 from chivefall.net import HttpClient, HttpReply, HttpRequest, HttpServer
 from chivefall.platform import BatchHttpApi, HttpRunClient, JsonPlatformCodec, PlatformStore
@@ -49,6 +50,7 @@
         EPoll().register(self)
         self.clock = LoopClock()
         self.clock.timer_component.register(self)
+        self.clock.on_error = log_timer_error
         self.http = HttpClient(self.clock).register(self)
         timing = cfg.timing
         self.store = PlatformStore(self.http, Address.parse(cfg.store), timing.store_timeout)
--- a/chivefall/controllers/batch/_scheduler.py
+++ b/chivefall/controllers/batch/_scheduler.py
@@ -303,6 +303,10 @@
         guarantees = {item.name: item.guaranteed_accelerators for item in accounts}
         plan = self._policy.plan(self._candidates(), self._fleet.fleet, now, guarantees)
         self._metrics.round_seconds.observe({}, self.clock.now() - now)
+        for job_id, exc in plan.errors.items():
+            log_event(
+                LogEvent.UNHANDLED_ERROR, controller="BatchPolicy", job=job_id, error=repr(exc)
+            )
         if plan.starts or plan.preemptions:
             self._execute(plan, now)
 
--- a/chivefall/daemon.py
+++ b/chivefall/daemon.py
@@ -10,6 +10,7 @@
 
 from chivefall.application import Application, Connections
 from chivefall.config import Address
+from chivefall.controllers._errors import log_timer_error
 from chivefall.endpoints import HttpEndpointClient
 from chivefall.net import HttpClient, HttpServer, NngPeers
 from chivefall.runtime import LoopClock
@@ -43,6 +44,7 @@
         EPoll().register(self)
         self.clock = LoopClock()
         self.clock.timer_component.register(self)
+        self.clock.on_error = log_timer_error
         self.http = HttpClient(self.clock).register(self)
         self.peers = NngPeers(
             cfg.instance,
--- a/chivefall/runtime/_clock.py
+++ b/chivefall/runtime/_clock.py
@@ -37,6 +37,7 @@
     def __init__(self) -> None:
         self._queue: list[tuple[float, int, TimerHandle]] = []
         self._sequence = itertools.count()
+        self.on_error: Callable[[Exception], None] | None = None
 
     @abstractmethod
     def now(self) -> float:
@@ -58,8 +59,14 @@
         """Make all calls that are due at ``now`` and return their number."""
         count = 0
         while (due := self.next_due()) is not None and due <= now:
-            heapq.heappop(self._queue)[2].callback()
+            timer = heapq.heappop(self._queue)[2]
             count += 1
+            try:
+                timer.callback()
+            except Exception as exc:
+                if self.on_error is None:
+                    raise
+                self.on_error(exc)
         return count
 
 
--- a/tests/batch/test_end_to_end.py
+++ b/tests/batch/test_end_to_end.py
@@ -4,6 +4,7 @@
 
 import unittest
 from itertools import pairwise
+from unittest.mock import patch
 
 from chivefall.batch import (
     BatchOperation,
@@ -13,9 +14,11 @@
     PendingJobs,
     Resources,
     StepSpec,
+    _round,
 )
 from chivefall.model import Accepted, JobId, NotRun, NotRunReason, Unknown
 from chivefall.store import Unavailable
+from chivefall.telemetry import LogEvent
 from tests.batch.deployment import ACCOUNT, NORMAL, URGENT, Deployment
 
 TASK_RESOURCES = Resources(4000, 16_000, 2)
@@ -402,5 +405,29 @@
         self.assertIs(sut.state_of("a1"), JobState.COMPLETED)
 
 
+class UnexpectedErrorTest(unittest.TestCase):
+    def test_one_job_that_cannot_be_planned(self) -> None:
+        """Guards against a whole region that starts nothing because of one job."""
+        sut = Deployment()
+        place = _round.place_independent
+
+        def fail_for_three(workers, step, count, *args, **options):
+            if count == 3:
+                raise ZeroDivisionError("unexpected")
+            return place(workers, step, count, *args, **options)
+
+        with (
+            patch.object(_round, "place_independent", fail_for_three),
+            patch("chivefall.controllers.batch._scheduler.log_event") as log,
+        ):
+            sut.submit("00aa", StepSpec(3, Resources(1000, 1000, 1), 1.0))
+            sut.submit("00bb", StepSpec(1, Resources(1000, 1000, 1), 1.0))
+            sut.run(4.0)
+            self.assertIs(sut.state_of("00aa"), JobState.QUEUED)
+            self.assertIs(sut.state_of("00bb"), JobState.COMPLETED)
+        errors = [call for call in log.call_args_list if call.args == (LogEvent.UNHANDLED_ERROR,)]
+        self.assertEqual(errors[0].kwargs["job"], "00aa")
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/runtime/test_clock.py
+++ b/tests/runtime/test_clock.py
@@ -26,6 +26,15 @@
         with mock.patch("time.clock_gettime", after_suspension):
             self.assertGreaterEqual(clock.now() - before, 60.0)
 
+    def test_error_of_a_timer_is_reported_and_the_others_run(self) -> None:
+        """Guards against one unexpected error that holds up all other timers of a process."""
+        clock, calls, errors = LoopClock(), [], []
+        clock.on_error = errors.append
+        clock.call_later(1.0, lambda: calls[0])
+        clock.call_later(1.0, lambda: calls.append(1))
+        self.assertEqual(clock.run_due(clock.now() + 2.0), 2)
+        self.assertEqual((calls, [type(error) for error in errors]), ([1], [IndexError]))
+
     def test_timer_due_during_suspension_runs_once(self) -> None:
         """Guards against timers that are lost or repeated after a suspension."""
         clock, calls = LoopClock(), []
--- a/tests/test_application.py
+++ b/tests/test_application.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import unittest
+from unittest import mock
 
 from circuits import BaseComponent, Event, handler
 
 from chivefall.model import AccountId, JobSpec, Urgency
 from standins.cluster import Cluster
+from tests.batch.deployment import Deployment
 
 
 class Unprintable:
@@ -40,6 +42,17 @@
             app.flush()
         self.assertEqual(len(app), 0)
 
+    def test_error_in_a_batch_application_is_logged(self) -> None:
+        """Guards against errors of handlers that leave no trace for the operators on call."""
+        app = Deployment().instances[0].application
+        BrokenComponent().register(app)
+        with mock.patch("chivefall.controllers._errors.log_event") as log:
+            app.fire(broken(Unprintable()))
+            for _ in range(20):
+                app.flush()
+        self.assertEqual(log.call_count, 1)
+        self.assertIn("handler failed", log.call_args.kwargs["error"])
+
 
 class MetricsTest(unittest.TestCase):
     def test_start_delay_and_job_states(self) -> None:
