Estimate the run times of a group's tasks once for each check of slow runs

Cause: the check of running work, four times a second, compared each task with all others of its step: 35 ms for 1,323 runs on 270 workers, 14 % of a core.

Change: the estimates of a group are made once and the median is kept for each worker.

The decisions are the same; the existing tests of slow and stalled runs pass.

--- a/chivefall/batch/_displacement.py
+++ b/chivefall/batch/_displacement.py
@@ -78,7 +78,7 @@
 def _iterate_displacements(
     groups: list[_RunningGroup], fleet: Fleet, now: float, timing: BatchTiming
 ) -> Iterator[Displacement]:
-    slow = _find_slow_workers(groups, now)
+    slow = _find_slow_workers(groups)
     for group in groups:
         for task in group.running:
             worker = fleet.workers.get(task.assignment.worker)
@@ -92,23 +92,37 @@
                     break  # Stopping one member ends the whole gang.
 
 
-@dataclass(frozen=True)
 class _RunningGroup:
-    """Running tasks of one step of one occurrence of a job."""
+    """Running tasks of one step of one occurrence of a job, at the time ``now``.
+
+    Attributes
+    ----------
+    totals : dict
+        Estimated total run times of the tasks by worker, in seconds.
+    """
 
-    job: BatchJob
-    step: StepSpec
-    running: list[Task]
+    def __init__(self, job: BatchJob, step: StepSpec, running: list[Task], now: float) -> None:
+        self.job = job
+        self.step = step
+        self.running = running
+        self.totals: dict[WorkerId, list[float]] = defaultdict(list)
+        for task in running:
+            total = _estimate_total_seconds(task, now)
+            if total is not None:
+                self.totals[task.assignment.worker].append(total)
+        self._typical: dict[WorkerId, float | None] = {}
 
-    def typical_seconds(self, now: float, excluding: WorkerId) -> float | None:
+    def typical_seconds(self, excluding: WorkerId) -> float | None:
         """Return the median estimated run time of the tasks on other workers, in seconds."""
-        totals = [
-            total
-            for task in self.running
-            if task.assignment.worker != excluding
-            and (total := _estimate_total_seconds(task, now)) is not None
-        ]
-        return median(totals) if totals else None
+        if excluding not in self._typical:
+            others = [
+                total
+                for worker, totals in self.totals.items()
+                if worker != excluding
+                for total in totals
+            ]
+            self._typical[excluding] = median(others) if others else None
+        return self._typical[excluding]
 
 
 def _comparable_groups(jobs: Iterable[BatchJob], now: float) -> Iterator[_RunningGroup]:
@@ -124,7 +138,7 @@
                     continue
                 if step.gang and any(task.state is not TaskState.RUNNING for task in tasks):
                     continue  # Members make no progress until all of them run.
-                yield _RunningGroup(job, step, running)
+                yield _RunningGroup(job, step, running, now)
 
 
 def _is_comparable(task: Task, now: float) -> bool:
@@ -136,15 +150,14 @@
     )
 
 
-def _find_slow_workers(groups: Sequence[_RunningGroup], now: float) -> set[WorkerId]:
+def _find_slow_workers(groups: Sequence[_RunningGroup]) -> set[WorkerId]:
     """Return the workers whose runs take much longer than other runs of the same steps."""
     ratios: dict[WorkerId, list[float]] = defaultdict(list)
     for group in groups:
-        for task in group.running:
-            total = _estimate_total_seconds(task, now)
-            typical = group.typical_seconds(now, task.assignment.worker)
-            if total is not None and typical:
-                ratios[task.assignment.worker].append(total / typical)
+        for worker, totals in group.totals.items():
+            typical = group.typical_seconds(worker)
+            if typical:
+                ratios[worker] += [total / typical for total in totals]
     return {
         worker
         for worker, ratio in ratios.items()
@@ -174,7 +187,7 @@
 
 def _saves_time(task: Task, group: _RunningGroup, now: float, timing: BatchTiming) -> bool:
     """Return whether a task on a slow worker would finish earlier on another one."""
-    typical = group.typical_seconds(now, task.assignment.worker)
+    typical = group.typical_seconds(task.assignment.worker)
     if typical is None:
         return False
     restarted = typical + timing.restart
