Bound the connections of the batch daemon for each use and for each worker

Cause: eight starts on one worker opened eight connections, of which four stayed idle for 15 s: 4,120 connections with 298 machines, where a small machine has 4,100 descriptors and 200 of them are reserved.

Change: the settings name the limit of descriptors and each use has a budget. Workers have three connections each, on which polls and orders wait for their turn within their timeout; above the total, idle connections to other workers are closed. The store has a client of its own.

Shown by tests that fail on the code before (six connections for six requests).

--- a/chivefall/batch_daemon.py
+++ b/chivefall/batch_daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal as signals
+from dataclasses import dataclass
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -15,7 +16,8 @@
 from chivefall.config import Address
 from chivefall.controllers._errors import log_timer_error
 from chivefall.controllers._settings import SettingsController
-from chivefall.net import HttpClient, HttpReply, HttpRequest, HttpServer
+from chivefall.errors import ConfigError
+from chivefall.net import ConnectionLimits, HttpClient, HttpReply, HttpRequest, HttpServer
 from chivefall.platform import BatchHttpApi, HttpRunClient, JsonPlatformCodec, PlatformStore
 from chivefall.runtime import Future, LoopClock
 from chivefall.telemetry import LogEvent, log_event
@@ -28,6 +30,12 @@
 
 __all__ = ["BatchDaemon"]
 
+RESERVED_DESCRIPTORS = 200  # files, pipes and listening sockets
+MAX_CALLER_CONNECTIONS = 512
+PROBE_CONNECTIONS = 32  # to each of the readiness and the metrics address
+STORE_CONNECTIONS = 64
+MIN_WORKER_CONNECTIONS = 64
+CONNECTIONS_PER_WORKER = 3  # one poll and two orders at a time
 DRAIN_CHECK_INTERVAL_SECONDS = 0.05
 DEREGISTRATION_SECONDS = 3.0
 """Time after a stop request in which new connections may still arrive.
@@ -37,6 +45,44 @@
 RESPONSE_RESERVE_SECONDS = 0.5  # last part of the grace period, for the last responses
 
 
+@dataclass(frozen=True)
+class DescriptorBudget:
+    """Connections for each use, so that none of them can take the descriptors of the others.
+
+    Attributes
+    ----------
+    callers : int
+        Connections from callers.
+    """
+
+    callers: int
+    store: ConnectionLimits
+    workers: ConnectionLimits
+
+    @classmethod
+    def of(cls, descriptors: int) -> DescriptorBudget:
+        """Return the budget for a limit of open descriptors.
+
+        Raises
+        ------
+        ConfigError
+            If too few remain for the workers.
+        """
+        callers = min(MAX_CALLER_CONNECTIONS, descriptors // 4)
+        used = RESERVED_DESCRIPTORS + callers + 2 * PROBE_CONNECTIONS + STORE_CONNECTIONS
+        workers = descriptors - used
+        if workers < MIN_WORKER_CONNECTIONS:
+            raise ConfigError(
+                f"batch.descriptors {descriptors} leaves {workers} connections to workers",
+                f"allow at least {descriptors + MIN_WORKER_CONNECTIONS - workers}",
+            )
+        return cls(
+            callers,
+            ConnectionLimits(STORE_CONNECTIONS, STORE_CONNECTIONS),
+            ConnectionLimits(workers, CONNECTIONS_PER_WORKER, waits=True),
+        )
+
+
 class BatchDaemon(BaseComponent):
     """Runs a batch application on the circuits loop until a termination signal."""
 
@@ -51,10 +97,12 @@
         self.clock = LoopClock()
         self.clock.timer_component.register(self)
         self.clock.on_error = log_timer_error
-        self.http = HttpClient(self.clock).register(self)
+        budget = DescriptorBudget.of(cfg.batch.descriptors)
+        self.http = HttpClient(self.clock, budget.store).register(self)
+        self.worker_http = HttpClient(self.clock, budget.workers).register(self)
         timing = cfg.timing
         self.store = PlatformStore(self.http, Address.parse(cfg.store), timing.store_timeout)
-        self.workers = HttpRunClient(self.http, _worker_timeout(cfg))
+        self.workers = HttpRunClient(self.worker_http, _worker_timeout(cfg))
         self.settings = SettingsController(self.clock, path, cfg, self._adopt_settings)
         self.settings.register(self)
         self.application = BatchApplication(
@@ -76,11 +124,13 @@
         )
         api = BatchHttpApi(self.clock, application.chain, application.catalog, application.metrics)
         self.servers = {
-            name: HttpServer(Address.parse(listen), serve, self.clock, channel=name).register(self)
-            for name, listen, serve in (
-                ("front", cfg.listen, api.serve),
-                ("ready", cfg.batch.ready_listen, self._serve_ready),
-                ("metrics", cfg.batch.metrics_listen, self._serve_metrics),
+            name: HttpServer(
+                Address.parse(listen), serve, self.clock, max_connections=limit, channel=name
+            ).register(self)
+            for name, listen, serve, limit in (
+                ("front", cfg.listen, api.serve, budget.callers),
+                ("ready", cfg.batch.ready_listen, self._serve_ready, PROBE_CONNECTIONS),
+                ("metrics", cfg.batch.metrics_listen, self._serve_metrics, PROBE_CONNECTIONS),
             )
         }
 
@@ -148,6 +198,7 @@
         self.application.stop_controllers()
         self.settings.stop()
         self.http.close_all()
+        self.worker_http.close_all()
         log_event(LogEvent.PROCESS_STOPPED, instance=self.cfg.instance)
         self.root.stop()
 
--- a/chivefall/config.py
+++ b/chivefall/config.py
@@ -149,6 +149,8 @@
         Fraction of these cores that the instance may use.
     link_mbps : float
         Bandwidth of the machine's network link in megabits per second.
+    descriptors : int
+        Number of file descriptors that the process may have open.
     bounds : PlatformBounds
         Times that the platform grants or requires.
     """
@@ -158,6 +160,7 @@
     cores: float = math.inf
     core_share: float = 1.0
     link_mbps: float = math.inf
+    descriptors: int = 1024
     bounds: PlatformBounds = field(default_factory=PlatformBounds)
 
 
@@ -279,7 +282,7 @@
             raise ConfigError(
                 f"{source}: timing.{key} is not positive", "use a number of seconds above 0"
             )
-    for key in ("cores", "core_share", "link_mbps"):
+    for key in ("cores", "core_share", "link_mbps", "descriptors"):
         if cfg.batch is not None and not getattr(cfg.batch, key) > 0:
             raise ConfigError(
                 f"{source}: batch.{key} is not positive",
--- a/chivefall/net/__init__.py
+++ b/chivefall/net/__init__.py
@@ -9,7 +9,12 @@
 if TYPE_CHECKING:
     from chivefall.net._adaptive_timeout import AdaptiveTimeout
     from chivefall.net._codec import decode_outcome, encode_outcome
-    from chivefall.net._http_client import HttpClient, HttpFailure, HttpResponse
+    from chivefall.net._http_client import (
+        ConnectionLimits,
+        HttpClient,
+        HttpFailure,
+        HttpResponse,
+    )
     from chivefall.net._http_server import HttpReply, HttpRequest, HttpServer, json_reply
     from chivefall.net._messages import (
         Envelope,
@@ -23,6 +28,7 @@
 
 __all__ = [
     "AdaptiveTimeout",
+    "ConnectionLimits",
     "Envelope",
     "Heartbeat",
     "HttpClient",
@@ -49,6 +55,7 @@
         "PeerResponse": "_messages",
         "Envelope": "_messages",
         "Heartbeat": "_messages",
+        "ConnectionLimits": "_http_client",
         "HttpClient": "_http_client",
         "HttpFailure": "_http_client",
         "HttpReply": "_http_server",
--- a/chivefall/net/_http_client.py
+++ b/chivefall/net/_http_client.py
@@ -6,45 +6,81 @@
 import itertools
 import math
 import socket
-from collections import defaultdict
-from typing import TYPE_CHECKING
+from collections import defaultdict, deque
+from collections.abc import Callable
+from dataclasses import dataclass
 
 from circuits import BaseComponent, handler
 from circuits.core.pollers import BasePoller
 from circuits.core.utils import findcmp
 
+from chivefall.config import Address
 from chivefall.net._http_connection import Connection, HttpFailure, HttpResponse, encode_request
 from chivefall.net._http_framing import FramingError, Message, MessageFramer, MessageLimits
-from chivefall.runtime import Clock, Future
+from chivefall.runtime import Clock, Future, TimerHandle
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from chivefall.config import Address
-
-__all__ = ["HttpClient", "HttpFailure", "HttpResponse"]
+__all__ = ["ConnectionLimits", "HttpClient", "HttpFailure", "HttpResponse"]
 
 RECEIVE_SIZE_BYTES = 65536
 MAX_RESPONSE_BYTES = 16_000_000
-MAX_IDLE_CONNECTIONS_PER_ADDRESS = 4
-MAX_CONNECTIONS_PER_ADDRESS = 64
+MAX_IDLE_CONNECTIONS_PER_SERVER = 4
 # Shorter than the idle timeouts of common servers, so that this side closes most connections.
 IDLE_TIMEOUT_SECONDS = 15.0
 _channel_numbers = itertools.count()
 
 
+@dataclass(frozen=True)
+class ConnectionLimits:
+    """Limits of the open connections of a client, including idle ones.
+
+    Attributes
+    ----------
+    total : int
+        Limit for all servers; idle connections to other servers make room for new ones.
+    per_server : int
+        Limit for one server.
+    waits : bool
+        Whether requests above the limit for a server wait; otherwise they fail at once.
+    """
+
+    total: int = 600
+    per_server: int = 64
+    waits: bool = False
+
+
+@dataclass(eq=False)
+class _Request:
+    """An encoded request and what its exchange needs."""
+
+    address: Address
+    data: bytes
+    fut: Future[HttpResponse | HttpFailure]
+    deadline: float
+    timeout: float
+    idempotent: bool
+    verify: Callable[[HttpResponse], bool] | None
+    max_body_bytes: int
+    restart_timeout_on_data: bool
+    expires_at: float
+    timer: TimerHandle | None = None
+
+
 class HttpClient(BaseComponent):
     """Sends requests over pooled connections, each with one exchange at a time.
 
     A connection is closed when its exchange times out, so that a late response
-    cannot be taken for the response to another request.
+    cannot be taken for the response to another request. Requests that wait for a
+    connection are sent in order of arrival; a wait that ends with the timeout fails unsent.
     """
 
     _cached_poller: BasePoller | None = None
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, limits: ConnectionLimits | None = None) -> None:
         super().__init__(channel=f"http-client-{next(_channel_numbers)}")
         self.clock = clock
+        self._limits = limits or ConnectionLimits()
+        self._waiting: dict[Address, deque[_Request]] = {}
+        self._total_connections = 0
         self._active: dict[socket.socket, Connection] = {}
         self._idle: dict[Address, list[Connection]] = {}
         self._connection_counts: dict[Address, int] = defaultdict(int)
@@ -99,22 +135,69 @@
             Time from which the request is no longer sent, in seconds since the Unix
             epoch; it may pass while the connection is established or the process is paused.
         """
-        fut: Future[HttpResponse | HttpFailure] = Future()
+        req = _Request(
+            address,
+            encode_request(address, method, path, body, headers or {}),
+            Future(),
+            self.clock.now() + timeout,
+            timeout,
+            idempotent,
+            verify,
+            max_body_bytes,
+            restart_timeout_on_data,
+            expires_at,
+        )
+        if self._waiting.get(address) or not self._begin(req):
+            self._wait(req)
+        return req.fut
+
+    def _wait(self, req: _Request) -> None:
+        if not self._limits.waits:
+            reason = f"all {self._limits.per_server} connections to {req.address} are in use"
+            req.fut.set_result(HttpFailure(reason, sent=False))
+            return
+        self._waiting.setdefault(req.address, deque()).append(req)
+        req.timer = self.clock.call_later(req.timeout, lambda: self._fail_waiting(req))
+
+    def _begin(self, req: _Request) -> bool:
+        """Start the exchange of a request; return False if it has to wait for a connection."""
+        address = req.address
         try:
-            conn = self._take_idle(address, idempotent) or self._connect(address)
+            conn = self._take_idle(address, req.idempotent)
+            if conn is None and self.open_connections(address) >= self._limits.per_server:
+                return False
+            conn = conn or self._connect(address)
         except OSError as exc:
-            fut.set_result(HttpFailure(f"cannot connect to {address}: {exc}", sent=False))
-            return fut
-        conn.fut, conn.verify, conn.sent = fut, verify, False
-        conn.expires_at = expires_at
-        conn.framer = MessageFramer(MessageLimits(max_body_bytes=max_body_bytes), responses=True)
-        data = encode_request(address, method, path, body, headers or {})
-        conn.outgoing.append(memoryview(data))
-        conn.read_timeout = timeout if restart_timeout_on_data else None
-        self._start_timer(conn, timeout)
+            req.fut.set_result(HttpFailure(f"cannot connect to {address}: {exc}", sent=False))
+            return True
+        conn.fut, conn.verify, conn.sent = req.fut, req.verify, False
+        conn.expires_at = req.expires_at
+        limits = MessageLimits(max_body_bytes=req.max_body_bytes)
+        conn.framer = MessageFramer(limits, responses=True)
+        conn.outgoing.append(memoryview(req.data))
+        conn.read_timeout = req.timeout if req.restart_timeout_on_data else None
+        self._start_timer(conn, max(0.0, req.deadline - self.clock.now()))
         self._active[conn.sock] = conn
         self._poller.addWriter(self, conn.sock)
-        return fut
+        return True
+
+    def _fail_waiting(self, req: _Request) -> None:
+        queue = self._waiting.get(req.address, ())
+        if req in queue:
+            queue.remove(req)
+            reason = f"no free connection to {req.address} within {req.timeout:.3g} s"
+            req.fut.set_result(HttpFailure(reason, sent=False))
+
+    def _serve_waiting(self, address: Address) -> None:
+        """Start the exchanges of waiting requests for which there are connections."""
+        queue = self._waiting.get(address)
+        while queue:
+            req = queue.popleft()
+            if not self._begin(req):
+                queue.appendleft(req)
+                return
+            req.timer.cancel()
+        self._waiting.pop(address, None)
 
     def _start_timer(self, conn: Connection, seconds: float) -> None:
         reason = f"no response from {conn.address} within {seconds:.3g} s"
@@ -122,6 +205,10 @@
 
     def close_all(self) -> None:
         """Close all connections; exchanges in progress fail."""
+        for queue in list(self._waiting.values()):
+            for req in list(queue):
+                req.timer.cancel()
+                self._fail_waiting(req)
         for conn in list(self._active.values()):
             self._fail(conn, "the HTTP client is closing")
         for conns in list(self._idle.values()):
@@ -141,8 +228,8 @@
         return None
 
     def _connect(self, address: Address) -> Connection:
-        if self.open_connections(address) >= MAX_CONNECTIONS_PER_ADDRESS:
-            raise OSError(errno.EAGAIN, f"all {MAX_CONNECTIONS_PER_ADDRESS} connections are in use")
+        if self._total_connections >= self._limits.total and not self._close_one_idle():
+            raise OSError(errno.EAGAIN, f"all {self._limits.total} connections are in use")
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -151,9 +238,17 @@
             sock.close()
             raise OSError(code, errno.errorcode.get(code, "unknown error"))
         self._connection_counts[address] += 1
+        self._total_connections += 1
         self._poller.addReader(self, sock)
         return Connection(address, sock)
 
+    def _close_one_idle(self) -> bool:
+        """Close an idle connection to any server; return False if there is none."""
+        conn = next((conns[0] for conns in self._idle.values() if conns), None)
+        if conn is not None:
+            self._drop_idle(conn)
+        return conn is not None
+
     @handler("_write", priority=1)
     def _on_write(self, sock: socket.socket) -> None:
         conn = self._active.get(sock)
@@ -240,9 +335,10 @@
         reusable = message.keep_alive and not conn.outgoing and not conn.framer.buffered_bytes
         fut = self._end_exchange(conn)
         idle = self._idle.setdefault(conn.address, [])
-        if reusable and len(idle) < MAX_IDLE_CONNECTIONS_PER_ADDRESS:
+        if reusable and len(idle) < MAX_IDLE_CONNECTIONS_PER_SERVER:
             idle.append(conn)
             conn.timer = self.clock.call_later(IDLE_TIMEOUT_SECONDS, lambda: self._drop_idle(conn))
+            self._serve_waiting(conn.address)
         else:
             self._close(conn)
         fut.set_result(response)
@@ -264,9 +360,12 @@
         self._poller.discard(conn.sock)
         conn.sock.close()
         self._connection_counts[conn.address] -= 1
+        self._total_connections -= 1
         if not self._connection_counts[conn.address]:
             del self._connection_counts[conn.address]
             self._idle.pop(conn.address, None)
+        if conn.address in self._waiting:
+            self._serve_waiting(conn.address)
 
     def _remove_idle(self, conn: Connection) -> None:
         self._idle[conn.address].remove(conn)
--- a/tests/net/test_http_client.py
+++ b/tests/net/test_http_client.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 from chivefall.config import Address
-from chivefall.net import HttpClient, HttpFailure, HttpResponse
+from chivefall.net import ConnectionLimits, HttpClient, HttpFailure, HttpResponse
 from tests.net.loop import Loop, RawCaller
 
 if TYPE_CHECKING:
@@ -216,6 +216,58 @@
         self.assertEqual(self.client.open_connections(self.address), 64)
         self.assertFalse(futs[64].result().sent)
 
+    def limited_client(self, **limits: int) -> HttpClient:
+        """Return another client with limits, whose requests wait for a connection."""
+        client = HttpClient(self.loop.clock, ConnectionLimits(waits=True, **limits))
+        self.addCleanup(client.close_all)
+        return client.register(self.loop)
+
+    def test_requests_wait_for_a_connection_in_order(self) -> None:
+        """Guards against a burst of orders that opens a connection for each of them."""
+        self.client = self.limited_client(per_server=2)
+        futs = [self.send() for _ in range(6)]
+        peers = [self.accept(), self.accept()]
+        for number in range(0, 6, 2):
+            self.assertEqual([fut.done() for fut in futs], [i < number for i in range(6)])
+            for fut, peer in zip(futs[number : number + 2], peers, strict=True):
+                count = number // 2 + 1
+                peer.wait_for(lambda data, count=count: data.count(b"body") == count)
+                self.respond(fut, peer)
+        self.assertEqual([fut.result().status for fut in futs], [200] * 6)
+        self.assertEqual(self.client.open_connections(self.address), 2)
+
+    def test_wait_for_a_connection_ends_with_the_timeout(self) -> None:
+        """Guards against a request that waits for good, or that counts as sent."""
+        self.client = self.limited_client(per_server=1)
+        first = self.send(timeout=5)
+        waiting = self.send(timeout=1)
+        self.loop.advance(1)
+        self.assertFalse(waiting.result().sent)
+        self.assertFalse(first.done())
+        self.assertEqual(self.respond(first, self.accept()).status, 200)
+
+    def test_request_waits_behind_one_that_fails(self) -> None:
+        """Guards against waiting requests that no connection ever serves after a failure."""
+        self.client = self.limited_client(per_server=1)
+        first, second = self.send(timeout=1), self.send(timeout=3)
+        self.accept()
+        self.loop.advance(1)
+        self.assertTrue(first.result().sent)
+        self.assertEqual(self.respond(second, self.accept()).status, 200)
+
+    def test_idle_connections_make_room_for_other_servers(self) -> None:
+        """Guards against a fleet whose idle connections keep orders from the other workers."""
+        self.client = self.limited_client(total=2, per_server=2)
+        self.respond(self.send(), self.accept())
+        with socket.create_server(("127.0.0.1", 0)) as other:
+            address = Address(*other.getsockname())
+            futs = [self.client.request(address, "GET", "/", timeout=5) for _ in range(2)]
+            self.assertEqual(self.client.open_connections(self.address), 0)
+            self.assertEqual(self.client.open_connections(address), 2)
+            refused = self.send()
+            self.assertFalse(refused.result().sent)
+            self.assertFalse(any(fut.done() for fut in futs))
+
     def test_idle_connections_are_closed(self) -> None:
         """Guards against idle connections that are never closed."""
         self.respond(self.send(), self.accept())
