Poll the workers of large fleets less often

Cause: the leader polled each worker with runs at least every 0.75 s, 1.3 polls a second and worker, so that its load grew with the fleet: 400 busy workers cost 533 polls a second.

Change: the wait of a poll grows with the number of workers, so that there are at most 250 polls a second, up to a quarter of the run lease. Ends are still reported at once.

Shown by a deployment of 400 workers whose runs never lapse (LargeFleetTest), which fails on the code before.

--- a/chivefall/batch/_timing.py
+++ b/chivefall/batch/_timing.py
@@ -16,7 +16,8 @@
 LEASE_CLOCK_MARGIN_SECONDS = 0.5  # a leader may overestimate the worker's clock
 MIN_RUN_LEASE_SECONDS = 1.5
 POLLS_PER_LEASE = 4  # a poll may be lost and the leader replaced before a lease ends
-MAX_POLL_WAIT_SECONDS = 0.75
+POLL_WAIT_SECONDS = 0.75
+MAX_POLL_WAIT_SECONDS = 2.0  # longest wait that the platform's workers accept
 LEASE_EXTENSION_GRACE_SECONDS = 5.0
 """Time after the end of the leader lease in which run leases are still extended.
 
@@ -50,8 +51,9 @@
         Lease that each call grants to a worker's runs.
     max_lease : float
         Longest lease that an earlier leader may have granted.
-    poll_wait : float
-        Wait of a long poll; also the age limit of reported progress.
+    poll_wait, max_poll_wait : float
+        Wait of a long poll in small fleets and in large ones; also the age limit of
+        reported progress.
     orphan_timeout : float
         Time after a takeover by which runs on workers that were never reached have ended.
     start_timeout : float
@@ -82,6 +84,7 @@
     run_lease: float
     max_lease: float
     poll_wait: float
+    max_poll_wait: float
     orphan_timeout: float
     start_timeout: float
     stop_completion: float
@@ -124,7 +127,8 @@
         return cls(
             run_lease=run_lease,
             max_lease=min(max_lease, run_lease + LEASE_CLOCK_MARGIN_SECONDS),
-            poll_wait=min(MAX_POLL_WAIT_SECONDS, run_lease / POLLS_PER_LEASE),
+            poll_wait=min(POLL_WAIT_SECONDS, run_lease / POLLS_PER_LEASE),
+            max_poll_wait=min(MAX_POLL_WAIT_SECONDS, run_lease / POLLS_PER_LEASE),
             orphan_timeout=LEASE_EXTENSION_GRACE_SECONDS
             + run_lease / MIN_CLOCK_RATE
             + ORPHAN_MARGIN_SECONDS,
--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -48,6 +48,7 @@
 RETRY_DELAY_SECONDS = 0.4  # between calls to an unresponsive worker
 MAX_LOGGED_KEY_LENGTH = 200  # characters; other programs choose the keys of their entries
 MAX_PROBES_PER_SECOND = 150.0  # of idle workers; each call takes the leader 0.5 ms
+MAX_POLLS_PER_SECOND = 250.0  # of workers with runs, unless ends of runs are reported earlier
 MIN_PROBE_INTERVAL_SECONDS = 1.0  # between calls to an idle worker
 FAILED_RUN_AVOID_SECONDS = 0.5  # no starts after a failed run; doubled per earlier bad run
 SLOW_RUN_AVOID_SECONDS = 3.0  # no starts after a stalled or slow run; doubled likewise
@@ -318,6 +319,11 @@
         """Return the seconds between two probes of an idle worker."""
         return max(MIN_PROBE_INTERVAL_SECONDS, len(self._sessions) / MAX_PROBES_PER_SECOND)
 
+    def _poll_wait(self) -> float:
+        """Return the wait of a long poll in seconds, longer the more workers are polled."""
+        wait = max(self._timing.poll_wait, len(self._sessions) / MAX_POLLS_PER_SECOND)
+        return min(wait, self._timing.max_poll_wait)
+
     def _schedule_probe(self, session: Session) -> None:
         """Schedule a poll of an idle worker, so that a lost connection is detected early."""
         if session.probe_scheduled:
@@ -341,7 +347,7 @@
                 if not session.closed and self._is_current(epoch):
                     self._release_expired(session)
                 continue
-            wait = self._timing.poll_wait if session.worker.synced and session.worker.runs else 0.0
+            wait = self._poll_wait() if session.worker.synced and session.worker.runs else 0.0
             sent_at, acknowledged = self.clock.now(), session.acknowledged
             outcome = await self._client.renew_leases(
                 session.worker.entry,
--- a/tests/batch/test_bounds.py
+++ b/tests/batch/test_bounds.py
@@ -145,6 +145,8 @@
             self.assertLessEqual(timing.max_lease, milliseconds / 1000)
             self.assertGreater(timing.orphan_timeout, timing.run_lease / 0.98 + 5.0)
             self.assertLessEqual(3 * timing.poll_wait, timing.run_lease)
+            self.assertLessEqual(timing.poll_wait, timing.max_poll_wait)
+            self.assertLessEqual(3 * timing.max_poll_wait, timing.run_lease)
 
     def test_three_starts_fit_into_the_wait_of_a_gang(self) -> None:
         """Guards against gangs that give up before a lost start is repeated."""
--- a/tests/batch/test_end_to_end.py
+++ b/tests/batch/test_end_to_end.py
@@ -405,6 +405,31 @@
         self.assertIs(sut.state_of("a1"), JobState.COMPLETED)
 
 
+class LargeFleetTest(unittest.TestCase):
+    def test_polls_of_a_large_fleet(self) -> None:
+        """Guards against a leader that does little else than poll its workers.
+
+        Load: 400 workers that all run long tasks.
+        """
+        sut = Deployment(workers=400)
+        for worker in sut.workers.workers.values():
+            worker.run_seconds = 60.0
+        sut.submit("00aa", StepSpec(400, Resources(1000, 1000, 8), 60.0))
+        sut.run(3.0)
+        polls = []
+        client = sut.instances[0].client
+        renew = client.renew_leases
+
+        def count_polls(*args):
+            polls.append(args)
+            return renew(*args)
+
+        client.renew_leases = count_polls
+        sut.run(10.0)
+        self.assertLessEqual(len(polls) / 10.0, 300)
+        self.assertFalse(any(worker.lapses for worker in sut.workers.workers.values()))
+
+
 class UnexpectedErrorTest(unittest.TestCase):
     def test_one_job_that_cannot_be_planned(self) -> None:
         """Guards against a whole region that starts nothing because of one job."""
