Log why each run is stopped, and do not repeat a stop that takes its time

A report that listed a run between the acceptance of its stop and its end caused a second stop order.

Change: each stop has a StopCause: preempted for which job at which loss, displaced and why, job ended, gang member lost, start uncertain, decided earlier, unknown run; with the run time and the age of the last report. The reason is in the line of the stop order, which already existed, and in chivefall_batch_stops_total; the round's line names the jobs for which it stops others. An accepted stop is not repeated within the time that it may take.

Shown by StopReasonsTest.

--- a/chivefall/batch/__init__.py
+++ b/chivefall/batch/__init__.py
@@ -46,6 +46,7 @@
     JobStatus,
     PendingJobs,
 )
+from chivefall.batch._stops import StopCause, StopReason
 from chivefall.batch._timing import (
     LEASE_EXTENSION_GRACE_SECONDS,
     MIN_CLOCK_RATE,
@@ -95,6 +96,8 @@
     "RunNumber",
     "Service",
     "StepSpec",
+    "StopCause",
+    "StopReason",
     "Submission",
     "Task",
     "TaskKey",
--- a/chivefall/batch/_plan.py
+++ b/chivefall/batch/_plan.py
@@ -33,6 +33,9 @@
     ----------
     preemptions : list of RunId
         Runs to stop for urgent tasks.
+    preempted_for : dict
+        For each of these runs, the urgent job and the work that all stops for it lose, in
+        core-seconds.
     complete : bool
         Whether stops were considered for all groups; if not, another round is due at once.
     errors : dict
@@ -41,6 +44,7 @@
 
     starts: list[GroupStart] = field(default_factory=list)
     preemptions: list[RunId] = field(default_factory=list)
+    preempted_for: dict[RunId, tuple[JobId, float]] = field(default_factory=dict)
     complete: bool = True
     errors: dict[JobId, Exception] = field(default_factory=dict)
 
--- a/chivefall/batch/_round.py
+++ b/chivefall/batch/_round.py
@@ -297,6 +297,7 @@
         self._preempting_groups += bool(best.runs)
         self._victims.stop(best.runs)
         self._plan.preemptions += sorted(best.runs)
+        self._plan.preempted_for.update(dict.fromkeys(best.runs, (group.job.job_id, best.cost)))
         return best.workers
 
     def _find_cheapest_victims(
--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -12,6 +12,8 @@
     Fleet,
     Incarnation,
     RunId,
+    StopCause,
+    StopReason,
     Worker,
     WorkerStatus,
 )
@@ -243,8 +245,7 @@
         self._remove_session(session)
 
     def _release(self, session: Session, run: RunId, reason: str) -> None:
-        session.worker.release(run)
-        session.expected_since.pop(run, None)
+        session.forget(run)
         log_event(
             LogEvent.RUN_RELEASED, run=str(run), worker=session.worker.worker_id, reason=reason
         )
@@ -407,22 +408,23 @@
             permission = self._permission(self._epoch, self.clock.now())
             if permission is None:
                 return  # The next report shows the run again.
+            self._metrics.stops.inc({"reason": StopReason.UNKNOWN_RUN.value})
             log_event(LogEvent.UNKNOWN_RUN_STOPPED, run=str(run), worker=session.worker.worker_id)
             self.run_task(self._client.stop(session.worker.entry, run, permission))
             return
         if run not in session.expected_since:
             session.expected_since[run] = self.clock.now()
         self._listener.run_confirmed(run)
-        if self._listener.should_stop(run):
+        stop_ends = session.stop_accepted.get(run, float("-inf"))
+        if self._listener.should_stop(run) and self.clock.now() > stop_ends:
             # The worker may not have been listed yet when the stop was decided.
-            self.stop_run(session.worker.worker_id, run)
+            self.stop_run(session.worker.worker_id, run, StopCause(StopReason.DECIDED_EARLIER))
 
     def _record_end(self, session: Session, end: RunEnd) -> None:
         if end.sequence in session.unwritten_ends or end.sequence <= session.acknowledged:
             return
         session.unwritten_ends[end.sequence] = end
-        session.worker.release(end.run)
-        session.expected_since.pop(end.run, None)
+        session.forget(end.run)
         log_event(
             LogEvent.RUN_ENDED,
             run=str(end.run),
@@ -540,7 +542,7 @@
                 return False
         log_event(LogEvent.RUN_UNCERTAIN, run=str(run), worker=worker_id)
         self._mark_suspect(session, "no response to a start")
-        self.stop_run(worker_id, run)
+        self.stop_run(worker_id, run, StopCause(StopReason.START_UNCERTAIN))
         self._ensure_polling(session)
         return False
 
@@ -575,21 +577,31 @@
         session.worker.release(run)
         self._listener.run_released(run)
 
-    def stop_run(self, worker_id: WorkerId, run: RunId) -> None:
+    def stop_run(self, worker_id: WorkerId, run: RunId, cause: StopCause) -> None:
         """Stop a run, retrying until the worker confirms it or the run is released."""
         session = self._sessions.get(worker_id)
         if session is not None and run not in session.stopping:
             session.stopping.add(run)
-            done = self.run_task(self._stop_until_confirmed(session, run))
+            self._metrics.stops.inc({"reason": cause.reason.value})
+            done = self.run_task(self._stop_until_confirmed(session, run, cause))
             done.add_done_callback(lambda _: session.stopping.discard(run))
 
-    async def _stop_until_confirmed(self, session: Session, run: RunId) -> None:
+    async def _stop_until_confirmed(self, session: Session, run: RunId, cause: StopCause) -> None:
         epoch = self._epoch
         while run in session.worker.runs and not session.closed and self._is_current(epoch):
             permission = self._permission(epoch, self.clock.now())
             if permission is not None:
-                log_event(LogEvent.RUN_STOPPED, run=str(run), worker=session.worker.worker_id)
+                log_event(
+                    LogEvent.RUN_STOPPED,
+                    run=str(run),
+                    worker=session.worker.worker_id,
+                    reason=cause.reason.value,
+                    **cause.inputs,
+                )
                 outcome = await self._client.stop(session.worker.entry, run, permission)
+                if isinstance(outcome, OrderAccepted):
+                    stop_ends = self.clock.now() + self._timing.stop_completion
+                    session.stop_accepted[run] = stop_ends
                 if not isinstance(outcome, NoResponse):
                     break
             await sleep(self.clock, RETRY_DELAY_SECONDS)
--- a/chivefall/controllers/batch/_scheduler.py
+++ b/chivefall/controllers/batch/_scheduler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from circuits import handler
@@ -13,6 +14,8 @@
     Queue,
     RunId,
     StepSpec,
+    StopCause,
+    StopReason,
     Submission,
     decode_submission,
     find_displacements,
@@ -331,7 +334,8 @@
             )
             self._metrics.displacements.inc({"reason": displacement.reason.value})
             self._fleet.avoid(displacement.worker, displacement.reason, now)
-            self._stop(displacement.run)
+            cause = {"why": displacement.reason.value, "progress": round(displacement.progress, 2)}
+            self._stop(displacement.run, StopCause(StopReason.DISPLACED, cause))
 
     def _can_plan(self, now: float) -> bool:
         """Return whether jobs, workers and catalog are current and starts can be recorded."""
@@ -354,6 +358,7 @@
             LogEvent.ROUND_PLANNED,
             starts=[[start.job.job_id, len(start.placements)] for start in plan.starts],
             stops=len(plan.preemptions),
+            stops_for=sorted({job_id for job_id, _ in plan.preempted_for.values()}),
             catalog=self._catalog.catalog.version,
             catalog_age=round(self._catalog.age(now), 3),
             jobs=len(self.jobs),
@@ -361,7 +366,9 @@
         for start in plan.starts:
             self._assign(start, now)
         for run in plan.preemptions:
-            self._stop(run)
+            job_id, lost = plan.preempted_for[run]
+            inputs = {"beneficiary": job_id, "lost_core_seconds": round(lost, 1)}
+            self._stop(run, StopCause(StopReason.PREEMPTED, inputs))
 
     def _assign(self, start: GroupStart, now: float) -> None:
         job = start.job
@@ -395,25 +402,32 @@
         if not is_running and job.step_of(run.task).gang:
             self._stop_gang(job, run)
         elif is_running and (task.stopping or job.state.is_final):
-            self._fleet.stop_run(worker, run)
+            self._fleet.stop_run(worker, run, StopCause(StopReason.DECIDED_EARLIER))
 
     def _stop_gang(self, job: BatchJob, run: RunId) -> None:
         """Stop the other members of a gang if one member cannot run."""
+        cause = StopCause(StopReason.GANG_MEMBER_LOST, {"member": str(run)})
         for member in job.group(run.task.occurrence, run.task.step):
             if member.assignment is not None and member.assignment.number == run.number:
-                self._stop(RunId(run.job, member.key, run.number))
+                self._stop(RunId(run.job, member.key, run.number), cause)
 
     def _stop_all(self, job: BatchJob) -> None:
+        cause = StopCause(StopReason.JOB_ENDED, {"state": job.state.value})
         for task in job.active_tasks():
-            self._stop(RunId(job.job_id, task.key, task.assignment.number))
+            self._stop(RunId(job.job_id, task.key, task.assignment.number), cause)
 
-    def _stop(self, run: RunId) -> None:
+    def _stop(self, run: RunId, cause: StopCause) -> None:
         tracked = self.jobs.get(run.job)
         task = tracked.job.task(run.task) if tracked is not None else None
         if task is None or task.assignment is None or task.stopping:
             return
         task.stopping = True
-        self._fleet.stop_run(task.assignment.worker, run)
+        inputs = {
+            **cause.inputs,
+            "seconds": round(self.clock.now() - task.started_at, 2),
+            "report_age": round(self.clock.now() - task.reported_at, 2),
+        }
+        self._fleet.stop_run(task.assignment.worker, run, replace(cause, inputs=inputs))
 
     # Changes of runs (RunListener)
 
--- a/chivefall/controllers/batch/_session.py
+++ b/chivefall/controllers/batch/_session.py
@@ -35,6 +35,9 @@
         Latest lease end sent so far, in seconds on the worker's clock.
     stopping : set of RunId
         Runs whose stop was requested and is not confirmed yet.
+    stop_accepted : dict
+        By run, the time until which a stop that the worker accepted may take, in seconds since
+        the Unix epoch.
     polling, probe_scheduled, probe_due : bool
         Whether a poll is running, whether a probe of the idle worker is scheduled, and
         whether that probe is due.
@@ -53,6 +56,7 @@
     unwritten_ends: dict[EndSequence, RunEnd] = field(default_factory=dict)
     lease_deadline: float = 0.0
     stopping: set[RunId] = field(default_factory=set)
+    stop_accepted: dict[RunId, float] = field(default_factory=dict)
     polling: bool = False
     probe_scheduled: bool = False
     probe_due: bool = False
@@ -68,6 +72,12 @@
         """
         return bool(self.worker.runs) and entry.incarnation < self.worker.entry.incarnation
 
+    def forget(self, run: RunId) -> None:
+        """Release the resources of a run that has ended or does not exist."""
+        self.worker.release(run)
+        self.expected_since.pop(run, None)
+        self.stop_accepted.pop(run, None)
+
     def record_clock(self, clock: float, now: float) -> None:
         """Record the worker's clock, in seconds, from a response received at ``now``."""
         if self._clock_reading is None:
--- a/chivefall/telemetry/_batch_metrics.py
+++ b/chivefall/telemetry/_batch_metrics.py
@@ -53,6 +53,7 @@
         self.run_ends = self._counter(
             "run_ends_total", "Ended runs that workers reported, by kind."
         )
+        self.stops = self._counter("stops_total", "Stops of runs that were decided, by reason.")
         self.invalid_entries = self._counter(
             "invalid_entries_total", "Revisions of stored keys that could not be decoded, by kind."
         )
--- a/tests/batch/test_end_to_end.py
+++ b/tests/batch/test_end_to_end.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 from itertools import pairwise
 from unittest.mock import patch
 
@@ -405,6 +406,52 @@
         self.assertIs(sut.state_of("a1"), JobState.COMPLETED)
 
 
+class StopReasonsTest(unittest.TestCase):
+    def stops(self, sut: Deployment, action) -> list[dict]:
+        """Return the fields of the logged stops during an action."""
+        with patch("chivefall.controllers.batch._fleet.log_event") as log:
+            action()
+            sut.run(3.0)
+        return [call.kwargs for call in log.call_args_list if call.args == (LogEvent.RUN_STOPPED,)]
+
+    def full_deployment(self) -> Deployment:
+        sut = Deployment()
+        for worker in sut.workers.workers.values():
+            worker.run_seconds = 30.0
+            worker.stop_seconds = 0.9
+        sut.submit("00aa", StepSpec(4, Resources(1000, 1000, 8), 2.0, gang=True))
+        sut.run(2.0)
+        return sut
+
+    def test_preemption_names_the_urgent_job(self) -> None:
+        """Guards against stopped work for which nobody can say who needed the workers."""
+        sut = self.full_deployment()
+        urgent = StepSpec(1, Resources(1000, 1000, 8), 30.0)
+        stops = self.stops(sut, lambda: sut.submit("00bb", urgent, queue=URGENT))
+        self.assertEqual(len(stops), 4)
+        for fields in stops:
+            self.assertEqual((fields["reason"], fields["beneficiary"]), ("preempted", "00bb"))
+            self.assertGreater(fields["lost_core_seconds"], 0)
+            self.assertGreater(fields["seconds"], 1.0)
+
+    def test_cancellation(self) -> None:
+        """Guards against stops of cancelled jobs that look like lost work."""
+        sut = self.full_deployment()
+        path = f"{NORMAL.prefix}00aa"
+        stops = self.stops(sut, lambda: sut.call(BatchOperation.CANCEL, path))
+        reasons = {(item["reason"], item["state"]) for item in stops}
+        self.assertEqual(reasons, {("job_ended", "cancelled")})
+        self.assertEqual(len(stops), 4, "each run is stopped once")
+
+    def test_lost_member_of_a_gang(self) -> None:
+        """Guards against gang stops that do not name the member that was lost."""
+        sut = self.full_deployment()
+        entry = sut.worker("w0").entry
+        stops = self.stops(sut, lambda: sut.add_worker(replace(entry, incarnation=2)))
+        self.assertEqual({item["reason"] for item in stops}, {"gang_member_lost"}, stops)
+        self.assertEqual(len({item["member"] for item in stops}), 1)
+
+
 class LargeFleetTest(unittest.TestCase):
     def test_polls_of_a_large_fleet(self) -> None:
         """Guards against a leader that does little else than poll its workers.
--- a/tests/batch/test_permission.py
+++ b/tests/batch/test_permission.py
@@ -6,7 +6,14 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from chivefall.batch import EndSequence, JobState, Resources, StepSpec
+from chivefall.batch import (
+    EndSequence,
+    JobState,
+    Resources,
+    StepSpec,
+    StopCause,
+    StopReason,
+)
 from chivefall.workers import (
     NoResponse,
     OrderOutcome,
@@ -169,7 +176,7 @@
         leader = self.leader.application.leader
         valid_until = leader._valid_until
         leader._valid_until = self.sut.clock.now()
-        self.leader.application.fleet.stop_run(worker, run)
+        self.leader.application.fleet.stop_run(worker, run, StopCause(StopReason.UNKNOWN_RUN))
         self.assertFalse([order for order in self.client.orders if order.kind == "stop"])
         leader._valid_until = valid_until
         self.sut.run(2.0)
