Fold equal events in explain, read standard input in report, name files without events

Cause: explain of a job with hundreds of tasks printed a line for each of them, which hid the cause; report did not read standard input; both were silent about a file that holds no line of theirs.

Change: equal events of several runs share a line with their number; both commands read files, directories or standard input and name each source without an event.

--- a/chivefall/cli/_report.py
+++ b/chivefall/cli/_report.py
@@ -4,7 +4,6 @@
 
 import html
 import io
-import itertools
 from collections import Counter
 from collections.abc import Callable, Iterable
 from datetime import UTC, datetime
@@ -13,6 +12,7 @@
 
 import typer
 
+from chivefall.cli._log_files import read_lines
 from chivefall.errors import ConfigError
 from chivefall.telemetry import LogSummary, Point, summarize
 
@@ -33,36 +33,20 @@
 
 
 def report(
-    logs: Annotated[list[Path], typer.Argument(help="Log files or directories with *.log files.")],
+    logs: Annotated[
+        list[Path] | None,
+        typer.Argument(help="Log files or directories with *.log files (default: standard input)."),
+    ] = None,
     out: Annotated[Path, typer.Option(help="HTML file to write.")] = Path("report.html"),
 ) -> None:
     """Write a report on waiting times, runs, refusals and the age of the desired state."""
-    files = [path.open(encoding="utf-8", errors="replace") for path in _find_files(logs)]
-    try:
-        summary = summarize(itertools.chain(*files))
-    finally:
-        for file in files:
-            file.close()
+    summary = summarize(read_lines(logs or []))
     for gap in summary.find_gaps():
         typer.echo(f"missing: {gap}")
     out.write_text(_render_page(summary), encoding="utf-8")
     typer.echo(f"{out}: {summary.event_count} events of {len(summary.instances)} instances")
 
 
-def _find_files(paths: Iterable[Path]) -> list[Path]:
-    found: list[Path] = []
-    for path in paths:
-        found += sorted(path.glob("*.log")) if path.is_dir() else [path]
-    for path in found:
-        if not path.is_file():
-            raise ConfigError(
-                f"{path} is not a file", "name log files or directories with *.log files"
-            )
-    if not found:
-        raise ConfigError("no log file was found", "name log files or directories with *.log files")
-    return found
-
-
 def _render_page(summary: LogSummary) -> str:
     plots = [
         _plot("Waiting time from submission to first start, seconds", summary, _draw_waits),
--- a/chivefall/telemetry/__init__.py
+++ b/chivefall/telemetry/__init__.py
@@ -7,7 +7,7 @@
 from chivefall.telemetry._log_summary import LogSummary, Point, summarize
 from chivefall.telemetry._metrics import Metrics
 from chivefall.telemetry._output import LineBuffer, LogWriter, RateLimit, open_log
-from chivefall.telemetry._timeline import Timeline, TimelineEntry, read_timeline
+from chivefall.telemetry._timeline import Timeline, TimelineEntry, parse_line, read_timeline
 
 __all__ = [
     "BatchMetrics",
@@ -22,6 +22,7 @@
     "TimelineEntry",
     "log_event",
     "open_log",
+    "parse_line",
     "read_timeline",
     "summarize",
 ]
--- a/chivefall/telemetry/_timeline.py
+++ b/chivefall/telemetry/_timeline.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -10,7 +11,7 @@
 from chivefall.telemetry._events import LogEvent
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Iterator
 
 __all__ = ["GAP_EVENTS", "Timeline", "TimelineEntry", "parse_line", "read_timeline"]
 
@@ -45,6 +46,21 @@
         LogEvent.UNHANDLED_ERROR,
     }
 )
+_RUN_EVENTS = frozenset(
+    {
+        LogEvent.RUN_STARTED,
+        LogEvent.RUN_ENDED,
+        LogEvent.RUN_STOPPED,
+        LogEvent.RUN_RELEASED,
+        LogEvent.RUN_DISPLACED,
+        LogEvent.RUN_NOT_STARTED,
+        LogEvent.RUN_UNCERTAIN,
+    }
+)
+# Fields that differ between the runs of a job that take part in the same change.
+_RUN_FIELDS = frozenset(
+    {"run", "worker", "sequence", "timestamp", "seconds", "report_age", "progress", "member"}
+)
 GAP_EVENTS = frozenset({LogEvent.LOG_DROPPED, LogEvent.LOG_SUPPRESSED})
 _MIN_ERROR_STATUS = 400  # HTTP status
 _HIDDEN_FIELDS = frozenset({"timestamp", "message_type", "instance", "job"})
@@ -74,6 +90,13 @@
             return self.fields.get("kind") not in ("done", "stopped")
         return self.event in _FAILURE_EVENTS
 
+    def fold_key(self) -> tuple:
+        """Return a key that is equal for events which differ only in their runs."""
+        if self.event not in _RUN_EVENTS:
+            return (id(self),)
+        fields = {key: str(value) for key, value in self.fields.items() if key not in _RUN_FIELDS}
+        return (self.event, self.instance, tuple(sorted(fields.items())))
+
     def format(self, origin: float) -> str:
         """Return the event as a line of text with its time relative to ``origin``."""
         shown = ", ".join(
@@ -96,6 +119,19 @@
         """Return the first event that may have caused a failure, or None."""
         return next((entry for entry in self.entries if entry.indicates_failure), None)
 
+    def format(self, origin: float) -> Iterator[str]:
+        """Yield a line for each event; equal events of several runs share one.
+
+        Events that differ only in the run, its worker or its times are shown as one line with
+        their number, at the time of the first, up to the next event of another kind.
+        """
+        for _, group in itertools.groupby(self.entries, key=TimelineEntry.fold_key):
+            entries = list(group)
+            line = entries[0].format(origin)
+            if len(entries) > 1:
+                line += f" (and {len(entries) - 1} more until {entries[-1].at - origin:+.3f} s)"
+            yield line
+
     def find_gaps(self) -> list[str]:
         """Return a message for each kind of event that the logs lack."""
         events = {entry.event for entry in self.entries}
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -48,6 +48,27 @@
         self.assertEqual(content.count("<svg"), 4)
         self.assertNotIn("<later>", content)
 
+    def test_standard_input_and_files_without_events(self) -> None:
+        """Guards against a file of another program that passes for a log without faults."""
+        event = {"timestamp": 1.0, "message_type": "chivefall:7101:batch_answered", "status": 200}
+        text = json.dumps({**event, "instance": "i0", "job": "00aa"})
+        with tempfile.TemporaryDirectory() as directory:
+            page, other = Path(directory) / "page.html", Path(directory) / "other.log"
+            other.write_text("no event\n", encoding="utf-8")
+            with mock.patch("sys.stdin", io.StringIO(text + "\n")):
+                status, out, _ = run("report", "--out", str(page))
+            self.assertEqual((status, "1 events of 1 instances" in out), (0, True))
+            for command in (
+                ["report", str(other), "--out", str(page)],
+                ["explain", "00aa", str(other)],
+            ):
+                with self.subTest(command[0]):
+                    _, out, _ = run(*command)
+                    self.assertIn(f"missing: {other} holds no event of chivefall", out)
+            with mock.patch("sys.stdin", io.StringIO(text + "\n")):
+                status, out, _ = run("explain", "00aa")
+            self.assertIn("batch_answered", out)
+
     def test_directory_without_logs(self) -> None:
         """Guards against an empty report for a mistyped directory."""
         with tempfile.TemporaryDirectory() as directory:
