Place work that is not urgent by priority, and let preempted tasks wait out a burst

Change: work that is not urgent and in time is placed by priority, then by its latest start. A preempted task without checkpoints waits 1.5 s before its next run, doubled each time up to 6 s, while at least 60 % of the fleet are in use.

--- a/chivefall/batch/_group.py
+++ b/chivefall/batch/_group.py
@@ -79,7 +79,7 @@
         """Return the sort key of the group in a round; lower keys are placed first."""
         too_late = now > self.waiting_since + LATE_FACTOR * self.objective_seconds
         rank = min(self.rank, URGENT_RANK + 1)
-        return (rank, too_late, self.latest_start(), self.job.job_id)
+        return (rank, too_late, self.rank, self.latest_start(), self.job.job_id)
 
 
 def core_equivalents(resources: Resources) -> float:
@@ -121,16 +121,26 @@
 
 
 def find_groups(
-    candidates: Sequence[Candidate], ranks: Mapping[JobId, int], now: float
+    candidates: Sequence[Candidate], ranks: Mapping[JobId, int], now: float, *, is_busy: bool
 ) -> list[TaskGroup]:
-    """Return the groups that are ready to start, in the order in which to place them."""
+    """Return the groups that are ready to start, in the order in which to place them.
+
+    Parameters
+    ----------
+    is_busy : bool
+        Whether preempted tasks wait before their next run.
+    """
     groups = []
     for item in candidates:
         job, spec = item.job, item.job.submission.spec
         for occurrence, number in job.ready_groups(now):
             step, tasks = spec.steps[number], job.group(occurrence, number)
-            waiting = [task for task in tasks if task.state is TaskState.WAITING]
-            if step.gang and len(waiting) < len(tasks):
+            waiting = [
+                task
+                for task in tasks
+                if task.state is TaskState.WAITING and not (is_busy and now < task.earliest_start)
+            ]
+            if not waiting or (step.gang and len(waiting) < len(tasks)):
                 continue  # Members of the gang's previous run have not ended yet.
             objective = item.queue.stretch * critical_path_seconds(job) + item.queue.target_latency
             rank = ranks[job.job_id]
--- a/chivefall/batch/_job.py
+++ b/chivefall/batch/_job.py
@@ -28,6 +28,8 @@
 
 
 NO_RUN = RunNumber(0)
+PREEMPTION_WAIT_SECONDS = 1.5  # before the next run of a preempted task; doubled each time
+MAX_PREEMPTION_WAIT_SECONDS = 6.0  # bursts of urgent work last for a few seconds
 MAX_REPORT_INTERVAL_SECONDS = 1.0  # between two reports; a longer gap counts for no more
 
 
@@ -105,6 +107,10 @@
         Time for which reports have shown the same ``progress``.
     stopping : bool
         Whether a stop of the current run was decided.
+    preemptions : int
+        Number of runs whose work was lost to urgent jobs.
+    earliest_start : float
+        Time before which the next run does not start, in seconds since the Unix epoch.
     """
 
     key: TaskKey
@@ -118,6 +124,8 @@
     reported_at: float = 0.0
     unchanged_seconds: float = 0.0
     stopping: bool = False
+    preemptions: int = 0
+    earliest_start: float = 0.0
 
 
 class BatchJob:
@@ -282,6 +290,18 @@
             for member in self._members(task):
                 member.checkpoint = checkpoint
 
+    def record_preemption(self, run: RunId, now: float) -> None:
+        """Delay the next run of a task that loses its work to an urgent job.
+
+        While a burst of urgent work lasts, it would soon be stopped again.
+        """
+        task = self._current(run.task, run.number)
+        if task is None or self.step_of(run.task).checkpointed:
+            return
+        task.preemptions += 1
+        wait = PREEMPTION_WAIT_SECONDS * 2 ** (task.preemptions - 1)
+        task.earliest_start = now + min(MAX_PREEMPTION_WAIT_SECONDS, wait)
+
     def end_run(self, run: RunId, kind: EndKind, checkpoint: Checkpoint) -> bool:
         """Apply the end of a run; return False if it was not the current run of its task."""
         task = self._current(run.task, run.number)
--- a/chivefall/batch/_round.py
+++ b/chivefall/batch/_round.py
@@ -9,6 +9,7 @@
     GUARANTEED_RANK,
     URGENT_RANK,
     TaskGroup,
+    core_equivalents,
     find_groups,
     rank_jobs,
 )
@@ -37,6 +38,7 @@
 __all__ = ["Round"]
 
 MAX_RESERVATIONS = 4  # blocked gangs with reserved resources; more would leave the fleet idle
+BUSY_SHARE = 0.6  # of the fleet's core equivalents
 MAX_PREEMPTING_GROUPS = 16
 """Groups for which a round decides new stops; the others follow in the next rounds.
 
@@ -85,13 +87,19 @@
         self._victims = VictimSearch(
             workers, self._free, jobs, ranks, self._now, timing=self._timing
         )
-        for group in find_groups(found, ranks, self._now):
+        for group in find_groups(found, ranks, self._now, is_busy=self._is_busy(workers)):
             try:
                 self._place(group)
             except Exception as exc:  # noqa: BLE001 - returned; other jobs must start
                 self._plan.errors[group.job.job_id] = exc
         return self._plan
 
+    def _is_busy(self, workers: Sequence[Worker]) -> bool:
+        """Return whether most of the fleet is in use, so that urgent work may stop other work."""
+        capacity = sum(core_equivalents(worker.entry.capacity) for worker in workers)
+        used = sum(core_equivalents(worker.used) for worker in workers)
+        return used >= BUSY_SHARE * capacity
+
     def _is_guarantee_due(self, group: TaskGroup) -> bool:
         """Return whether a guaranteed group has waited so long that it may preempt urgent runs."""
         waited = self._now - group.waiting_since
--- a/chivefall/controllers/batch/_scheduler.py
+++ b/chivefall/controllers/batch/_scheduler.py
@@ -367,6 +367,7 @@
             self._assign(start, now)
         for run in plan.preemptions:
             job_id, lost = plan.preempted_for[run]
+            self.jobs[run.job].job.record_preemption(run, now)
             inputs = {"beneficiary": job_id, "lost_core_seconds": round(lost, 1)}
             self._stop(run, StopCause(StopReason.PREEMPTED, inputs))
 
--- a/tests/batch/test_policy.py
+++ b/tests/batch/test_policy.py
@@ -35,6 +35,56 @@
 TIMING = BatchTiming.from_bounds(PlatformBounds())
 
 
+class PreemptedTasksTest(unittest.TestCase):
+    """Load: bursts of urgent gangs every second or two over long work without checkpoints."""
+
+    def job(self, **fields) -> BatchJob:
+        step = StepSpec(1, Resources(1000, 1000, 8), 6.0, **fields)
+        submission = Submission(JobId("a1"), NORMAL, AccountId("a"), NOW, BatchSpec("", (step,)))
+        return BatchJob(submission, 2)
+
+    def starts(self, job: BatchJob, now: float, busy_workers: int = 3) -> int:
+        """Return the number of started groups with one free worker beside busy ones."""
+        fleet = Fleet()
+        fleet.workers["w"] = Worker(make_worker_entry("w"), synced=True)
+        for number in range(busy_workers):
+            worker = Worker(make_worker_entry(f"busy-{number}"), synced=True)
+            worker.allocate(
+                RunId(JobId("b"), job.group(0, 0)[0].key, number), StepSpec(1, worker.free)
+            )
+            fleet.workers[f"busy-{number}"] = worker
+        return len(DeadlinePolicy(TIMING).plan([Candidate(job, NORMAL)], fleet, now).starts)
+
+    def preempt(self, job: BatchJob, now: float) -> None:
+        task = job.group(0, 0)[0]
+        (run,) = job.assign([(task.key, "w", 1)], now - 1.0)
+        job.record_preemption(run, now)
+        job.release(task.key, run.number)
+
+    def test_restart_waits_for_the_end_of_the_burst(self) -> None:
+        """Guards against tasks that are started and stopped again and again in a burst."""
+        job = self.job()
+        self.preempt(job, NOW)
+        self.assertEqual((self.starts(job, NOW + 1.4), self.starts(job, NOW + 1.6)), (0, 1))
+        self.preempt(job, NOW + 2.0)
+        self.assertEqual((self.starts(job, NOW + 4.9), self.starts(job, NOW + 5.1)), (0, 1))
+        for _ in range(5):
+            self.preempt(job, NOW + 10.0)
+        self.assertEqual((self.starts(job, NOW + 15.9), self.starts(job, NOW + 16.1)), (0, 1))
+
+    def test_no_wait_while_the_fleet_is_idle(self) -> None:
+        """Guards against a task that waits beside idle workers after the burst."""
+        job = self.job()
+        self.preempt(job, NOW)
+        self.assertEqual(self.starts(job, NOW + 0.1, busy_workers=1), 1)
+
+    def test_tasks_with_checkpoints_restart_at_once(self) -> None:
+        """Guards against idle workers while work that loses nothing could go on."""
+        job = self.job(checkpointed=True)
+        self.preempt(job, NOW)
+        self.assertEqual(self.starts(job, NOW + 0.1), 1)
+
+
 class RoundTest(unittest.TestCase):
     def setUp(self) -> None:
         self.fleet = Fleet()
@@ -59,6 +109,27 @@
         self.candidates.append(Candidate(job, queue))
         return job
 
+    def test_priority_decides_among_work_that_is_not_urgent(self) -> None:
+        """Guards against large gangs that wait while work of a lower priority takes all workers.
+
+        Load: more gangs than fit, with small jobs of a lower priority that are due earlier.
+        """
+        last = Queue(QueueId("last"), "h", "/l/", SERVICE, 2, 2, 1.0, 0.0)
+        whole = Resources(32_000, 1000, 8)
+        self.add("gang", StepSpec(6, whole, 8.0, gang=True), NORMAL)
+        self.add("small", StepSpec(4, whole, 1.0), last, age=0.5)
+        starts = {item.job.job_id: len(item.placements) for item in self.plan().starts}
+        self.assertEqual(starts, {"gang": 6, "small": 2})
+
+    def test_work_that_is_too_late_comes_last(self) -> None:
+        """Guards against work in time that waits for work of a higher priority without value."""
+        last = Queue(QueueId("last"), "h", "/l/", SERVICE, 2, 2, 1.0, 5.0)
+        whole = Resources(32_000, 1000, 8)
+        self.add("late", StepSpec(8, whole, 1.0), NORMAL, age=60.0)
+        self.add("small", StepSpec(4, whole, 1.0), last, age=0.5)
+        starts = {item.job.job_id: len(item.placements) for item in self.plan().starts}
+        self.assertEqual(starts, {"small": 4, "late": 4})
+
     def occupy(self, job: BatchJob, names: list[str], age: float = 1.0) -> None:
         """Run tasks of a job, one for each entry of ``names``, which may repeat a worker."""
         tasks = [task for task in job.group(0, 0) if task.assignment is None]
