Bound the searches of a round, and keep waiting requests beside dead connections

Cause, found on reading the change: a search whose victims would cost too much did not count towards the limit of a round. A waiting request of the HTTP client was lost if serving it closed a dead idle connection, which served the queue again in between.

Change: at most 48 searches a round; the queue of a server is served once at a time.

Shown by test_dead_idle_connections_while_requests_wait.

--- a/chivefall/batch/_round.py
+++ b/chivefall/batch/_round.py
@@ -44,6 +44,7 @@
 
 The search for a group takes up to 2 ms, and a burst brings hundreds of urgent groups.
 """
+MAX_SEARCHES = 48  # for victims in a round, also if stopping them would cost too much
 MAX_PREEMPTION_COST_FACTOR = 4.0
 """Limit of the work that an urgent group may discard, relative to the work of the group.
 
@@ -76,6 +77,7 @@
         self._blocked: dict[tuple, int] = {}
         self._racks: dict[tuple, dict[RackId, list[Worker]]] = {}
         self._preempting_groups = 0
+        self._searches = 0
         self._victims: VictimSearch
 
     def run(self, candidates: Iterable[Candidate]) -> Plan:
@@ -321,6 +323,9 @@
         if self._preempting_groups >= MAX_PREEMPTING_GROUPS:
             self._plan.complete = False
             return None
+        if self._searches >= MAX_SEARCHES:
+            return None
+        self._searches += 1
         for worker_set in worker_sets:
             max_cost = math.inf if best is None else best.cost
             victims = self._victims.find(unit, worker_set, missing, min_rank, max_cost)
--- a/chivefall/net/_http_client.py
+++ b/chivefall/net/_http_client.py
@@ -80,6 +80,7 @@
         self.clock = clock
         self._limits = limits or ConnectionLimits()
         self._waiting: dict[Address, deque[_Request]] = {}
+        self._serving: set[Address] = set()
         self._total_connections = 0
         self._active: dict[socket.socket, Connection] = {}
         self._idle: dict[Address, list[Connection]] = {}
@@ -191,13 +192,14 @@
     def _serve_waiting(self, address: Address) -> None:
         """Start the exchanges of waiting requests for which there are connections."""
         queue = self._waiting.get(address)
-        while queue:
-            req = queue.popleft()
-            if not self._begin(req):
-                queue.appendleft(req)
-                return
-            req.timer.cancel()
-        self._waiting.pop(address, None)
+        if not queue or address in self._serving:
+            return  # Closing a dead idle connection on the way leads here again.
+        self._serving.add(address)
+        while queue and self._begin(queue[0]):
+            queue.popleft().timer.cancel()
+        self._serving.discard(address)
+        if not queue:
+            self._waiting.pop(address, None)
 
     def _start_timer(self, conn: Connection, seconds: float) -> None:
         reason = f"no response from {conn.address} within {seconds:.3g} s"
--- a/tests/net/test_http_client.py
+++ b/tests/net/test_http_client.py
@@ -255,6 +255,31 @@
         self.assertTrue(first.result().sent)
         self.assertEqual(self.respond(second, self.accept()).status, 200)
 
+    def test_dead_idle_connections_while_requests_wait(self) -> None:
+        """Guards against waiting requests that are lost when an idle connection was closed."""
+        self.client = self.limited_client(per_server=2)
+        first, second = self.send(), self.send()
+        peers = [self.accept(), self.accept()]
+        self.respond(first, peers[0])
+        waiting = [self.send(timeout=5) for _ in range(4)]
+        # One connection is dead by the time the next request takes it.
+        for peer in peers:
+            peer.sock.close()
+        self.loop.process_events()
+        for _ in range(4):
+            self.loop.process_events()
+            done = [fut for fut in waiting if fut.done()]
+            if len(done) == len(waiting):
+                break
+            peer = self.accept()
+            peer.send(OK)
+            self.loop.process_events()
+            peer.sock.close()
+            self.loop.process_events()
+        self.loop.advance(6)
+        self.assertTrue(all(fut.done() for fut in (second, *waiting)))
+        self.assertEqual((self.client._waiting, self.client._serving), ({}, set()))
+
     def test_idle_connections_make_room_for_other_servers(self) -> None:
         """Guards against a fleet whose idle connections keep orders from the other workers."""
         self.client = self.limited_client(total=2, per_server=2)
