Check the bounds with the settings, and keep waits after preemptions below 3 s

Cause, found on reading the change: bounds that are too short were an error at the start, but not of chivefall check and not on a reload, which left the settings half applied. A task that is ready and fits must not wait for 3 s beside free workers; the waits went up to 6 s. A start without permission extended the recorded lease.

Change: the bounds are checked with the other settings; waits are 2.5 s at most; the lease is extended only for an order that is sent.

Shown by tests.batch.test_bounds and tests.batch.test_policy.

--- a/chivefall/batch/_job.py
+++ b/chivefall/batch/_job.py
@@ -29,7 +29,7 @@
 
 NO_RUN = RunNumber(0)
 PREEMPTION_WAIT_SECONDS = 1.5  # before the next run of a preempted task; doubled each time
-MAX_PREEMPTION_WAIT_SECONDS = 6.0  # bursts of urgent work last for a few seconds
+MAX_PREEMPTION_WAIT_SECONDS = 2.5  # a task that is ready and fits must not wait for 3 s
 MAX_REPORT_INTERVAL_SECONDS = 1.0  # between two reports; a longer gap counts for no more
 
 
--- a/chivefall/config.py
+++ b/chivefall/config.py
@@ -294,6 +294,10 @@
                 f"{source}: batch.bounds.{key} is not a time that can pass",
                 "use the bound of the deployment, or omit the key for the default",
             )
+    if cfg.batch is not None:
+        from chivefall.batch import BatchTiming  # noqa: PLC0415 - imports this module's types
+
+        BatchTiming.from_bounds(cfg.batch.bounds)
     if cfg.timing.leader_renewal * 2 > cfg.timing.leader_lease:
         raise ConfigError(
             f"{source}: timing.leader_renewal is more than half of timing.leader_lease",
--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -522,13 +522,15 @@
         for attempt in range(START_ATTEMPTS):
             now = self.clock.now()
             permission = self._permission(epoch, now)
-            deadline = session.extend_leases(self._timing.run_lease, now)
-            if permission is None or deadline is None:
-                if attempt == 0:
-                    # Nothing was sent, so the run cannot exist.
-                    reason = "leader lease ended" if deadline else "worker became unresponsive"
-                    self._release(session, run, f"{reason} before the start")
-                    return False
+            deadline = None
+            if permission is not None:
+                deadline = session.extend_leases(self._timing.run_lease, now)
+            if deadline is None and attempt == 0:
+                # Nothing was sent, so the run cannot exist.
+                reason = "worker became unresponsive" if permission else "leader lease ended"
+                self._release(session, run, f"{reason} before the start")
+                return False
+            if deadline is None:
                 break
             order = RunOrder(run, payload, deadline, checkpoint)
             outcome = await self._client.start(session.worker.entry, order, permission)
--- a/tests/batch/test_bounds.py
+++ b/tests/batch/test_bounds.py
@@ -170,6 +170,8 @@
         cfg = parse_settings(template % "max_run_lease_ms: 4000, remote_slowdown: 2.5,")
         self.assertEqual(cfg.batch.bounds, PlatformBounds(4000.0, remote_slowdown=2.5))
         self.assertEqual(parse_settings(template % "").batch.bounds, PlatformBounds())
+        with self.assertRaises(ConfigError):
+            parse_settings(template % "max_run_lease_ms: 900")
         for text in ("max_lease: 5", "gang_wait_ms: -1", "gang_wait_ms: Infinity", "status: 1"):
             with self.subTest(text), self.assertRaises(ConfigError):
                 parse_settings(template % text)
--- a/tests/batch/test_policy.py
+++ b/tests/batch/test_policy.py
@@ -67,10 +67,10 @@
         self.preempt(job, NOW)
         self.assertEqual((self.starts(job, NOW + 1.4), self.starts(job, NOW + 1.6)), (0, 1))
         self.preempt(job, NOW + 2.0)
-        self.assertEqual((self.starts(job, NOW + 4.9), self.starts(job, NOW + 5.1)), (0, 1))
+        self.assertEqual((self.starts(job, NOW + 4.4), self.starts(job, NOW + 4.6)), (0, 1))
         for _ in range(5):
             self.preempt(job, NOW + 10.0)
-        self.assertEqual((self.starts(job, NOW + 15.9), self.starts(job, NOW + 16.1)), (0, 1))
+        self.assertEqual((self.starts(job, NOW + 12.4), self.starts(job, NOW + 12.6)), (0, 1))
 
     def test_no_wait_while_the_fleet_is_idle(self) -> None:
         """Guards against a task that waits beside idle workers after the burst."""
