--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -87,10 +87,10 @@
 @_register(FaultKind.INSTANCE_PAUSED)
 class _InstancePaused(Fault):
     async def begin(self) -> None:
-        self._instance.send(signal.SIGSTOP)
+        self._instance.pause(self._testbed.clock.now())
 
     async def end(self) -> None:
-        self._instance.send(signal.SIGCONT)
+        self._instance.resume(self._testbed.clock.now())
 
 
 @_register(FaultKind.INSTANCE_STOPPED)
@@ -100,7 +100,7 @@
 
     async def end(self) -> None:
         process = self._instance.process
-        while process is not None and process.poll() is None and self._instance.stop_deadline:
+        while process is not None and process.poll() is None and self._instance.stop_requested_at:
             await sleep(self._testbed.clock, SERIES_PAUSE_SECONDS)
         self._testbed.restart(self._instance)
 
--- a/soak/_testbed.py
+++ b/soak/_testbed.py
@@ -52,9 +52,12 @@
 
     Attributes
     ----------
-    stop_deadline : float or None
-        Time, in seconds on the clock, by which a process that received SIGTERM must have
-        exited.
+    stop_requested_at : float or None
+        Time, in seconds on the clock, at which the process received SIGTERM.
+    paused_at : float or None
+        Time at which the process was paused, while it is.
+    paused_seconds : float
+        Time for which the process was paused after it received SIGTERM.
     """
 
     name: InstanceId
@@ -63,13 +66,35 @@
     address: Address
     ready_address: Address
     process: subprocess.Popen[bytes] | None = None
-    stop_deadline: float | None = None
+    stop_requested_at: float | None = None
+    paused_at: float | None = None
+    paused_seconds: float = 0.0
 
     def start(self) -> None:
         """Start the process."""
         command = [sys.executable, "-m", "chivefall", "run", "--settings", str(self.settings)]
         self.process = _start(command, self.log)
-        self.stop_deadline = None
+        self.stop_requested_at = self.paused_at = None
+        self.paused_seconds = 0.0
+
+    def pause(self, now: float) -> None:
+        """Pause the process."""
+        self.send(signal.SIGSTOP)
+        self.paused_at = now
+
+    def resume(self, now: float) -> None:
+        """Resume the process."""
+        self.send(signal.SIGCONT)
+        if self.paused_at is not None and self.stop_requested_at is not None:
+            self.paused_seconds += now - max(self.paused_at, self.stop_requested_at)
+        self.paused_at = None
+
+    def is_overdue(self, now: float) -> bool:
+        """Return whether the process should have exited; a paused one cannot."""
+        if self.stop_requested_at is None or self.paused_at is not None:
+            return False
+        limit = TIMING["shutdown_grace"] + STOP_SLACK_SECONDS + self.paused_seconds
+        return now > self.stop_requested_at + limit
 
     def send(self, signo: signal.Signals) -> None:
         """Send a signal to the process if it is running."""
@@ -177,10 +202,10 @@
                 if process is None:
                     continue
                 if process.poll() is None:
-                    if instance.stop_deadline is not None and now > instance.stop_deadline:
+                    if instance.is_overdue(now):
                         self._oracle.report(f"{instance.name} did not exit in time after SIGTERM")
-                        instance.stop_deadline = None
-                elif instance.stop_deadline is None:
+                        instance.stop_requested_at = None
+                elif instance.stop_requested_at is None:
                     code = process.returncode
                     self._oracle.report(f"{instance.name} exited unexpectedly with status {code}")
                     instance.start()
@@ -196,8 +221,8 @@
     def stop(self, instance: Instance) -> None:
         """Request an orderly shutdown of a process."""
         instance.send(signal.SIGTERM)
-        grace = TIMING["shutdown_grace"] + STOP_SLACK_SECONDS
-        instance.stop_deadline = self.clock.now() + grace
+        instance.stop_requested_at = self.clock.now()
+        instance.paused_seconds = 0.0
 
     def restart(self, instance: Instance) -> None:
         """Kill the process of an instance, if it is still running, and start a new one."""
