--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -291,25 +291,27 @@
         self._temp.cleanup()
 
 
-def runs_at_once(events: list[dict[str, Any]]) -> list[str]:
-    """Return where two runs of one task were at work at the same time, on workers that are up."""
+def _spans(events: list[dict[str, Any]]) -> dict[str, list[list[Any]]]:
+    """Return begin, end, run, worker and lifetime of all runs by task."""
     spans: dict[str, list[list[Any]]] = {}
     for row in events:
         if row["event"] == "start":
-            spans.setdefault(row["task"], []).append(
-                [row["at"], float("inf"), row["run"], row["worker"], row["born"]]
-            )
-        elif row["event"] == "end":
-            for span in spans.get(row["task"], []):
-                if span[2:] == [row["run"], row["worker"], row["born"]]:
-                    span[1] = row["at"]
-        elif row["event"] == "killed":
-            for rows in spans.values():
-                for span in rows:
-                    if span[3] == row["worker"] and span[0] <= row["at"] < span[1]:
-                        span[1] = row["at"]
+            span = [row["at"], float("inf"), row["run"], row["worker"], row["born"]]
+            spans.setdefault(row["task"], []).append(span)
+        for rows in spans.values() if row["event"] == "killed" else ():
+            for span in rows:
+                if span[3] == row["worker"]:
+                    span[1] = min(span[1], row["at"])
+        for span in spans.get(row["task"], []) if row["event"] == "end" else ():
+            if span[2:] == [row["run"], row["worker"], row["born"]]:
+                span[1] = row["at"]
+    return spans
+
+
+def runs_at_once(events: list[dict[str, Any]]) -> list[str]:
+    """Return where two runs of one task were at work at the same time, on workers that are up."""
     found = []
-    for task, rows in spans.items():
+    for task, rows in _spans(events).items():
         rows.sort()
         for number, later in enumerate(rows):
             for earlier in rows[:number]:
--- a/review/common/store.py
+++ b/review/common/store.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import base64
+import contextlib
 import itertools
 import sys
 import time
@@ -113,10 +114,8 @@
             left = limit - time.monotonic()
             if events or left <= 0:
                 return {"events": events, "at_rev": self.revision}
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.changed.wait(), left)
-            except TimeoutError:
-                pass
 
     def transact(self, body: dict[str, Any]) -> tuple[int, Any]:
         """Write if all keys are at the expected revisions."""
