--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -5,7 +5,7 @@
 
 A task runs for as many milliseconds as its ``task_spec`` says. ``faults`` may set:
 
-- ``shed``: run-start is refused with 503, as by an unhealthy worker, which does nothing.
+- ``cut``: the worker is cut off; calls to it and its status reports are lost.
 """
 
 from __future__ import annotations
@@ -20,9 +20,10 @@
 from pathlib import Path
 from typing import Any
 
-from http_server import Request, serve
+from http_server import NO_REPLY, Request, serve
 
 HEARTBEAT_SECONDS = 1.5
+LOST_SECONDS = 60.0  # for which the channel of a lost call stays open
 MAX_HOLD_MS = 10_000
 STOP_SECONDS = 0.5  # the bound stop_grace_ms allows 0.9
 
@@ -62,6 +63,9 @@
 
     async def handle(self, req: Request) -> tuple[int, Any]:
         """Return status and body of the response to a call."""
+        if self.faults().get("cut"):
+            await asyncio.sleep(LOST_SECONDS)
+            return NO_REPLY
         if not req.path.startswith("/chivefall/"):
             return 200, {}
         if req.headers.get("x-target-instance", self.cfg["id"]) != self.cfg["id"]:
@@ -70,9 +74,6 @@
         if body.get("fence_token", 0) < self.fence:
             return 409, {"clock_ms": self.clock_ms(), "reason": "fence"}
         call = req.path.rpartition("/")[2]
-        if call == "run-start" and self.faults().get("shed"):
-            self.log("refused", task=body["task"], run=body["run_id"], status=503)
-            return 503, {"clock_ms": self.clock_ms()}
         self.fence = body.get("fence_token", 0)
         if call == "run-start":
             return self.start(body)
@@ -80,7 +81,11 @@
             self.stop((body["task"], body["run_id"]))
             return 200, {"clock_ms": self.clock_ms()}
         if call == "hold":
-            return 200, await self.hold(body)
+            report = await self.hold(body)
+            if self.faults().get("cut"):
+                await asyncio.sleep(LOST_SECONDS)
+                return NO_REPLY
+            return 200, report
         return 404, {}
 
     def extend(self, deadline_ms: float | None) -> None:
@@ -188,7 +193,8 @@
         """Write the entry at the start and then at each interval."""
         while True:
             with contextlib.suppress(OSError):
-                await asyncio.to_thread(self.write_entry)
+                if not self.faults().get("cut"):
+                    await asyncio.to_thread(self.write_entry)
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
 
