--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -70,10 +70,12 @@
             return 200, {}
         if req.headers.get("x-target-instance", self.cfg["id"]) != self.cfg["id"]:
             return 421, {"clock_ms": self.clock_ms()}
-        body = req.body
+        return await self.order(req.path.rpartition("/")[2], req.body)
+
+    async def order(self, call: str, body: dict[str, Any]) -> tuple[int, Any]:
+        """Carry out an order."""
         if body.get("fence_token", 0) < self.fence:
             return 409, {"clock_ms": self.clock_ms(), "reason": "fence"}
-        call = req.path.rpartition("/")[2]
         self.fence = body.get("fence_token", 0)
         if call == "run-start":
             return self.start(body)
