--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -219,17 +219,37 @@
         process.send_signal(signal.SIGKILL)
         process.wait()
 
-    def crash_worker(self, name: str) -> None:
-        """Kill a worker's process and start it again under its id."""
+    def kill_worker(self, name: str) -> None:
+        """Kill a worker's process."""
         self.kill(name)
         row = {"at": time.time(), "worker": name, "event": "killed"}
         with Path(self.workers[name]["events"]).open("a") as file:
             file.write(json.dumps(row) + "\n")
+
+    def crash_worker(self, name: str) -> None:
+        """Kill a worker's process and start it again under its id."""
+        self.kill_worker(name)
         self.start_worker(name)
         port = self.workers[name]["port"]
         while call(port, "GET", "/health", timeout=1)[0] != OK:
             time.sleep(0.02)
 
+    def remove(self, key: str) -> None:
+        """Remove a key as the operator does, or as the platform removes a silent worker's entry."""
+        call(self.store, "DELETE", f"/control/key?key={key}")
+
+    def leader(self) -> str:
+        """Return the name of the instance that leads, by its metrics."""
+        for name, ports in self.instances.items():
+            with contextlib.closing(
+                http.client.HTTPConnection("127.0.0.1", ports[3], timeout=2)
+            ) as conn:
+                conn.request("GET", "/metrics")
+                text = conn.getresponse().read().decode()
+            if re.search(r"^chivefall\w*leading\S* 1", text, re.MULTILINE):
+                return name
+        raise RuntimeError("no instance leads")
+
     def wait(self, condition: Any, seconds: float = 20.0) -> None:
         """Wait until a condition holds."""
         limit = time.monotonic() + seconds
