--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -36,6 +36,8 @@
 }
 ZONES = ("zilina", "banska", "martin")
 KEY = "key-of-tenant-1"
+OTHER_KEY = "key-of-tenant-2"
+GUARANTEED = 16  # accelerators of each tenant
 HOST = "jobs.example"
 BROKEN, HELD, NOT_RUN = 1, 0, 2
 OK = 200
@@ -150,24 +152,26 @@
             self.wait(lambda name=name: self.is_ready(name))
         time.sleep(4)  # one of them leads and has read the workers' reports
 
-    def desired_state(self, version: int, **queue: Any) -> dict[str, Any]:
-        """Return a desired state with one queue."""
-        route = {
-            "name": "scans",
+    def desired_state(self, version: int) -> dict[str, Any]:
+        """Return a desired state with two queues and two tenants."""
+        queue = {
             "host": HOST,
-            "prefix": "/scans/",
             "service": "pool",
-            "priority": 1,
             "max_attempts": 3,
             "stretch": 3.0,
             "target_latency_ms": 1000,
-            **queue,
         }
         return {
             "version": version,
-            "routes": [route],
+            "routes": [
+                {**queue, "name": "scans", "prefix": "/scans/", "priority": 1},
+                {**queue, "name": "checks", "prefix": "/checks/", "priority": 0},
+            ],
             "services": [{"name": "pool", "rejects_overload": False}],
-            "tenants": [{"name": "tenant-1", "api_keys": [KEY]}],
+            "tenants": [
+                {"name": "tenant-1", "api_keys": [KEY], "guaranteed": {"gpu": GUARANTEED}},
+                {"name": "tenant-2", "api_keys": [OTHER_KEY], "guaranteed": {"gpu": GUARANTEED}},
+            ],
             "limits": {},
         }
 
@@ -263,15 +267,24 @@
         with self._lock, self.record_path.open("a") as file:
             file.write(f"{time.time() - self._began:8.3f} {text}\n")
 
-    def request(self, instance: str, method: str, name: str, body: Any = None) -> tuple[int, Any]:
+    def request(
+        self,
+        instance: str,
+        method: str,
+        name: str,
+        body: Any = None,
+        *,
+        queue: str = "scans",
+        key: str = KEY,
+    ) -> tuple[int, Any]:
         """Send a client's request about a job and record it with its answer."""
         headers = {
             "Host": HOST,
-            "Authorization": f"Token {KEY}",
+            "Authorization": f"Token {key}",
             "Content-Type": "application/json",
             "X-Deadline-Ms": "3000",
         }
-        path = f"/scans/{name}"
+        path = f"/{queue}/{name}"
         status, answer = call(self.instances[instance][0], method, path, body, headers)
         self.record(f"{instance} {method} {path} -> {status} {json.dumps(answer)}")
         return status, answer
