--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -5,6 +5,8 @@
 
 A task runs for as many milliseconds as its ``task_spec`` says. ``faults`` may set:
 
+- ``fail``: every run fails after FAIL_SECONDS; the other members of its gang end broken. A
+  run belongs to a gang if its ``task_spec`` ends with `` gang``.
 - ``cut``: the worker is cut off; calls to it and its status reports are lost.
 """
 
@@ -25,6 +27,7 @@
 HEARTBEAT_SECONDS = 1.5
 LOST_SECONDS = 60.0  # for which the channel of a lost call stays open
 MAX_HOLD_MS = 10_000
+FAIL_SECONDS = 0.5
 STOP_SECONDS = 0.5  # the bound stop_grace_ms allows 0.9
 
 
@@ -109,12 +112,29 @@
             return 409, {"clock_ms": clock, "reason": "late"}
         self.extend(body["deadline_ms"])
         self.running[run] = time.monotonic()
-        self.specs[run] = float(body["task_spec"])
+        self.specs[run] = float(body["task_spec"].split()[0])
         self.log("start", task=run[0], run=run[1])
         loop = asyncio.get_running_loop()
         loop.call_later(self.specs[run] / 1000, lambda: self.end(run, "done"))
+        marker = None
+        if body["task_spec"].endswith(" gang"):
+            gang = f"{run[0].rpartition('.')[0]}-{run[1]}"
+            marker = Path(self.cfg["events"]).with_name(f"failed-{gang}")
+        loop.create_task(self.watch_faults(run, marker))
         return 200, {"clock_ms": clock}
 
+    async def watch_faults(self, run: tuple[str, int], marker: Path | None) -> None:
+        """End a run that fails, or whose gang has lost a member."""
+        began = time.monotonic()
+        while run in self.running:
+            if marker is not None and marker.exists():
+                self.end(run, "broken")
+            elif self.faults().get("fail") and time.monotonic() - began >= FAIL_SECONDS:
+                if marker is not None:
+                    marker.touch()
+                self.end(run, "failed")
+            await asyncio.sleep(0.05)
+
     def stop(self, run: tuple[str, int]) -> None:
         """Stop a run; if it is not there yet, its start will be refused."""
         self.closed[run[0]] = max(run[1], self.closed.get(run[0], 0))
