--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -45,6 +45,7 @@
         self.closed: dict[str, int] = {}  # highest run stopped or ended by task
         self.ends: list[list[Any]] = []
         self.numbers = itertools.count(1)
+        self.watchers: dict[tuple[str, int], asyncio.Task[None]] = {}
         self.ended = asyncio.Event()
         self.seq = itertools.count(1)
 
@@ -120,7 +121,7 @@
         if body["task_spec"].endswith(" gang"):
             gang = f"{run[0].rpartition('.')[0]}-{run[1]}"
             marker = Path(self.cfg["events"]).with_name(f"failed-{gang}")
-        loop.create_task(self.watch_faults(run, marker))
+        self.watchers[run] = loop.create_task(self.watch_faults(run, marker))
         return 200, {"clock_ms": clock}
 
     async def watch_faults(self, run: tuple[str, int], marker: Path | None) -> None:
