--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -3,7 +3,8 @@
 Keys of the settings: id, port, store (port), zone, rack, kind, gpu, events (a file to which
 events are appended), faults (a file that holds a JSON object and may change at any time).
 
-A task runs for as many milliseconds as its ``task_spec`` says. ``faults`` may set:
+A task runs for as many milliseconds as its ``task_spec`` says, and then fails if that ends
+with `` crash``. ``faults`` may set:
 
 - ``fail``: every run fails after FAIL_SECONDS; the other members of its gang end broken. A
   run belongs to a gang if its ``task_spec`` ends with `` gang``.
@@ -116,7 +117,8 @@
         self.specs[run] = float(body["task_spec"].split()[0])
         self.log("start", task=run[0], run=run[1])
         loop = asyncio.get_running_loop()
-        loop.call_later(self.specs[run] / 1000, lambda: self.end(run, "done"))
+        how = "failed" if body["task_spec"].endswith(" crash") else "done"
+        loop.call_later(self.specs[run] / 1000, lambda: self.end(run, how))
         marker = None
         if body["task_spec"].endswith(" gang"):
             gang = f"{run[0].rpartition('.')[0]}-{run[1]}"
