--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -96,7 +96,7 @@
 class Deployment:
     """Store, workers and instances as processes; a context manager that ends all of them."""
 
-    def __init__(self, case: Path, workers: int, instances: int, **config: Any) -> None:
+    def __init__(self, case: Path, workers: int, instances: int) -> None:
         self.record_path = case / "record.txt"
         self.record_path.write_text("")
         self._lock = threading.Lock()
@@ -113,7 +113,6 @@
         self.instances = {
             f"front-{number + 1}": rest[4 * number : 4 * number + 4] for number in range(instances)
         }
-        self.config = config
 
     def _worker(self, number: int, port: int) -> dict[str, Any]:
         zone = ZONES[number % len(ZONES)]
@@ -238,22 +237,6 @@
         while call(port, "GET", "/health", timeout=1)[0] != OK:
             time.sleep(0.02)
 
-    def remove(self, key: str) -> None:
-        """Remove a key as the operator does, or as the platform removes a silent worker's entry."""
-        call(self.store, "DELETE", f"/control/key?key={key}")
-
-    def leader(self) -> str:
-        """Return the name of the instance that leads, by its metrics."""
-        for name, ports in self.instances.items():
-            with contextlib.closing(
-                http.client.HTTPConnection("127.0.0.1", ports[3], timeout=2)
-            ) as conn:
-                conn.request("GET", "/metrics")
-                text = conn.getresponse().read().decode()
-            if re.search(r"^chivefall\w*leading\S* 1", text, re.MULTILINE):
-                return name
-        raise RuntimeError("no instance leads")
-
     def wait(self, condition: Any, seconds: float = 20.0) -> None:
         """Wait until a condition holds."""
         limit = time.monotonic() + seconds
@@ -307,10 +290,6 @@
             with self._lock, self.record_path.open("a") as file:
                 file.write(f"{row['at'] - self._began:8.3f} {text}\n")
 
-    def since(self, at: float) -> float:
-        """Return a time of day in seconds since the start of the script."""
-        return at - self._began
-
     def _end(self) -> None:
         for process in self.processes.values():
             with contextlib.suppress(OSError):
@@ -384,7 +363,8 @@
 
 
 def run_case(case: Any) -> None:
-    """Run a case and exit with its result."""
+    """Run a case and exit with its result; a time-out ends all processes, too."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
         code = case()
     except Exception as exc:  # noqa: BLE001
--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -8,7 +8,8 @@
 
 - ``fail``: every run fails after FAIL_SECONDS; the other members of its gang end broken. A
   run belongs to a gang if its ``task_spec`` ends with `` gang``.
-- ``cut``: the worker is cut off; calls to it and its status reports are lost.
+- ``late``: share of the starts that get no answer and are carried out 2 to 5 s later.
+- ``shed``: share of the other starts that are refused with 503, which does nothing.
 """
 
 from __future__ import annotations
@@ -18,6 +19,7 @@
 import http.client
 import itertools
 import json
+import random
 import sys
 import time
 from pathlib import Path
@@ -26,7 +28,8 @@
 from http_server import NO_REPLY, Request, serve
 
 HEARTBEAT_SECONDS = 1.5
-LOST_SECONDS = 60.0  # for which the channel of a lost call stays open
+LATE_SECONDS = 2.0, 5.0
+LOST_SECONDS = 60.0  # for which the channel of an unanswered call stays open
 MAX_HOLD_MS = 10_000
 FAIL_SECONDS = 0.5
 STOP_SECONDS = 0.5  # the bound stop_grace_ms allows 0.9
@@ -68,9 +71,6 @@
 
     async def handle(self, req: Request) -> tuple[int, Any]:
         """Return status and body of the response to a call."""
-        if self.faults().get("cut"):
-            await asyncio.sleep(LOST_SECONDS)
-            return NO_REPLY
         if not req.path.startswith("/chivefall/"):
             return 200, {}
         if req.headers.get("x-target-instance", self.cfg["id"]) != self.cfg["id"]:
@@ -79,6 +79,18 @@
 
     async def order(self, call: str, body: dict[str, Any]) -> tuple[int, Any]:
         """Carry out an order."""
+        if call == "run-start":
+            faults = self.faults()
+            if random.random() < faults.get("late", 0):
+                self.log("held", task=body["task"], run=body["run_id"])
+                await asyncio.sleep(random.uniform(*LATE_SECONDS))
+                if body.get("fence_token", 0) >= self.fence:
+                    self.start(body)
+                await asyncio.sleep(LOST_SECONDS)
+                return NO_REPLY
+            if random.random() < faults.get("shed", 0):
+                self.log("refused", task=body["task"], run=body["run_id"], status=503)
+                return 503, {"clock_ms": self.clock_ms()}
         if body.get("fence_token", 0) < self.fence:
             return 409, {"clock_ms": self.clock_ms(), "reason": "fence"}
         self.fence = body.get("fence_token", 0)
@@ -88,11 +100,7 @@
             self.stop((body["task"], body["run_id"]))
             return 200, {"clock_ms": self.clock_ms()}
         if call == "hold":
-            report = await self.hold(body)
-            if self.faults().get("cut"):
-                await asyncio.sleep(LOST_SECONDS)
-                return NO_REPLY
-            return 200, report
+            return 200, await self.hold(body)
         return 404, {}
 
     def extend(self, deadline_ms: float | None) -> None:
@@ -218,8 +226,7 @@
         """Write the entry at the start and then at each interval."""
         while True:
             with contextlib.suppress(OSError):
-                if not self.faults().get("cut"):
-                    await asyncio.to_thread(self.write_entry)
+                await asyncio.to_thread(self.write_entry)
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
 
