Carry over runs that may have started after a worker's restart

Cause: orders name a worker by its id, which its next incarnation has too, so a start that is sent before the leader knows of the restart is accepted by the new incarnation. _end_incarnation released all runs of the worker as ended with the previous one, and _adopt_run did the same at a takeover. The stand-in of the workers hid this, because it refused orders for another incarnation under the same id, which the platform's workers do not do.

The log of the case shows run_released "worker restarted" or "another incarnation of the worker responded", the next start within milliseconds, and unknown_run_stopped for the first run.

Change: runs that a report of the previous incarnation has listed are released at once, as before. Runs whose start was accepted or may be under way keep their resources on the new incarnation until its reports show whether they exist; a run with an unanswered start is stopped first. A restart allows for the longest lease of the platform, since deadlines by the old clock are in the far future for the new one.

--- a/chivefall/batch/_timing.py
+++ b/chivefall/batch/_timing.py
@@ -51,6 +51,8 @@
         Lease that each call grants to a worker's runs.
     max_lease : float
         Longest lease that an earlier leader may have granted.
+    longest_lease : float
+        Longest lease that a worker accepts.
     poll_wait, max_poll_wait : float
         Wait of a long poll in small fleets and in large ones; also the age limit of
         reported progress.
@@ -83,6 +85,7 @@
 
     run_lease: float
     max_lease: float
+    longest_lease: float
     poll_wait: float
     max_poll_wait: float
     orphan_timeout: float
@@ -127,6 +130,7 @@
         return cls(
             run_lease=run_lease,
             max_lease=min(max_lease, run_lease + LEASE_CLOCK_MARGIN_SECONDS),
+            longest_lease=max_lease,
             poll_wait=min(POLL_WAIT_SECONDS, run_lease / POLLS_PER_LEASE),
             max_poll_wait=min(MAX_POLL_WAIT_SECONDS, run_lease / POLLS_PER_LEASE),
             orphan_timeout=LEASE_EXTENSION_GRACE_SECONDS
--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from chivefall.batch import (
@@ -185,22 +186,10 @@
             # The worker's reports and the end of its leases show whether it restarted.
             return
         if session is not None and session.worker.entry.incarnation != entry.incarnation:
-            self._end_incarnation(session, "worker restarted")
-            session = None
-        if session is None:
-            session = self._sessions[entry.worker_id] = Session(
-                Worker(entry), self._timing.max_lease
-            )
-            self.fleet.workers[entry.worker_id] = session.worker
+            session = self._replace_session(session, entry)
+        elif session is None:
+            session = self._add_session(entry)
             self._adopt_orphans(session)
-            log_event(
-                LogEvent.FLEET_CHANGED,
-                worker=entry.worker_id,
-                change="joined",
-                rack=entry.rack,
-                domain=entry.domain,
-                incarnation=entry.incarnation,
-            )
         elif session.worker.entry.status is not entry.status:
             log_event(
                 LogEvent.FLEET_CHANGED,
@@ -215,6 +204,58 @@
             session.worker.earliest_exit = self.clock.now() + entry.remaining
         self._ensure_polling(session)
 
+    def _add_session(self, entry: WorkerEntry) -> Session:
+        session = Session(Worker(entry), self._timing.max_lease, self._timing.longest_lease)
+        self._sessions[entry.worker_id] = session
+        self.fleet.workers[entry.worker_id] = session.worker
+        log_event(
+            LogEvent.FLEET_CHANGED,
+            worker=entry.worker_id,
+            change="joined",
+            rack=entry.rack,
+            domain=entry.domain,
+            incarnation=entry.incarnation,
+        )
+        return session
+
+    def _replace_session(self, previous: Session, entry: WorkerEntry) -> Session:
+        """Return a session for the next incarnation of a worker that restarted under its id.
+
+        Orders name a worker by its id, so starts may have reached the new incarnation before
+        it was noticed. Such runs keep their resources until its reports show whether they
+        exist; the others ended with the previous incarnation.
+        """
+        now = self.clock.now()
+        self._remove_session(previous)
+        session = self._add_session(entry)
+        session.record_restart(now)
+        session.carry_over(previous, now)
+        for run in session.worker.runs:
+            log_event(
+                LogEvent.RUN_CARRIED_OVER,
+                run=str(run),
+                worker=entry.worker_id,
+                incarnation=entry.incarnation,
+                unanswered=run in session.unanswered_starts,
+            )
+        for run in [run for run in previous.worker.runs if run not in session.worker.runs]:
+            self._release(previous, run, "worker restarted")
+        return session
+
+    def _record_restart(self, session: Session, incarnation: Incarnation) -> None:
+        """Handle a report of another incarnation than the one that the worker's entry names.
+
+        Until the entry follows, its capacity and labels may be those of the previous
+        incarnation, so nothing is placed on the worker.
+        """
+        entry = replace(session.worker.entry, incarnation=incarnation)
+        session = self._replace_session(session, entry)
+        session.worker.listed = False
+        if session.worker.runs:
+            self._ensure_polling(session)
+        else:
+            self._remove_session(session)
+
     def _record_unlisted(self, worker_id: WorkerId) -> None:
         session = self._sessions.get(worker_id)
         if session is None or not session.worker.listed:
@@ -265,8 +306,8 @@
         self, session: Session, run: RunId, step: StepSpec, incarnation: Incarnation
     ) -> None:
         if session.worker.entry.incarnation != incarnation:
-            self._listener.run_released(run)
-            return
+            # The start may have reached the worker after its restart.
+            session.record_restart(self.clock.now())
         session.worker.allocate(run, step)
         session.expected_since[run] = float("-inf")
         self._ensure_polling(session)
@@ -289,7 +330,8 @@
                     self._listener.run_released(run)
             self._orphans = {}
             for session in list(self._sessions.values()):
-                if not session.worker.synced:
+                # The leases of a restarted worker have an end of their own.
+                if not session.worker.synced and session.unread_leases_end is None:
                     for run in list(session.worker.runs):
                         self._release(session, run, "worker not reached since the takeover")
 
@@ -384,7 +426,7 @@
     def _record_report(self, session: Session, report: RunReport, sent_at: float) -> None:
         worker = session.worker
         if report.incarnation not in (worker.entry.incarnation, Incarnation(0)):
-            self._end_incarnation(session, "another incarnation of the worker responded")
+            self._record_restart(session, report.incarnation)
             return
         session.record_clock(report.clock, self.clock.now())
         self._record_response(session)
@@ -398,7 +440,11 @@
             self._record_end(session, end)
         for run in list(worker.runs):
             # A report requested before the run was expected does not prove its absence.
-            if run not in listed and session.expected_since.get(run, float("inf")) <= sent_at:
+            if run in listed or session.expected_since.get(run, float("inf")) > sent_at:
+                continue
+            if run in session.unanswered_starts:
+                self.stop_run(worker.worker_id, run, StopCause(StopReason.START_UNCERTAIN))
+            else:
                 self._release(session, run, "not listed in the worker's report")
         if not was_synced:
             self._listener.fleet_changed()
@@ -414,6 +460,7 @@
             return
         if run not in session.expected_since:
             session.expected_since[run] = self.clock.now()
+        session.reported.add(run)
         self._listener.run_confirmed(run)
         stop_ends = session.stop_accepted.get(run, float("-inf"))
         if self._listener.should_stop(run) and self.clock.now() > stop_ends:
@@ -533,25 +580,33 @@
             if deadline is None:
                 break
             order = RunOrder(run, payload, deadline, checkpoint)
+            session.unanswered_starts.add(run)
             outcome = await self._client.start(session.worker.entry, order, permission)
-            if session.closed or run not in session.worker.runs or not self._is_current(epoch):
+            if not self._is_current(epoch):
+                return False
+            addressed, session = session, self._sessions.get(worker_id)
+            if session is None or run not in session.worker.runs:
                 return False
             if isinstance(outcome, OrderAccepted):
-                self._record_started(session, run, outcome)
+                if attempt == 0:
+                    session.unanswered_starts.discard(run)
+                if session is addressed:
+                    session.record_clock(outcome.clock, self.clock.now())
+                self._record_started(session, run)
                 return True
             if not isinstance(outcome, NoResponse):
                 self._record_refusal(session, run, outcome)
                 return False
+            if session is not addressed:
+                break
         log_event(LogEvent.RUN_UNCERTAIN, run=str(run), worker=worker_id)
         self._mark_suspect(session, "no response to a start")
         self.stop_run(worker_id, run, StopCause(StopReason.START_UNCERTAIN))
         self._ensure_polling(session)
         return False
 
-    def _record_started(self, session: Session, run: RunId, outcome: OrderAccepted) -> None:
-        now = self.clock.now()
-        session.record_clock(outcome.clock, now)
-        session.expected_since[run] = now
+    def _record_started(self, session: Session, run: RunId) -> None:
+        session.expected_since[run] = self.clock.now()
         self._record_response(session)
         log_event(LogEvent.RUN_STARTED, run=str(run), worker=session.worker.worker_id)
         self._listener.run_confirmed(run)
@@ -602,8 +657,7 @@
                 )
                 outcome = await self._client.stop(session.worker.entry, run, permission)
                 if isinstance(outcome, OrderAccepted):
-                    stop_ends = self.clock.now() + self._timing.stop_completion
-                    session.stop_accepted[run] = stop_ends
+                    session.record_stop(run, self.clock.now() + self._timing.stop_completion)
                 if not isinstance(outcome, NoResponse):
                     break
             await sleep(self.clock, RETRY_DELAY_SECONDS)
--- a/chivefall/controllers/batch/_session.py
+++ b/chivefall/controllers/batch/_session.py
@@ -10,6 +10,7 @@
 __all__ = ["Session"]
 
 NO_END = EndSequence(0)
+MAX_REORDERING_SECONDS = 5.0  # by which a response may be older than one received before it
 
 
 @dataclass
@@ -22,9 +23,20 @@
         Entry and allocated resources.
     max_lease : float
         Longest lease in seconds that an earlier leader may have granted.
+    longest_lease : float
+        Longest lease in seconds that the worker accepts; a deadline by the clock of its
+        previous incarnation is in the far future for it, and is shortened to this lease.
+    unread_leases_end : float or None
+        Time by which all leases have expired if the worker's clock is never read, in seconds
+        since the Unix epoch; None if it is unknown.
     expected_since : dict
         By run, the time in seconds since the Unix epoch from which requested reports
         must list it; absent while its start is not confirmed.
+    unanswered_starts : set of RunId
+        Runs with a start order that got no response so far. The worker may execute it until
+        it has confirmed a stop of the run.
+    reported : set of RunId
+        Runs that a report of this incarnation has listed.
     acknowledged : EndSequence
         Highest sequence up to which all ends are written to the store.
     acknowledgement_sent : EndSequence
@@ -49,7 +61,11 @@
 
     worker: Worker
     max_lease: float
+    longest_lease: float
+    unread_leases_end: float | None = None
     expected_since: dict[RunId, float] = field(default_factory=dict)
+    unanswered_starts: set[RunId] = field(default_factory=set)
+    reported: set[RunId] = field(default_factory=set)
     acknowledged: EndSequence = NO_END
     acknowledgement_sent: EndSequence = NO_END
     _highest_written: EndSequence = NO_END
@@ -77,12 +93,59 @@
         self.worker.release(run)
         self.expected_since.pop(run, None)
         self.stop_accepted.pop(run, None)
+        self.unanswered_starts.discard(run)
+        self.reported.discard(run)
+
+    def record_stop(self, run: RunId, stop_ends: float) -> None:
+        """Record that the worker accepted a stop, which takes until ``stop_ends`` at most.
+
+        From then on the worker refuses every start of the run.
+        """
+        self.stop_accepted[run] = stop_ends
+        if run in self.unanswered_starts:
+            # A start may have been executed between an earlier report and the stop.
+            self.unanswered_starts.discard(run)
+            self.expected_since[run] = stop_ends
+
+    def runs_to_carry_over(self) -> list[RunId]:
+        """Return the runs that may be at work in the next incarnation after a restart.
+
+        Runs that were never sent cannot exist, and those that this incarnation has reported
+        ended with it unless an unanswered start of them is still under way.
+        """
+        return [
+            run
+            for run in self.worker.runs
+            if run in self.unanswered_starts
+            or (run in self.expected_since and run not in self.reported)
+        ]
+
+    def carry_over(self, previous: Session, now: float) -> None:
+        """Take over the runs that the previous incarnation may have left to this one."""
+        for run in previous.runs_to_carry_over():
+            self.worker.allocate(run, previous.worker.runs[run])
+            if run in previous.unanswered_starts:
+                self.unanswered_starts.add(run)
+            if run in previous.expected_since or run in previous.stopping:
+                self.expected_since[run] = now
+
+    def record_restart(self, now: float) -> None:
+        """Allow for leases that were sent by the clock of the previous incarnation."""
+        self.max_lease = self.longest_lease
+        if self._clock_reading is None:
+            self.unread_leases_end = now + self.longest_lease / MIN_CLOCK_RATE
+        else:
+            deadline = self.worker_clock(now) + self.longest_lease
+            self.lease_deadline = max(self.lease_deadline, deadline)
 
     def record_clock(self, clock: float, now: float) -> None:
         """Record the worker's clock, in seconds, from a response received at ``now``."""
         if self._clock_reading is None:
             # An earlier leader may have extended the leases just before this response.
             self.lease_deadline = max(self.lease_deadline, clock + self.max_lease)
+        elif clock < self._clock_reading[0] - MAX_REORDERING_SECONDS:
+            # The worker restarted, and no report has shown its new incarnation yet.
+            self.lease_deadline = clock + self.longest_lease
         self._clock_reading = (clock, now)
 
     def extend_leases(self, seconds: float, now: float) -> float | None:
@@ -113,7 +176,7 @@
         clock and not after a duration.
         """
         if self._clock_reading is None:
-            return None
+            return self.unread_leases_end
         clock, read_at = self._clock_reading
         return read_at + max(0.0, self.lease_deadline - clock) / MIN_CLOCK_RATE
 
--- a/chivefall/telemetry/_events.py
+++ b/chivefall/telemetry/_events.py
@@ -79,6 +79,10 @@
     RUN_RELEASED = (7205, "A run can no longer exist; its task is queued again.")
     RUN_STOPPED = (7206, "A worker is sent a request to stop a run.")
     RUN_DISPLACED = (7208, "A run is stopped to continue on another worker.")
+    RUN_CARRIED_OVER = (
+        7209,
+        "A worker restarted; the run may have started since then, so a report has to show it.",
+    )
     UNKNOWN_RUN_STOPPED = (7207, "A run without a record was stopped.")
     FLEET_CHANGED = (7301, "A worker's entry was added, changed or removed.")
     WORKER_SUSPECTED = (7302, "A worker does not respond and gets no new runs.")
--- a/chivefall/telemetry/_timeline.py
+++ b/chivefall/telemetry/_timeline.py
@@ -38,6 +38,7 @@
         LogEvent.RUN_UNCERTAIN,
         LogEvent.RUN_RELEASED,
         LogEvent.RUN_DISPLACED,
+        LogEvent.RUN_CARRIED_OVER,
         LogEvent.STORE_UNREACHABLE,
         LogEvent.LEADERSHIP_LAPSED,
         LogEvent.BATCH_COMMIT_DELAYED,
@@ -53,6 +54,7 @@
         LogEvent.RUN_STOPPED,
         LogEvent.RUN_RELEASED,
         LogEvent.RUN_DISPLACED,
+        LogEvent.RUN_CARRIED_OVER,
         LogEvent.RUN_NOT_STARTED,
         LogEvent.RUN_UNCERTAIN,
     }
--- a/standins/run_workers.py
+++ b/standins/run_workers.py
@@ -71,6 +71,8 @@
         Whether runs end as failed.
     hangs : bool
         Whether runs make no progress.
+    clock_origin : float
+        Unix time in seconds at which the clock of this incarnation showed 0.
     """
 
     entry: WorkerEntry
@@ -81,6 +83,7 @@
     fails: bool = False
     hangs: bool = False
     crashed: bool = False
+    clock_origin: float = field(init=False)
     highest_epoch: Epoch = Epoch(0)
     lease_until: float = 0.0
     running: dict[RunId, _Running] = field(default_factory=dict)
@@ -94,6 +97,12 @@
     def __post_init__(self) -> None:
         self._sequence = itertools.count(1)
         self._waiters: list[Future[None]] = []
+        self.clock_origin = self.clock.now()
+
+    @property
+    def own_clock(self) -> float:
+        """Return the clock of this incarnation, in seconds since its start."""
+        return self.clock.now() - self.clock_origin
 
     def start(self, order: RunOrder, epoch: Epoch, resources: Resources) -> OrderOutcome:
         """Start a run; a repeated order is accepted again."""
@@ -102,10 +111,10 @@
             return refusal
         run = order.run
         if run in self.running:
-            return OrderAccepted(self.clock.now())
+            return OrderAccepted(self.own_clock)
         if run.number <= self.fenced_runs.get((run.job, run.task), 0):
             return OrderRefused(OrderRefusalReason.OUTDATED)
-        if order.deadline < self.clock.now():
+        if order.deadline < self.own_clock:
             return OrderRefused(OrderRefusalReason.LATE)
         self._extend_leases(order.deadline)
         self.allocations[run] = resources
@@ -119,7 +128,7 @@
         self.history.append((self.clock.now(), "start", run))
         if not self.hangs:
             self.clock.call_later(self.run_seconds, lambda: self._finish(run))
-        return OrderAccepted(self.clock.now())
+        return OrderAccepted(self.own_clock)
 
     def resume(self) -> None:
         """Stop hanging; runs that were started meanwhile begin their work now."""
@@ -138,7 +147,7 @@
             self.clock.call_later(self.stop_seconds, lambda: self._end(run, EndKind.STOPPED))
         else:
             self._end(run, EndKind.STOPPED)
-        return OrderAccepted(self.clock.now())
+        return OrderAccepted(self.own_clock)
 
     def renew_leases(
         self, epoch: Epoch, deadline: float | None, acknowledged: EndSequence
@@ -154,7 +163,7 @@
                 self.history.append((self.clock.now(), "noted", end.run))
         self.ends = [end for end in self.ends if end.sequence > acknowledged]
         return RunReport(
-            self.clock.now(),
+            self.own_clock,
             self.entry.incarnation,
             tuple(
                 RunStatus(run, NO_CHECKPOINT, self._progress(item))
@@ -194,7 +203,7 @@
         return None
 
     def _extend_leases(self, deadline: float) -> None:
-        limit = min(deadline, self.clock.now() + self.max_lease)
+        limit = min(self.clock_origin + deadline, self.clock.now() + self.max_lease)
         if limit > self.lease_until:
             self.lease_until = limit
             self.clock.call_later(limit - self.clock.now(), self._expire_leases)
@@ -343,8 +352,7 @@
         if state is None or worker.worker_id in self.unreachable or self.isolated:
             await sleep(self._clock, RESPONSE_TIMEOUT_SECONDS)
             return NoResponse("the worker is unreachable")
-        if state.entry.incarnation != worker.incarnation:
-            return IncarnationMismatch()
+        # Orders name the worker by its id, which its next incarnation may have, too.
         return state
 
 
