Release a run after a refused start only if no attempt is unanswered

Callers saw: workers left starts unanswered and carried them out seconds later, while one refused part of the others with 503.

Cause: after a start without response its repetition was refused, and the refusal was taken as proof that the run does not exist. It concerns the refused call only; the worker still executes the earlier one. A refused stop ended the loop that confirms stops in the same way.

A refusal as outdated is conclusive: the worker accepts no start of the run any more.

Change: a refused first attempt is released at once, as before. A refused repetition leads to the same stop as three attempts without a response, and the run is released once that stop is confirmed. Refused stops are repeated. The log says why a run is uncertain, and shows refused stops.

--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -594,16 +594,21 @@
                     session.record_clock(outcome.clock, self.clock.now())
                 self._record_started(session, run)
                 return True
+            if session is not addressed:
+                break  # Whether the start reached the previous or the new incarnation is unknown.
             if not isinstance(outcome, NoResponse):
-                self._record_refusal(session, run, outcome)
+                self._record_refusal(session, run, outcome, is_first=attempt == 0)
                 return False
-            if session is not addressed:
-                break
-        log_event(LogEvent.RUN_UNCERTAIN, run=str(run), worker=worker_id)
         self._mark_suspect(session, "no response to a start")
+        self._stop_uncertain_run(session, run, "no response to a start")
+        return False
+
+    def _stop_uncertain_run(self, session: Session, run: RunId, reason: str) -> None:
+        """Stop a run that the worker may still start, so that it can be released."""
+        worker_id = session.worker.worker_id
+        log_event(LogEvent.RUN_UNCERTAIN, run=str(run), worker=worker_id, reason=reason)
         self.stop_run(worker_id, run, StopCause(StopReason.START_UNCERTAIN))
         self._ensure_polling(session)
-        return False
 
     def _record_started(self, session: Session, run: RunId) -> None:
         session.expected_since[run] = self.clock.now()
@@ -612,7 +617,14 @@
         self._listener.run_confirmed(run)
         self._ensure_polling(session)
 
-    def _record_refusal(self, session: Session, run: RunId, outcome: OrderOutcome) -> None:
+    def _record_refusal(
+        self, session: Session, run: RunId, outcome: OrderOutcome, *, is_first: bool
+    ) -> None:
+        """Handle the refusal of an attempt to start a run.
+
+        A refusal concerns that attempt only. The worker may still execute an earlier one that
+        got no response, unless the refusal shows that it no longer accepts the run.
+        """
         log_event(
             LogEvent.RUN_NOT_STARTED,
             run=str(run),
@@ -628,11 +640,14 @@
         session.worker.avoided_until = self.clock.now() + REFUSAL_AVOID_SECONDS
         if outcome.reason is OrderRefusalReason.OUTDATED:
             # The run may have existed and ended; the next report shows this.
+            session.unanswered_starts.discard(run)
             session.expected_since[run] = self.clock.now()
             self._ensure_polling(session)
-            return
-        session.worker.release(run)
-        self._listener.run_released(run)
+        elif is_first:
+            session.forget(run)
+            self._listener.run_released(run)
+        else:
+            self._stop_uncertain_run(session, run, "refused after a start without response")
 
     def stop_run(self, worker_id: WorkerId, run: RunId, cause: StopCause) -> None:
         """Stop a run, retrying until the worker confirms it or the run is released."""
@@ -658,8 +673,22 @@
                 outcome = await self._client.stop(session.worker.entry, run, permission)
                 if isinstance(outcome, OrderAccepted):
                     session.record_stop(run, self.clock.now() + self._timing.stop_completion)
-                if not isinstance(outcome, NoResponse):
                     break
+                if session.closed or not self._is_current(epoch):
+                    return
+                if isinstance(outcome, IncarnationMismatch):
+                    self._end_incarnation(session, "another incarnation of the worker responded")
+                    return
+                if isinstance(outcome, OrderRefused):
+                    if outcome.reason is OrderRefusalReason.FENCED:
+                        self._leader.step_down("a worker has seen a higher epoch")
+                        return
+                    log_event(
+                        LogEvent.RUN_NOT_STOPPED,
+                        run=str(run),
+                        worker=session.worker.worker_id,
+                        outcome=repr(outcome),
+                    )
             await sleep(self.clock, RETRY_DELAY_SECONDS)
         if run in session.worker.runs and not session.closed:
             # The stop fences the run: if a report requested after the longest stop time
--- a/chivefall/telemetry/_events.py
+++ b/chivefall/telemetry/_events.py
@@ -83,6 +83,7 @@
         7209,
         "A worker restarted; the run may have started since then, so a report has to show it.",
     )
+    RUN_NOT_STOPPED = (7210, "A worker refused to stop a run; the stop is sent again.")
     UNKNOWN_RUN_STOPPED = (7207, "A run without a record was stopped.")
     FLEET_CHANGED = (7301, "A worker's entry was added, changed or removed.")
     WORKER_SUSPECTED = (7302, "A worker does not respond and gets no new runs.")
--- a/chivefall/telemetry/_timeline.py
+++ b/chivefall/telemetry/_timeline.py
@@ -39,6 +39,7 @@
         LogEvent.RUN_RELEASED,
         LogEvent.RUN_DISPLACED,
         LogEvent.RUN_CARRIED_OVER,
+        LogEvent.RUN_NOT_STOPPED,
         LogEvent.STORE_UNREACHABLE,
         LogEvent.LEADERSHIP_LAPSED,
         LogEvent.BATCH_COMMIT_DELAYED,
@@ -55,6 +56,7 @@
         LogEvent.RUN_RELEASED,
         LogEvent.RUN_DISPLACED,
         LogEvent.RUN_CARRIED_OVER,
+        LogEvent.RUN_NOT_STOPPED,
         LogEvent.RUN_NOT_STARTED,
         LogEvent.RUN_UNCERTAIN,
     }
--- a/standins/run_workers.py
+++ b/standins/run_workers.py
@@ -280,7 +280,11 @@
     unreachable : set of WorkerId
         Workers that calls do not reach.
     delayed : set of WorkerId
-        Workers that do not respond to starts and execute them after START_DELAY_SECONDS.
+        Workers that do not respond to starts and execute them after ``start_delay`` seconds.
+    start_delay : float
+        Seconds.
+    refusals : dict
+        By worker, the reason with which it refuses starts and stops.
     isolated : bool
         Whether calls reach no worker at all.
     latency : float
@@ -292,6 +296,8 @@
         self._clock = workers.clock
         self.unreachable: set[WorkerId] = set()
         self.delayed: set[WorkerId] = set()
+        self.start_delay = START_DELAY_SECONDS
+        self.refusals: dict[WorkerId, OrderRefusalReason] = {}
         self.isolated = False
         self.latency = 0.0
 
@@ -305,11 +311,11 @@
         epoch = permission.epoch
         resources = self._workers.resources_of(order.run)
         if worker.worker_id in self.delayed:
-            self._clock.call_later(
-                START_DELAY_SECONDS, lambda: state.start(order, epoch, resources)
-            )
+            self._clock.call_later(self.start_delay, lambda: state.start(order, epoch, resources))
             await sleep(self._clock, RESPONSE_TIMEOUT_SECONDS)
             return NoResponse("the start is delayed by an injected fault")
+        if worker.worker_id in self.refusals:
+            return OrderRefused(self.refusals[worker.worker_id])
         return state.start(order, epoch, resources)
 
     async def stop(
@@ -317,6 +323,8 @@
     ) -> OrderOutcome:
         """Stop a run."""
         state = await self._reach(worker, permission)
+        if worker.worker_id in self.refusals:
+            return OrderRefused(self.refusals[worker.worker_id])
         return state.stop(run, permission.epoch) if isinstance(state, RunWorker) else state
 
     async def renew_leases(
