Limit the wait for a local placement in an idle fleet

Cause: a job whose data or gang belongs on one rack waits for that rack for up to (remote_slowdown - 1) times its declared run time, 17 s and more, whatever the rest of the fleet does.

Change: while under 60 % of the fleet is in use, a group that has fitted twice for 2 s without interruption accepts a slow placement. In a busy fleet nothing changes.

--- a/chivefall/batch/_job.py
+++ b/chivefall/batch/_job.py
@@ -163,6 +163,7 @@
         }
         self._unfinished = {group: len(tasks) for group, tasks in self._tasks.items()}
         self._ready_since: dict[tuple[int, int], float] = {}
+        self._room_since: dict[tuple[int, int], float] = {}
         self._failed_runs: set[tuple[int, int, RunNumber]] = set()
 
     @property
@@ -229,6 +230,18 @@
         """
         return self._ready_since.get((occurrence, step), now)
 
+    def record_room(self, occurrence: int, step: int, now: float, *, has_room: bool) -> float:
+        """Record whether idle workers could run a waiting group.
+
+        Returns the seconds for which they could, without interruption and until the group
+        is assigned.
+        """
+        group = (occurrence, step)
+        if not has_room:
+            self._room_since.pop(group, None)
+            return 0.0
+        return now - self._room_since.setdefault(group, now)
+
     def next_occurrence_at(self, now: float) -> float | None:
         """Return when the next occurrence may start, in seconds since the Unix epoch, or None."""
         spec = self.submission.spec
@@ -253,6 +266,7 @@
             task.started_at, task.progress, task.stopping = now, 0.0, False
             task.reported_at, task.unchanged_seconds = now, 0.0
             self._ready_since.pop((task.key.occurrence, task.key.step), None)
+            self._room_since.pop((task.key.occurrence, task.key.step), None)
             runs.append(RunId(self.job_id, task.key, task.last_run_number))
         self.started = True
         return runs
--- a/chivefall/batch/_round.py
+++ b/chivefall/batch/_round.py
@@ -39,6 +39,8 @@
 
 MAX_RESERVATIONS = 4  # blocked gangs with reserved resources; more would leave the fleet idle
 BUSY_SHARE = 0.6  # of the fleet's core equivalents
+MAX_IDLE_WAIT_SECONDS = 2.0  # a task that fits an idle fleet must not wait for 3 s
+IDLE_ROOM_FACTOR = 2  # free room of an idle fleet, relative to what a group needs
 MAX_PREEMPTING_GROUPS = 16
 """Groups for which a round decides new stops; the others follow in the next rounds.
 
@@ -70,12 +72,15 @@
         self._free: dict[WorkerId, Resources] = {
             name: worker.free for name, worker in fleet.workers.items()
         }
+        self._free_before = dict(self._free)
+        self._busy = False
         self._plan = Plan()
         self._reservations = 0
         self._eligible: dict[tuple, list[Worker]] = {}
         self._capacities: dict[tuple, dict[RackId, int]] = {}
         self._blocked: dict[tuple, int] = {}
         self._racks: dict[tuple, dict[RackId, list[Worker]]] = {}
+        self._rooms: dict[tuple, int] = {}
         self._preempting_groups = 0
         self._searches = 0
         self._victims: VictimSearch
@@ -89,7 +94,8 @@
         self._victims = VictimSearch(
             workers, self._free, jobs, ranks, self._now, timing=self._timing
         )
-        for group in find_groups(found, ranks, self._now, is_busy=self._is_busy(workers)):
+        self._busy = self._is_busy(workers)
+        for group in find_groups(found, ranks, self._now, is_busy=self._busy):
             try:
                 self._place(group)
             except Exception as exc:  # noqa: BLE001 - returned; other jobs must start
@@ -158,8 +164,43 @@
 
     def _choose(self, group: TaskGroup, workers: list[Worker]) -> list[Worker]:
         """Return a worker for each task of the group that can start now."""
+        overdue = self._is_overdue(group, workers)
+        local_only = not overdue and self._waits_for_local_placement(group, workers)
+        return self._choose_on_free(group, workers, local_only=local_only)
+
+    def _is_overdue(self, group: TaskGroup, workers: list[Worker]) -> bool:
+        """Return whether a group has waited beside idle workers for long enough.
+
+        It then accepts a slow placement.
+        """
+        needed = IDLE_ROOM_FACTOR * (len(group.tasks) if group.step.gang else 1)
+        waited = group.job.record_room(
+            group.occurrence,
+            group.tasks[0].key.step,
+            self._now,
+            has_room=not self._busy and self._room(group, workers) >= needed,
+        )
+        return waited >= MAX_IDLE_WAIT_SECONDS
+
+    def _room(self, group: TaskGroup, workers: list[Worker]) -> int:
+        """Return how many tasks of a group fit beside what runs, reserved or not."""
+        step = group.step
+        is_shared = workers is self._eligible.get((group.queue.service, step.label))
+        key = (group.queue.service, step.label, step.resources)
+        if is_shared and key in self._rooms:
+            return self._rooms[key]
+        room = sum(
+            self._free_before[worker.worker_id].count_fitting(step.resources) for worker in workers
+        )
+        if is_shared:
+            self._rooms[key] = room
+        return room
+
+    def _choose_on_free(
+        self, group: TaskGroup, workers: list[Worker], *, local_only: bool
+    ) -> list[Worker]:
+        """Return workers for the tasks of a group on free resources."""
         step, count = group.step, len(group.tasks)
-        local_only = self._waits_for_local_placement(group, workers)
         shape = (
             group.queue.service,
             step.label,
@@ -173,10 +214,7 @@
         if count >= self._blocked.get(shape, UNLIMITED_TASKS):
             return []
         free = FreeResources(self._free, self._step_counts(group, workers))
-        if step.gang:
-            chosen = place_gang(workers, step, count, free, local_only=local_only) or []
-        else:
-            chosen = place_independent(workers, step, count, free, local_only=local_only)
+        chosen = _place(group, workers, free, local_only=local_only)
         if not chosen and not step.max_per_worker and not group.job.failed_on:
             self._blocked[shape] = count if step.gang else 1
         return chosen
@@ -331,3 +369,13 @@
             victims = self._victims.find(unit, worker_set, missing, min_rank, max_cost)
             best = best if victims is None else victims
         return best
+
+
+def _place(
+    group: TaskGroup, workers: Sequence[Worker], free: FreeResources, *, local_only: bool
+) -> list[Worker]:
+    """Return workers for the tasks of a group, and allocate their resources."""
+    step, count = group.step, len(group.tasks)
+    if step.gang:
+        return place_gang(workers, step, count, free, local_only=local_only) or []
+    return place_independent(workers, step, count, free, local_only=local_only)
