Let overdue jobs of an idle fleet use resources reserved for a gang

Cause: the gang reserves its workers in each round and all later groups leave them alone, without a limit in time or capacity.

Evidence: test_jobs_behind_a_gang_that_cannot_start fails on the code before at 24, 176 and 270 workers (no start within 30 s).

Resources for which urgent work stops other work stay reserved.

--- a/chivefall/batch/_round.py
+++ b/chivefall/batch/_round.py
@@ -13,7 +13,7 @@
     find_groups,
     rank_jobs,
 )
-from chivefall.batch._model import UNLIMITED_TASKS
+from chivefall.batch._model import UNLIMITED_TASKS, Resources
 from chivefall.batch._placement import (
     FreeResources,
     WorkerSet,
@@ -30,7 +30,6 @@
     from collections.abc import Iterable, Mapping, Sequence
 
     from chivefall.batch._fleet import Fleet, Worker
-    from chivefall.batch._model import Resources
     from chivefall.batch._plan import Candidate
     from chivefall.batch._timing import BatchTiming
     from chivefall.model import AccountId, RackId, WorkerId
@@ -73,6 +72,7 @@
             name: worker.free for name, worker in fleet.workers.items()
         }
         self._free_before = dict(self._free)
+        self._reserved: dict[WorkerId, Resources] = {}
         self._busy = False
         self._plan = Plan()
         self._reservations = 0
@@ -166,12 +166,15 @@
         """Return a worker for each task of the group that can start now."""
         overdue = self._is_overdue(group, workers)
         local_only = not overdue and self._waits_for_local_placement(group, workers)
-        return self._choose_on_free(group, workers, local_only=local_only)
+        chosen = self._choose_unreserved(group, workers, local_only=local_only)
+        if chosen or not overdue or not self._reserved:
+            return chosen
+        return self._choose_reserved(group, workers)
 
     def _is_overdue(self, group: TaskGroup, workers: list[Worker]) -> bool:
         """Return whether a group has waited beside idle workers for long enough.
 
-        It then accepts a slow placement.
+        It then accepts a slow placement, and resources that are reserved for other groups.
         """
         needed = IDLE_ROOM_FACTOR * (len(group.tasks) if group.step.gang else 1)
         waited = group.job.record_room(
@@ -196,10 +199,21 @@
             self._rooms[key] = room
         return room
 
-    def _choose_on_free(
+    def _choose_reserved(self, group: TaskGroup, workers: list[Worker]) -> list[Worker]:
+        """Return workers for the tasks of a group, on reserved resources if need be."""
+        free = dict(self._free)
+        for name, resources in self._reserved.items():
+            free[name] += resources
+        view = FreeResources(free, self._step_counts(group, workers))
+        chosen = _place(group, workers, view, local_only=False)
+        for worker in chosen:
+            self._free[worker.worker_id] -= group.step.resources
+        return chosen
+
+    def _choose_unreserved(
         self, group: TaskGroup, workers: list[Worker], *, local_only: bool
     ) -> list[Worker]:
-        """Return workers for the tasks of a group on free resources."""
+        """Return workers for the tasks of a group on resources that nothing has reserved."""
         step, count = group.step, len(group.tasks)
         shape = (
             group.queue.service,
@@ -281,6 +295,9 @@
             count = min(missing, worker.entry.capacity.count_fitting(unit))
             if count > 0:
                 allocate(free, worker, group.step, count)
+                if not group.urgent:
+                    name = worker.worker_id
+                    self._reserved[name] = self._reserved.get(name, Resources()) + unit * count
                 self._victims.worker_changed(worker)
                 missing -= count
 
--- a/tests/batch/test_idle_fleet.py
+++ b/tests/batch/test_idle_fleet.py
@@ -115,6 +115,20 @@
                 self.add("job", step)
                 self.assertLess(self.waits().get("job", 99.0), MAX_WAIT_SECONDS)
 
+    def test_jobs_behind_a_gang_that_cannot_start(self) -> None:
+        """Guards against idle workers that are held for a gang which needs all of them."""
+        for workers in FLEETS:
+            with self.subTest(workers=workers):
+                self.set_up_fleet(workers)
+                self.occupy(slice(0, 1), SMALL, long_running=True)
+                self.add("gang", StepSpec(workers, WHOLE_WORKER, 10.0, gang=True))
+                for number in range(6):
+                    self.add(f"small{number}", StepSpec(1, SMALL, 30.0))
+                waits = self.waits()
+                self.assertNotIn("gang", waits)
+                for number in range(6):
+                    self.assertLess(waits.get(f"small{number}", 99.0), MAX_WAIT_SECONDS)
+
     def test_local_placement_in_a_busy_fleet(self) -> None:
         """Guards against slow placements where the rack of the data is likely to become free."""
         self.occupy(slice(0, 18), WHOLE_WORKER)
@@ -135,6 +149,17 @@
             self.add(f"small{number}", StepSpec(1, SMALL, 30.0))
         self.assertEqual(self.waits(8.0), {})
 
+    def test_urgent_gang_beside_waiting_jobs(self) -> None:
+        """Guards against jobs that take the workers for which an urgent gang stops others."""
+        for workers in FLEETS:
+            with self.subTest(workers=workers):
+                self.set_up_fleet(workers)
+                self.occupy(slice(0, None, 4), SMALL)
+                self.add("gang", StepSpec(workers, WHOLE_WORKER, 10.0, gang=True), URGENT)
+                for number in range(6):
+                    self.add(f"small{number}", StepSpec(1, SMALL, 30.0))
+                self.assertLessEqual(self.waits(2.0).get("gang", 99.0), ROUND_INTERVAL_SECONDS)
+
 
 if __name__ == "__main__":
     unittest.main()
