Let evidence of failed runs age, and keep enough workers for a gang

Cause: BatchJob.failed_on kept each worker for all steps and times of the job, and was ignored only if it named all workers.

Evidence: with the former rule (all workers but the named ones, no age) the new tests of a gang that failed on most workers and of a failure long ago fail.

Change: a failed run counts for 30 s and for its own step and occurrence; avoided workers are used where the others cannot hold the group.

--- a/chivefall/batch/_job.py
+++ b/chivefall/batch/_job.py
@@ -30,6 +30,7 @@
 NO_RUN = RunNumber(0)
 PREEMPTION_WAIT_SECONDS = 1.5  # before the next run of a preempted task; doubled each time
 MAX_PREEMPTION_WAIT_SECONDS = 2.5  # a task that is ready and fits must not wait for 3 s
+FAILURE_EVIDENCE_SECONDS = 30.0  # for which a failed run of a step speaks against its worker
 MAX_REPORT_INTERVAL_SECONDS = 1.0  # between two reports; a longer gap counts for no more
 
 
@@ -142,8 +143,6 @@
     ----------
     started : bool
         Whether any task was ever assigned.
-    failed_on : set of WorkerId
-        Workers on which a run of the job failed.
     """
 
     def __init__(self, submission: Submission, max_attempts: int) -> None:
@@ -152,7 +151,7 @@
         self.cancelled = False
         self.failed = False
         self.started = False
-        self.failed_on: set[WorkerId] = set()
+        self._failed_on: dict[tuple[int, int], dict[WorkerId, float]] = {}
         spec = submission.spec
         self._tasks: dict[tuple[int, int], list[Task]] = {
             (occurrence, number): [
@@ -316,7 +315,16 @@
         wait = PREEMPTION_WAIT_SECONDS * 2 ** (task.preemptions - 1)
         task.earliest_start = now + min(MAX_PREEMPTION_WAIT_SECONDS, wait)
 
-    def end_run(self, run: RunId, kind: EndKind, checkpoint: Checkpoint) -> bool:
+    def record_failure(self, key: TaskKey, worker: WorkerId, now: float) -> None:
+        """Record that a run of a task failed on a worker."""
+        self._failed_on.setdefault((key.occurrence, key.step), {})[worker] = now
+
+    def failed_workers(self, occurrence: int, step: int, now: float) -> set[WorkerId]:
+        """Return the workers on which runs of a step of an occurrence failed lately."""
+        failures = self._failed_on.get((occurrence, step), {})
+        return {name for name, at in failures.items() if now < at + FAILURE_EVIDENCE_SECONDS}
+
+    def end_run(self, run: RunId, kind: EndKind, checkpoint: Checkpoint, now: float) -> bool:
         """Apply the end of a run; return False if it was not the current run of its task."""
         task = self._current(run.task, run.number)
         if task is None:
@@ -332,7 +340,7 @@
             self._release(task)
             return True
         if kind is EndKind.FAILED:
-            self.failed_on.add(task.assignment.worker)
+            self.record_failure(task.key, task.assignment.worker, now)
             self._count_failure(task, run.number)
             if self._failures_of(task) >= self.max_attempts:
                 self.failed = True
--- a/chivefall/batch/_round.py
+++ b/chivefall/batch/_round.py
@@ -138,10 +138,13 @@
                 group.step, group.queue.service, self._now
             )
         workers = self._eligible[key]
-        if not group.job.failed_on:
+        failed = group.job.failed_workers(group.occurrence, group.tasks[0].key.step, self._now)
+        if not failed:
             return workers
         # A retry on another worker shows whether the task or the worker is faulty.
-        return [item for item in workers if item.worker_id not in group.job.failed_on] or workers
+        others = [worker for worker in workers if worker.worker_id not in failed]
+        needed = len(group.tasks) if group.step.gang else 1
+        return others if sum(rack_capacity(others, group.step).values()) >= needed else workers
 
     def _capacity(self, group: TaskGroup, workers: list[Worker]) -> dict[RackId, int]:
         """Return how many tasks of a group fit on each rack when nothing else runs there."""
@@ -229,7 +232,8 @@
             return []
         free = FreeResources(self._free, self._step_counts(group, workers))
         chosen = _place(group, workers, free, local_only=local_only)
-        if not chosen and not step.max_per_worker and not group.job.failed_on:
+        is_shared = workers is self._eligible.get((group.queue.service, step.label))
+        if not chosen and is_shared and not step.max_per_worker:
             self._blocked[shape] = count if step.gang else 1
         return chosen
 
--- a/chivefall/controllers/batch/_scheduler.py
+++ b/chivefall/controllers/batch/_scheduler.py
@@ -470,7 +470,7 @@
         tracked = self.jobs.get(run.job)
         if tracked is None:
             acknowledge()
-        elif tracked.job.end_run(run, kind, checkpoint):
+        elif tracked.job.end_run(run, kind, checkpoint, self.clock.now()):
             if tracked.job.state is JobState.FAILED:
                 self._stop_all(tracked.job)
             self._writer.schedule_write(tracked, acknowledge)
--- a/tests/batch/test_policy.py
+++ b/tests/batch/test_policy.py
@@ -253,9 +253,41 @@
     def test_retry_avoids_workers_on_which_the_job_failed(self) -> None:
         """Load: some workers fail every run, and jobs have few attempts."""
         job = self.add("a", StepSpec(1, SMALL, 2.0))
-        job.failed_on.update(name for name in self.fleet.workers if name != "r1-2")
+        self.fail_on(job, "r1-2")
         self.assertEqual(self.started(self.plan(), "a"), ["r1-2"])
 
+    def fail_on(self, job: BatchJob, *others: str, age: float = 0.0) -> None:
+        """Let a run of a job have failed on all workers but ``others``."""
+        for name in self.fleet.workers.keys() - set(others):
+            job.record_failure(job.group(0, 0)[0].key, name, NOW - age)
+
+    def test_gang_that_failed_on_most_workers(self) -> None:
+        """Guards against a gang for which too few workers without a failed run are left."""
+        job = self.add("a", StepSpec(3, Resources(32_000, 1000, 8), 2.0, gang=True))
+        self.fail_on(job, "r1-2", "r2-2")
+        self.assertEqual(len(self.started(self.plan(), "a")), 3)
+
+    def test_step_that_failed_on_all_workers(self) -> None:
+        """Guards against a job that no worker may run any more."""
+        job = self.add("a", StepSpec(1, SMALL, 2.0))
+        self.fail_on(job)
+        self.assertEqual(len(self.started(self.plan(), "a")), 1)
+
+    def test_failure_long_ago(self) -> None:
+        """Guards against avoiding workers for a job's whole life because of one disturbance."""
+        job = self.add("a", StepSpec(8, Resources(32_000, 1000, 8), 2.0, gang=True))
+        self.fail_on(job, "r1-2", age=60.0)
+        self.assertEqual(job.failed_workers(0, 0, NOW), set())
+        self.assertEqual(len(self.started(self.plan(), "a")), 8)
+
+    def test_failure_of_another_occurrence(self) -> None:
+        """Guards against later times of a scheduled job that start on few workers or never."""
+        steps = (StepSpec(3, Resources(32_000, 1000, 8), 2.0, gang=True),)
+        spec = BatchSpec("", steps, repeat_count=2, first_run=NOW - 20.0, interval=10.0)
+        job = BatchJob(Submission(JobId("a"), NORMAL, AccountId("a"), NOW - 20.0, spec), 2)
+        self.fail_on(job, "r1-2")
+        self.assertEqual(job.failed_workers(1, 0, NOW), set())
+
     def test_task_waits_for_the_rack_of_its_data(self) -> None:
         """Guards against a start away from the data, which makes the run three times as long."""
         filler = self.add("filler", StepSpec(4, LARGE, 5.0))
