Count jobs as pending until a worker has confirmed a run

Cause: the waiting key of a job is removed with the record of its first assignment, before the start is sent, and is not written again while the start is uncertain or after it failed.

Change: the key is written again if no worker has confirmed a run 1 s after the assignment, or if the run is released before it began. Jobs that begin in time cost no further write. A next leader does the same for assignments that it takes over, and removes keys of jobs that have begun meanwhile.

--- a/chivefall/batch/_job.py
+++ b/chivefall/batch/_job.py
@@ -143,6 +143,8 @@
     ----------
     started : bool
         Whether any task was ever assigned.
+    begun : bool
+        Whether any run is known to have existed.
     """
 
     def __init__(self, submission: Submission, max_attempts: int) -> None:
@@ -151,6 +153,7 @@
         self.cancelled = False
         self.failed = False
         self.started = False
+        self.begun = False
         self._failed_on: dict[tuple[int, int], dict[WorkerId, float]] = {}
         spec = submission.spec
         self._tasks: dict[tuple[int, int], list[Task]] = {
@@ -273,6 +276,7 @@
     def confirm_running(self, key: TaskKey, number: RunNumber, now: float) -> None:
         """Record that the worker reported a run as running."""
         task = self._current(key, number)
+        self.begun = self.begun or task is not None
         if task is not None and task.state is TaskState.ASSIGNED:
             task.state = TaskState.RUNNING
             task.reported_at = now
@@ -329,6 +333,7 @@
         task = self._current(run.task, run.number)
         if task is None:
             return False
+        self.begun = True
         self._record_checkpoint(task, checkpoint)
         if self._is_long_running(task):
             self._release(task)
@@ -416,6 +421,8 @@
             self._finish(task)
         else:
             task.state = state
+        # A record does not tell whether a run that ended without a trace had begun.
+        self.begun = self.begun or state is TaskState.DONE or failures > 0 or bool(checkpoint)
         task.last_run_number, task.failures, task.checkpoint = (
             last_run_number,
             failures,
--- a/chivefall/controllers/batch/_progress_writer.py
+++ b/chivefall/controllers/batch/_progress_writer.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from chivefall.batch import JobState, encode_progress
+from chivefall.batch import encode_progress
 from chivefall.runtime import sleep
 from chivefall.store import BatchPart, Mismatch, Put, Stored, Version, batch_key, waiting_key
 from chivefall.telemetry import LogEvent, log_event
@@ -13,6 +13,7 @@
     from collections.abc import Callable, Coroutine
     from typing import Any
 
+    from chivefall.batch import JobState
     from chivefall.controllers._leader import LeaderController
     from chivefall.controllers.batch._records import TrackedJob
     from chivefall.model import Epoch, JobId
@@ -109,22 +110,26 @@
             puts.append(Put(key, value))
             if value not in tracked.unacknowledged_writes:
                 tracked.unacknowledged_writes.append(value)
-            if tracked.has_waiting_key and tracked.job.state is not JobState.QUEUED:
-                removes.append(waiting_key(tracked.job.submission.queue.name, tracked.job.job_id))
-            sent.append((tracked, tracked.job.state, tracked.on_written))
+            pending_key = waiting_key(tracked.job.submission.queue.name, tracked.job.job_id)
+            if tracked.has_waiting_key and not tracked.is_pending:
+                removes.append(pending_key)
+            elif tracked.is_pending and not tracked.has_waiting_key:
+                puts.append(Put(pending_key, b""))
+            sent.append((tracked, tracked.job.state, tracked.is_pending, tracked.on_written))
             tracked.dirty, tracked.on_written = False, []
             del self._changed[tracked.job.job_id]
         outcome = await self._store.transact(conditions, puts, removes)
         if self._epoch != epoch:
             return True
         if isinstance(outcome, Stored):
-            for tracked, state, on_written in sent:
+            for tracked, state, is_pending, on_written in sent:
                 tracked.version, tracked.unacknowledged_writes = outcome.version, []
+                tracked.has_waiting_key = is_pending
                 self._record_written(tracked, state)
                 for action in on_written:
                     action()
             return True
-        for tracked, _, on_written in sent:
+        for tracked, _, _, on_written in sent:
             tracked.dirty = True
             tracked.on_written = on_written + tracked.on_written
             self._changed[tracked.job.job_id] = tracked
--- a/chivefall/controllers/batch/_records.py
+++ b/chivefall/controllers/batch/_records.py
@@ -27,6 +27,9 @@
         Callbacks to run once the current state is written.
     has_waiting_key : bool
         Whether the store has the key that counts the job as pending.
+    awaits_begin : bool
+        Whether the job counts as pending although tasks were assigned, because no run of it
+        is known to have begun.
     logged_state : JobState
         Last written or read state; a change from it is logged and measured.
     final_since : float or None
@@ -40,9 +43,17 @@
     unacknowledged_writes: list[bytes] = field(default_factory=list)
     on_written: list[Callable[[], None]] = field(default_factory=list)
     has_waiting_key: bool = True
+    awaits_begin: bool = False
     logged_state: JobState = JobState.QUEUED
     final_since: float | None = None
 
+    @property
+    def is_pending(self) -> bool:
+        """Return whether the job counts as pending."""
+        return self.job.state is JobState.QUEUED or (
+            self.awaits_begin and not self.job.state.is_final
+        )
+
     @property
     def has_pending_write(self) -> bool:
         """Return whether the write of the job's current state is not confirmed."""
--- a/chivefall/controllers/batch/_scheduler.py
+++ b/chivefall/controllers/batch/_scheduler.py
@@ -61,6 +61,7 @@
 ROUND_INTERVAL_SECONDS = 0.25  # for decisions that depend only on time
 WATCH_INTERVAL_SECONDS = 0.03  # between watches of the jobs, which change with each commit
 MISSED_CHECK_INTERVAL_SECONDS = 0.5  # between checks for jobs missed by the watch
+MAX_UNCONFIRMED_SECONDS = 1.0  # from an assignment until the job counts as pending again
 JOBS_PER_REMOVAL = 10  # 3 keys a job; a store transaction takes 32 entries
 LOAD_TIMEOUT_SECONDS = 8.0  # for a new leader to read the jobs; 2 MB take 3 s at 5 Mbit/s
 
@@ -101,6 +102,7 @@
         self._checking_missed = False
         self._next_missed_check = 0.0
         self._ignored_jobs: set[JobId] = set()
+        self._assigned_at: dict[JobId, float] = {}
         self.jobs: dict[JobId, TrackedJob] = {}
         catalog.on_change(self.fleet_changed)
 
@@ -149,7 +151,7 @@
 
     def _close(self) -> None:
         self._epoch, self._loaded = None, False
-        self.jobs, self._ignored_jobs = {}, set()
+        self.jobs, self._ignored_jobs, self._assigned_at = {}, set(), {}
         self._writer.close()
         self._fleet.close()
 
@@ -245,6 +247,8 @@
             run = RunId(job.job_id, task.key, assignment.number)
             task.started_at = task.reported_at = self.clock.now()
             self._fleet.adopt(run, job.step_of(task.key), assignment.worker, assignment.incarnation)
+        if not job.begun and not job.state.is_final:
+            self._assigned_at[job.job_id] = self.clock.now()
         if job.state.is_final:
             self._stop_all(job)
 
@@ -268,6 +272,8 @@
             return
         for entry in listed.entries:
             job_id = parse_waiting_key(entry.key)
+            if job_id in self.jobs:
+                self._remove_stale_key(self.jobs[job_id])
             if job_id in self.jobs or job_id in self._ignored_jobs:
                 continue
             found = await self._store.list(batch_prefix(job_id))
@@ -278,6 +284,12 @@
                 # Both keys are created together, so a key without a job has another writer.
                 self._ignore_job(job_id, entry.key, "the store has no job with this id")
 
+    def _remove_stale_key(self, tracked: TrackedJob) -> None:
+        """Remove the waiting key of a job that an earlier leader counted as pending again."""
+        if not (tracked.is_pending or tracked.has_waiting_key or tracked.has_pending_write):
+            tracked.has_waiting_key = True
+            self._writer.schedule_write(tracked)
+
     # Scheduling rounds
 
     def fleet_changed(self) -> None:
@@ -288,6 +300,7 @@
     def _tick(self, now: float) -> None:
         self._remove_expired(now)
         self._displace(now)
+        self._count_unconfirmed_jobs(now)
         self._check_missed_jobs(now)
         self._request_round()
 
@@ -377,6 +390,8 @@
         for run, (key, worker, _) in zip(runs, start.placements, strict=True):
             self._fleet.reserve(worker, run, job.step_of(key))
         tracked = self.jobs[job.job_id]
+        if not job.begun:
+            self._assigned_at[job.job_id] = now
         epoch = self._epoch
         assignments = [
             (run, worker) for run, (_, worker, _) in zip(runs, start.placements, strict=True)
@@ -405,6 +420,27 @@
         elif is_running and (task.stopping or job.state.is_final):
             self._fleet.stop_run(worker, run, StopCause(StopReason.DECIDED_EARLIER))
 
+    def _count_unconfirmed_jobs(self, now: float) -> None:
+        """Count jobs as pending again whose starts no worker has confirmed in time."""
+        for job_id, assigned_at in list(self._assigned_at.items()):
+            tracked = self.jobs.get(job_id)
+            if tracked is None or tracked.job.begun or tracked.job.state.is_final:
+                del self._assigned_at[job_id]
+            elif now - assigned_at > MAX_UNCONFIRMED_SECONDS:
+                del self._assigned_at[job_id]
+                self._await_begin(tracked)
+
+    def _await_begin(self, tracked: TrackedJob) -> None:
+        """Count a job as pending until a run of it has begun."""
+        if not tracked.awaits_begin:
+            tracked.awaits_begin = True
+            self._writer.schedule_write(tracked)
+
+    def _record_begin(self, tracked: TrackedJob) -> None:
+        if tracked.job.begun and tracked.awaits_begin:
+            tracked.awaits_begin = False
+            self._writer.schedule_write(tracked)
+
     def _stop_gang(self, job: BatchJob, run: RunId) -> None:
         """Stop the other members of a gang if one member cannot run."""
         cause = StopCause(StopReason.GANG_MEMBER_LOST, {"member": str(run)})
@@ -456,6 +492,7 @@
         tracked = self.jobs.get(run.job)
         if tracked is not None:
             tracked.job.confirm_running(run.task, run.number, self.clock.now())
+            self._record_begin(tracked)
 
     def run_progressed(self, run: RunId, checkpoint: Checkpoint, progress: float) -> None:
         """Record the progress that a worker reports for a run."""
@@ -471,6 +508,7 @@
         if tracked is None:
             acknowledge()
         elif tracked.job.end_run(run, kind, checkpoint, self.clock.now()):
+            self._record_begin(tracked)
             if tracked.job.state is JobState.FAILED:
                 self._stop_all(tracked.job)
             self._writer.schedule_write(tracked, acknowledge)
@@ -487,14 +525,14 @@
             return
         if tracked.job.step_of(run.task).gang:
             self._stop_gang(tracked.job, run)
+        if not tracked.job.begun:
+            self._await_begin(tracked)
         self._writer.schedule_write(tracked)
         self._request_round()
 
     # Written states
 
     def _record_written(self, tracked: TrackedJob, state: JobState) -> None:
-        if state is not JobState.QUEUED:
-            tracked.has_waiting_key = False
         if state is not tracked.logged_state:
             tracked.logged_state = state
             self._observe_latency(tracked, state)
