Suspect a task that fails on several workers, and delay its restarts

Cause: each failed run kept its worker out of all placements for 0.5 to 4 s, whatever else had failed there, and the task started again at once on the next worker.

Change: failures of one task count against two workers at most within 30 s. A task that lasts and fails early is restarted after 0.25 s, doubled up to 2 s; its first restart is immediate. The log and explain show the delay.

--- a/chivefall/batch/_group.py
+++ b/chivefall/batch/_group.py
@@ -138,7 +138,9 @@
             waiting = [
                 task
                 for task in tasks
-                if task.state is TaskState.WAITING and not (is_busy and now < task.earliest_start)
+                if task.state is TaskState.WAITING
+                and now >= task.earliest_retry
+                and not (is_busy and now < task.earliest_start)
             ]
             if not waiting or (step.gang and len(waiting) < len(tasks)):
                 continue  # Members of the gang's previous run have not ended yet.
--- a/chivefall/batch/_job.py
+++ b/chivefall/batch/_job.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -31,6 +31,10 @@
 PREEMPTION_WAIT_SECONDS = 1.5  # before the next run of a preempted task; doubled each time
 MAX_PREEMPTION_WAIT_SECONDS = 2.5  # a task that is ready and fits must not wait for 3 s
 FAILURE_EVIDENCE_SECONDS = 30.0  # for which a failed run of a step speaks against its worker
+MAX_SUSPECTED_WORKERS = 2  # that failed runs of one task speak against
+EARLY_FAILURE_SECONDS = 10.0  # from the assignment of a run
+MIN_RETRY_DELAY_SECONDS = 0.25  # before the third run of a task that fails early; then doubled
+MAX_RETRY_DELAY_SECONDS = 2.0  # a long-running task has to be restarted within seconds
 MAX_REPORT_INTERVAL_SECONDS = 1.0  # between two reports; a longer gap counts for no more
 
 
@@ -111,7 +115,15 @@
     preemptions : int
         Number of runs whose work was lost to urgent jobs.
     earliest_start : float
-        Time before which the next run does not start, in seconds since the Unix epoch.
+        Time before which the next run does not start while the fleet is busy, in seconds
+        since the Unix epoch.
+    failed_on : dict
+        Time of the last failed run by worker, in seconds since the Unix epoch.
+    early_failures : int
+        Consecutive runs of a long-running task that failed soon after their start.
+    earliest_retry : float
+        Time before which a long-running task that fails does not start again, in seconds
+        since the Unix epoch.
     """
 
     key: TaskKey
@@ -127,6 +139,9 @@
     stopping: bool = False
     preemptions: int = 0
     earliest_start: float = 0.0
+    failed_on: dict[WorkerId, float] = field(default_factory=dict)
+    early_failures: int = 0
+    earliest_retry: float = 0.0
 
 
 class BatchJob:
@@ -322,6 +337,24 @@
     def record_failure(self, key: TaskKey, worker: WorkerId, now: float) -> None:
         """Record that a run of a task failed on a worker."""
         self._failed_on.setdefault((key.occurrence, key.step), {})[worker] = now
+        self.task(key).failed_on[worker] = now
+
+    def suspects_worker(self, key: TaskKey, now: float) -> bool:
+        """Return whether a failed run of a task speaks against its worker.
+
+        A task that has failed on several workers is more likely to be faulty itself.
+        """
+        times = self.task(key).failed_on.values()
+        return sum(now < at + FAILURE_EVIDENCE_SECONDS for at in times) < MAX_SUSPECTED_WORKERS
+
+    @staticmethod
+    def _delay_retry(task: Task, now: float) -> None:
+        """Delay the next run of a long-running task whose run failed, if it fails repeatedly."""
+        is_early = now - task.started_at < EARLY_FAILURE_SECONDS
+        task.early_failures = task.early_failures + 1 if is_early else 0
+        if task.early_failures > 1:
+            delay = MIN_RETRY_DELAY_SECONDS * 2 ** (task.early_failures - 2)
+            task.earliest_retry = now + min(MAX_RETRY_DELAY_SECONDS, delay)
 
     def failed_workers(self, occurrence: int, step: int, now: float) -> set[WorkerId]:
         """Return the workers on which runs of a step of an occurrence failed lately."""
@@ -335,7 +368,11 @@
             return False
         self.begun = True
         self._record_checkpoint(task, checkpoint)
+        if kind is EndKind.FAILED:
+            self.record_failure(task.key, task.assignment.worker, now)
         if self._is_long_running(task):
+            if kind is EndKind.FAILED:
+                self._delay_retry(task, now)
             self._release(task)
             return True
         if kind is EndKind.DONE:
@@ -345,7 +382,6 @@
             self._release(task)
             return True
         if kind is EndKind.FAILED:
-            self.record_failure(task.key, task.assignment.worker, now)
             self._count_failure(task, run.number)
             if self._failures_of(task) >= self.max_attempts:
                 self.failed = True
--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -480,18 +480,18 @@
             sequence=end.sequence,
         )
         self._metrics.run_ends.inc({"kind": end.kind.value})
-        self._record_result(session, end.kind)
+        self._record_result(session, end)
         self._listener.run_ended(
             end.run, end.kind, end.checkpoint, lambda: session.acknowledge(end.sequence)
         )
         self._listener.fleet_changed()
 
-    def _record_result(self, session: Session, kind: EndKind) -> None:
+    def _record_result(self, session: Session, end: RunEnd) -> None:
         """Count a good run, or avoid the worker for a while after a failed one."""
         worker = session.worker
-        if kind is EndKind.DONE:
+        if end.kind is EndKind.DONE:
             worker.record_good_run()
-        elif kind is EndKind.FAILED:
+        elif end.kind is EndKind.FAILED and self._listener.suspects_worker(end.run):
             worker.record_bad_run(FAILED_RUN_AVOID_SECONDS, self.clock.now())
 
     def _record_response(self, session: Session) -> None:
--- a/chivefall/controllers/batch/_run_listener.py
+++ b/chivefall/controllers/batch/_run_listener.py
@@ -33,6 +33,10 @@
     ) -> None:
         """Apply the end of a run and call ``acknowledge`` once the result is written."""
 
+    @abstractmethod
+    def suspects_worker(self, run: RunId) -> bool:
+        """Return whether a failure of the run speaks against its worker and not its task."""
+
     @abstractmethod
     def run_released(self, run: RunId) -> None:
         """Record that a run does not exist and can no longer start."""
--- a/chivefall/controllers/batch/_scheduler.py
+++ b/chivefall/controllers/batch/_scheduler.py
@@ -509,6 +509,7 @@
             acknowledge()
         elif tracked.job.end_run(run, kind, checkpoint, self.clock.now()):
             self._record_begin(tracked)
+            self._log_retry_delay(tracked.job, run)
             if tracked.job.state is JobState.FAILED:
                 self._stop_all(tracked.job)
             self._writer.schedule_write(tracked, acknowledge)
@@ -518,6 +519,23 @@
         else:
             acknowledge()
 
+    def _log_retry_delay(self, job: BatchJob, run: RunId) -> None:
+        task, now = job.task(run.task), self.clock.now()
+        if task.earliest_retry > now:
+            log_event(
+                LogEvent.RETRY_DELAYED,
+                run=str(run),
+                delay=round(task.earliest_retry - now, 2),
+                failures=task.early_failures,
+            )
+
+    def suspects_worker(self, run: RunId) -> bool:
+        """Return whether a failure of the run speaks against its worker and not its task."""
+        tracked = self.jobs.get(run.job)
+        if tracked is None or tracked.job.task(run.task) is None:
+            return True
+        return tracked.job.suspects_worker(run.task, self.clock.now())
+
     def run_released(self, run: RunId) -> None:
         """Record that a run does not exist and can no longer start."""
         tracked = self.jobs.get(run.job)
--- a/chivefall/telemetry/_events.py
+++ b/chivefall/telemetry/_events.py
@@ -84,6 +84,7 @@
         "A worker restarted; the run may have started since then, so a report has to show it.",
     )
     RUN_NOT_STOPPED = (7210, "A worker refused to stop a run; the stop is sent again.")
+    RETRY_DELAYED = (7211, "A long-running task that fails repeatedly starts again after a delay.")
     UNKNOWN_RUN_STOPPED = (7207, "A run without a record was stopped.")
     FLEET_CHANGED = (7301, "A worker's entry was added, changed or removed.")
     WORKER_SUSPECTED = (7302, "A worker does not respond and gets no new runs.")
--- a/chivefall/telemetry/_timeline.py
+++ b/chivefall/telemetry/_timeline.py
@@ -40,6 +40,7 @@
         LogEvent.RUN_DISPLACED,
         LogEvent.RUN_CARRIED_OVER,
         LogEvent.RUN_NOT_STOPPED,
+        LogEvent.RETRY_DELAYED,
         LogEvent.STORE_UNREACHABLE,
         LogEvent.LEADERSHIP_LAPSED,
         LogEvent.BATCH_COMMIT_DELAYED,
@@ -57,6 +58,7 @@
         LogEvent.RUN_DISPLACED,
         LogEvent.RUN_CARRIED_OVER,
         LogEvent.RUN_NOT_STOPPED,
+        LogEvent.RETRY_DELAYED,
         LogEvent.RUN_NOT_STARTED,
         LogEvent.RUN_UNCERTAIN,
     }
