Count avoided and reserved workers when a job waits in an idle fleet

Callers saw: in the trial with many failing workers, jobs still waited for over 3 s while they fitted twice and under half of the fleet was in use.

Cause: whether a group had fitted twice was judged by the workers on which it may start. Workers that are avoided for up to 12 s after failed runs did not count, so a group behind a reservation never became overdue.

Evidence: test_jobs_behind_a_gang_while_workers_are_avoided fails on the code before (12.25 s).

Change: the room is counted on all workers that respond; the group itself is still placed on workers that are not avoided.

--- a/chivefall/batch/_fleet.py
+++ b/chivefall/batch/_fleet.py
@@ -96,15 +96,24 @@
         self.workers: dict[WorkerId, Worker] = {}
         self.domains_out_of_service: frozenset[DomainId] = frozenset()
 
-    def eligible_workers(self, step: StepSpec, service: str, now: float) -> list[Worker]:
-        """Return the workers on which tasks of a step may start, regardless of free resources."""
+    def eligible_workers(
+        self, step: StepSpec, service: str, now: float, *, include_avoided: bool = False
+    ) -> list[Worker]:
+        """Return the workers on which tasks of a step may start, regardless of free resources.
+
+        Parameters
+        ----------
+        include_avoided : bool
+            Whether to include workers that are avoided for a while after failed runs.
+        """
         return [
             worker
             for worker in self.workers.values()
-            if self._is_eligible(worker, step, service, now)
+            if self._is_eligible(worker, step, service)
+            and (include_avoided or now >= worker.avoided_until)
         ]
 
-    def _is_eligible(self, worker: Worker, step: StepSpec, service: str, now: float) -> bool:
+    def _is_eligible(self, worker: Worker, step: StepSpec, service: str) -> bool:
         entry = worker.entry
         return (
             entry.service == service
@@ -112,7 +121,6 @@
             and worker.listed
             and worker.synced
             and not worker.suspect
-            and now >= worker.avoided_until
             and entry.domain not in self.domains_out_of_service
             and (step.label is None or step.label in entry.labels)
         )
--- a/chivefall/batch/_round.py
+++ b/chivefall/batch/_round.py
@@ -167,14 +167,14 @@
 
     def _choose(self, group: TaskGroup, workers: list[Worker]) -> list[Worker]:
         """Return a worker for each task of the group that can start now."""
-        overdue = self._is_overdue(group, workers)
+        overdue = self._is_overdue(group)
         local_only = not overdue and self._waits_for_local_placement(group, workers)
         chosen = self._choose_unreserved(group, workers, local_only=local_only)
         if chosen or not overdue or not self._reserved:
             return chosen
         return self._choose_reserved(group, workers)
 
-    def _is_overdue(self, group: TaskGroup, workers: list[Worker]) -> bool:
+    def _is_overdue(self, group: TaskGroup) -> bool:
         """Return whether a group has waited beside idle workers for long enough.
 
         It then accepts a slow placement, and resources that are reserved for other groups.
@@ -184,23 +184,26 @@
             group.occurrence,
             group.tasks[0].key.step,
             self._now,
-            has_room=not self._busy and self._room(group, workers) >= needed,
+            has_room=not self._busy and self._room(group) >= needed,
         )
         return waited >= MAX_IDLE_WAIT_SECONDS
 
-    def _room(self, group: TaskGroup, workers: list[Worker]) -> int:
-        """Return how many tasks of a group fit beside what runs, reserved or not."""
+    def _room(self, group: TaskGroup) -> int:
+        """Return how many tasks of a group fit beside what runs.
+
+        Counts reserved resources and workers that are avoided for a while.
+        """
         step = group.step
-        is_shared = workers is self._eligible.get((group.queue.service, step.label))
         key = (group.queue.service, step.label, step.resources)
-        if is_shared and key in self._rooms:
-            return self._rooms[key]
-        room = sum(
-            self._free_before[worker.worker_id].count_fitting(step.resources) for worker in workers
-        )
-        if is_shared:
-            self._rooms[key] = room
-        return room
+        if key not in self._rooms:
+            workers = self._fleet.eligible_workers(
+                step, group.queue.service, self._now, include_avoided=True
+            )
+            self._rooms[key] = sum(
+                self._free_before[worker.worker_id].count_fitting(step.resources)
+                for worker in workers
+            )
+        return self._rooms[key]
 
     def _choose_reserved(self, group: TaskGroup, workers: list[Worker]) -> list[Worker]:
         """Return workers for the tasks of a group, on reserved resources if need be."""
--- a/tests/batch/test_idle_fleet.py
+++ b/tests/batch/test_idle_fleet.py
@@ -129,6 +129,15 @@
                 for number in range(6):
                     self.assertLess(waits.get(f"small{number}", 99.0), MAX_WAIT_SECONDS)
 
+    def test_jobs_behind_a_gang_while_workers_are_avoided(self) -> None:
+        """Guards against a gang that waits because others failed on a part of the fleet."""
+        self.occupy(slice(0, 1), SMALL, long_running=True)
+        for worker in list(self.fleet.workers.values())[-10:]:
+            worker.avoided_until = NOW + 100.0
+        self.add("blocked", StepSpec(14, WHOLE_WORKER, 1.0, gang=True))
+        self.add("gang", StepSpec(8, WHOLE_WORKER, 30.0, gang=True))
+        self.assertLess(self.waits().get("gang", 99.0), MAX_WAIT_SECONDS)
+
     def test_local_placement_in_a_busy_fleet(self) -> None:
         """Guards against slow placements where the rack of the data is likely to become free."""
         self.occupy(slice(0, 18), WHOLE_WORKER)
