Soak: hold and refuse orders, and restart workers under their ids more often

The new fault ORDERS_DISTURBED lets all workers leave half of the starts unanswered and execute them 2 to 5 s later, while one refuses 0.4 of the others with 503. Eight more restarts of workers are drawn for each seed, so that a start meets a restarted worker before the leader knows of it. Both are drawn separately; the other faults of recorded seeds stay as they were.

The stand-in of the platform reports the clock of a worker's incarnation, which starts anew. Since the clock of the in-memory workers starts anew, it had granted each run the longest lease.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -12,7 +12,7 @@
 from soak._model import FaultKind, LinkState, PlannedFault, Seed, SoakSize
 from soak._testbed import DOMAINS, REVOKED_KEY, VALID_KEY
 from standins.odd_entries import ODD_ENTRIES
-from standins.platform import WorkerAction
+from standins.platform import MAX_HELD_SECONDS, WorkerAction
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -31,6 +31,9 @@
 MAX_SERIES_LENGTH = 3
 SERIES_PAUSE_SECONDS = 0.5
 
+# Kinds that were added after seeds had been recorded.
+_ADDED_KINDS = (FaultKind.ODD_ENTRIES, FaultKind.ORDERS_DISTURBED)
+
 FAULTS: dict[FaultKind, type[Fault]] = {}
 
 
@@ -251,11 +254,26 @@
             await self._testbed.control("DELETE", f"key?key=servers/odd-{number}")
 
 
+@_register(FaultKind.ORDERS_DISTURBED)
+class _OrdersDisturbed(Fault):
+    async def begin(self) -> None:
+        self._since = self._oracle.record_held_orders()
+        for number in range(self._testbed.worker_count):
+            await self._testbed.change_worker(number, WorkerAction.HOLD)
+        await self._testbed.change_worker(self._worker, WorkerAction.REFUSE)
+
+    async def end(self) -> None:
+        for number in range(self._testbed.worker_count):
+            await self._testbed.change_worker(number, WorkerAction.RECOVER)
+        await sleep(self._testbed.clock, MAX_HELD_SECONDS)
+        self._oracle.record_held_orders_end(self._since)
+
+
 def make_plan(seed: Seed, size: SoakSize) -> list[PlannedFault]:
     """Return the planned faults of a seed; some are repeated in series, and many overlap."""
     rng = random.Random(f"plan {seed}")
     plan = []
-    kinds = [kind for kind in FaultKind if kind is not FaultKind.ODD_ENTRIES]
+    kinds = [kind for kind in FaultKind if kind not in _ADDED_KINDS]
     while len(plan) < size.faults:
         kind = rng.choice(kinds)
         at = rng.uniform(FAULT_FREE_START_SECONDS, size.seconds)
@@ -266,13 +284,22 @@
             plan.append(PlannedFault(kind, round(at, 2), round(seconds, 2), target))
             at += seconds + SERIES_PAUSE_SECONDS
     # Drawn separately, so that the other faults of a recorded seed stay as they were.
-    rng = random.Random(f"odd entries {seed}")
-    for _ in range(size.odd_entries):
+    plan += _draw(f"odd entries {seed}", FaultKind.ODD_ENTRIES, size.odd_entries, size)
+    plan += _draw(f"orders {seed}", FaultKind.ORDERS_DISTURBED, size.disturbed_orders, size)
+    plan += _draw(f"restarts {seed}", FaultKind.WORKER_RESTARTED, size.restarts, size)
+    return sorted(plan, key=lambda item: item.at)
+
+
+def _draw(source: str, kind: FaultKind, count: int, size: SoakSize) -> list[PlannedFault]:
+    """Return faults of one kind, drawn from their own source of random numbers."""
+    rng = random.Random(source)
+    plan = []
+    for _ in range(count):
         at = rng.uniform(FAULT_FREE_START_SECONDS, size.seconds)
         seconds = rng.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
         target = rng.randrange(1000)
-        plan.append(PlannedFault(FaultKind.ODD_ENTRIES, round(at, 2), round(seconds, 2), target))
-    return sorted(plan, key=lambda item: item.at)
+        plan.append(PlannedFault(kind, round(at, 2), round(seconds, 2), target))
+    return plan
 
 
 async def inject_fault(planned: PlannedFault, testbed: Testbed, oracle: Oracle) -> None:
--- a/soak/_model.py
+++ b/soak/_model.py
@@ -31,7 +31,8 @@
     KILLED, PAUSED, STOPPED and RELOADED stand for SIGKILL, SIGSTOP, SIGTERM and SIGHUP.
     LINK_SILENCED blackholes the open connections of a link. For the faults of workers
     see :class:`WorkerAction`. ODD_ENTRIES: another writer leaves entries among those of the
-    workers, and overwrites one of them.
+    workers, and overwrites one of them. ORDERS_DISTURBED: all workers leave a part of the starts
+    unanswered and execute them seconds later, while one refuses a part of its orders.
     """
 
     INSTANCE_KILLED = "instance_killed"
@@ -54,6 +55,7 @@
     DOMAIN_EVACUATED = "domain_evacuated"
     KEY_REVOKED = "key_revoked"
     ODD_ENTRIES = "odd_entries"
+    ORDERS_DISTURBED = "orders_disturbed"
 
 
 @dataclass(frozen=True)
@@ -84,6 +86,10 @@
     ----------
     odd_entries : int
         Number of ODD_ENTRIES faults, in addition to ``faults`` of the other kinds.
+    disturbed_orders : int
+        Number of ORDERS_DISTURBED faults, likewise.
+    restarts : int
+        Number of restarts of workers under their ids, likewise.
     seconds : float
         Duration of the traffic; faults start during it.
     completion_timeout_seconds : float
@@ -95,5 +101,7 @@
     callers: int = 6
     faults: int = 14
     odd_entries: int = 2
+    disturbed_orders: int = 2
+    restarts: int = 8
     seconds: float = 30.0
     completion_timeout_seconds: float = 60.0
--- a/soak/_oracle.py
+++ b/soak/_oracle.py
@@ -77,6 +77,7 @@
         self._evacuations: list[tuple[DomainId, float, float]] = []
         self._evacuated_since: dict[DomainId, float] = {}
         self._delayed_orders: list[tuple[WorkerId | None, float, float]] = []
+        self._held_since: list[float] = []
         self.responses: dict[str, int] = {}
         self.starts = 0
 
@@ -106,7 +107,19 @@
         """
         self._delayed_orders.append((worker, since, self._clock.now() + ORDER_SLACK_SECONDS))
 
+    def record_held_orders(self) -> float:
+        """Record that workers may execute starts late from now on, and return the time."""
+        self._held_since.append(self._clock.now())
+        return self._held_since[-1]
+
+    def record_held_orders_end(self, since: float) -> None:
+        """Record that all starts held since a time have been executed."""
+        self._held_since.remove(since)
+        self.record_delayed_orders(None, since)
+
     def _was_delayed(self, span: RunSpan) -> bool:
+        if any(since <= span.begin for since in self._held_since):
+            return True
         return any(
             worker in (None, span.worker) and since <= span.begin <= until
             for worker, since, until in self._delayed_orders
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -4,6 +4,7 @@
 
 import argparse
 import base64
+import random
 from dataclasses import replace
 from enum import Enum
 from typing import TYPE_CHECKING, Any
@@ -26,7 +27,14 @@
 from chivefall.model import DomainId, Epoch, JobId, RackId, ServiceId, WorkerId
 from chivefall.net import json_reply
 from chivefall.runtime import Future, sleep, wait_for
-from chivefall.workers import OrderAccepted, OrderRefusalReason, OrderRefused, RunOrder, RunReport
+from chivefall.workers import (
+    IncarnationMismatch,
+    OrderAccepted,
+    OrderRefusalReason,
+    OrderRefused,
+    RunOrder,
+    RunReport,
+)
 from standins._service import Service
 from standins.run_workers import RunWorker, RunWorkers
 from standins.store import KeyValueState
@@ -42,6 +50,9 @@
 SERVICE = ServiceId("pool")
 WORKER_CAPACITY = Resources(32_000, 131_072, 8)
 DEFAULT_WORKERS = 4
+HELD_SHARE = 0.5  # of the starts
+REFUSED_SHARE = 0.4  # of the other starts, and of the stops
+MIN_HELD_SECONDS, MAX_HELD_SECONDS = 2.0, 5.0
 UNLISTED_SECONDS = 0.3  # between removal and re-addition of a worker's entry
 _CALL_KINDS = {
     "kv-key": CallKind.READ,
@@ -81,13 +92,16 @@
 
     RESTART replaces it by a new incarnation, LIST_ANEW deletes its entry from the store
     and writes it again, FAIL makes its runs end as failed, HANG stops their progress,
-    and RECOVER ends FAIL and HANG.
+    HOLD leaves starts unanswered and executes them seconds later, REFUSE refuses starts and
+    stops, both a part of them, and RECOVER ends FAIL, HANG, HOLD and REFUSE.
     """
 
     RESTART = "restart"
     LIST_ANEW = "list_anew"
     FAIL = "fail"
     HANG = "hang"
+    HOLD = "hold"
+    REFUSE = "refuse"
     RECOVER = "recover"
 
 
@@ -121,6 +135,9 @@
         self._state = KeyValueState(self.clock)
         self._faults = StoreFaults()
         self._workers = RunWorkers(self.clock)
+        self._holding: set[WorkerId] = set()
+        self._refusing: set[WorkerId] = set()
+        self._random = random.Random(0)
         for number, worker_address in enumerate(worker_addresses):
             entry = WorkerEntry(
                 WorkerId(f"w{number}"),
@@ -187,7 +204,13 @@
             self.clock.call_later(
                 UNLISTED_SECONDS, lambda: self._write_entry(self._workers.workers[name].entry)
             )
+        elif action is WorkerAction.HOLD:
+            self._holding.add(name)
+        elif action is WorkerAction.REFUSE:
+            self._refusing.add(name)
         else:
+            self._holding.discard(name)
+            self._refusing.discard(name)
             worker.fails = action is WorkerAction.FAIL
             if worker.hangs:
                 worker.resume()
@@ -281,20 +304,33 @@
     async def _handle_order(self, call: str, body: dict[str, Any], name: str) -> HttpReply:
         worker = self._workers.workers.get(WorkerId(name))
         if worker is None:
-            return json_reply(421, {"clock_ms": self.clock.now() * 1000})
+            return json_reply(421, {})
         epoch = Epoch(body.get("fence_token", 0))
         if call == "hold":
             return await self._renew_leases(worker, epoch, body)
         run = _decode_run(body)
-        if call == "run-start":
-            order = RunOrder(
-                run,
-                body["task_spec"],
-                body["deadline_ms"] / 1000,
-                Checkpoint(body.get("checkpoint", "")),
+        if call != "run-start":
+            if self._refuses(worker):
+                return json_reply(503, {})
+            return _order_reply(worker, worker.stop(run, epoch))
+        order = RunOrder(
+            run,
+            body["task_spec"],
+            body["deadline_ms"] / 1000,
+            Checkpoint(body.get("checkpoint", "")),
+        )
+        if worker.entry.worker_id in self._holding and self._random.random() < HELD_SHARE:
+            self.clock.call_later(
+                self._random.uniform(MIN_HELD_SECONDS, MAX_HELD_SECONDS),
+                lambda: worker.start(order, epoch, Resources()),
             )
-            return self._order_reply(worker.start(order, epoch, Resources()))
-        return self._order_reply(worker.stop(run, epoch))
+            await Future()
+        if self._refuses(worker):
+            return json_reply(503, {})
+        return _order_reply(worker, worker.start(order, epoch, Resources()))
+
+    def _refuses(self, worker: RunWorker) -> bool:
+        return worker.entry.worker_id in self._refusing and self._random.random() < REFUSED_SHARE
 
     async def _renew_leases(
         self, worker: RunWorker, epoch: Epoch, body: dict[str, Any]
@@ -306,7 +342,7 @@
             await wait_for(self.clock, worker.next_end(), body["wait_ms"] / 1000, None)
             report = worker.renew_leases(epoch, None, acknowledged)
         if not isinstance(report, RunReport):
-            return self._order_reply(report)
+            return _order_reply(worker, report)
         running = [
             [_task_name(item.run), item.run.number, item.checkpoint, round(item.progress * 100), 0]
             for item in report.running
@@ -315,23 +351,16 @@
             [end.sequence, _task_name(end.run), end.run.number, end.kind.value, end.checkpoint]
             for end in report.ends
         ]
-        clock = self.clock.now() * 1000
         return json_reply(
             200,
             {
-                "clock_ms": clock,
+                "clock_ms": worker.own_clock * 1000,
                 "running": running,
                 "finished": finished,
                 "born": worker.entry.incarnation,
             },
         )
 
-    def _order_reply(self, outcome: OrderAccepted | OrderRefused) -> HttpReply:
-        clock = self.clock.now() * 1000
-        if isinstance(outcome, OrderAccepted):
-            return json_reply(200, {"clock_ms": clock})
-        return json_reply(409, {"clock_ms": clock, "reason": _REFUSAL_REASONS[outcome.reason]})
-
     def _history(self) -> HttpReply:
         rows = [
             [round(time, 3), kind, _task_name(run), run.number, worker.entry.worker_id]
@@ -341,6 +370,17 @@
         return json_reply(200, sorted(rows))
 
 
+def _order_reply(
+    worker: RunWorker, outcome: OrderAccepted | OrderRefused | IncarnationMismatch
+) -> HttpReply:
+    if isinstance(outcome, IncarnationMismatch):
+        return json_reply(421, {})
+    clock = worker.own_clock * 1000
+    if isinstance(outcome, OrderAccepted):
+        return json_reply(200, {"clock_ms": clock})
+    return json_reply(409, {"clock_ms": clock, "reason": _REFUSAL_REASONS[outcome.reason]})
+
+
 def _lease_name(lease: int | None) -> str | None:
     return f"lease-{lease}" if lease else None
 
