Choose test ports below the range of outgoing connections

Cause: free_ports took ports from the kernel's range of outgoing connections, and a connection of another process took one of them before the instance bound it ("Address already in use" in the instance's log). The testbed waited for the readiness of a process that had exited.

Ports come from below that range now, and an instance that exits at its start ends the soak with its log named.

--- a/soak/_testbed.py
+++ b/soak/_testbed.py
@@ -181,6 +181,8 @@
             instance.start()
         for instance in self.instances:
             while not await self._is_ready(instance):
+                if instance.process.poll() is not None:
+                    raise RuntimeError(f"{instance.name} exited at its start; see {instance.log}")
                 await sleep(self.clock, POLL_INTERVAL_SECONDS)
         spawn(self._watch_processes(), self._on_error)
 
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -4,6 +4,7 @@
 
 import argparse
 import json
+import random
 import signal
 import socket
 import subprocess
@@ -24,6 +25,7 @@
 READY_TIMEOUT_SECONDS = 30.0
 POLL_INTERVAL_SECONDS = 0.1
 ENDPOINTS_PER_DOMAIN = 2
+MIN_PORT, MAX_PORT = 10_000, 32_000  # Linux takes ports of outgoing connections from 32768 on
 
 
 def call(
@@ -49,16 +51,22 @@
 def free_ports(count: int) -> list[int]:
     """Return distinct TCP ports that are currently free.
 
-    All sockets stay bound until the last port is chosen, so that no port is returned twice.
+    They are below the range from which the kernel takes the ports of outgoing connections;
+    otherwise connections of other processes could take them before they are bound again.
     """
-    socks = []
-    for _ in range(count):
-        sock = socket.socket()
-        sock.bind((HOST, 0))
-        socks.append(sock)
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
+    ports: list[int] = []
+    rng = random.SystemRandom()
+    while len(ports) < count:
+        port = rng.randrange(MIN_PORT, MAX_PORT)
+        with socket.socket() as sock:
+            # As servers do, so that connections of a former server do not count.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
