--- a/tests/batch/test_unanswered_starts.py
+++ b/tests/batch/test_unanswered_starts.py
@@ -28,10 +28,10 @@
     def submit(self, count: int = 2, **fields) -> None:
         self.sut.submit("a1", StepSpec(count, WHOLE_WORKER, RUN_SECONDS, **fields))
 
-    def hold_starts(self, seconds: float) -> None:
+    def hold_starts(self, seconds: float, **fields) -> None:
         """Let a worker hold the starts of the next seconds, and execute them later."""
         self.client.delayed.add("w0")
-        self.submit()
+        self.submit(**fields)
         self.sut.run(seconds)
         self.client.delayed.clear()
 
@@ -62,10 +62,7 @@
 
     def test_refused_repetition_in_a_gang(self) -> None:
         """Guards against a gang that runs elsewhere while a member of its last run begins."""
-        self.client.delayed.add("w0")
-        self.submit(gang=True)
-        self.sut.run(FIRST_ATTEMPT_SECONDS)
-        self.client.delayed.clear()
+        self.hold_starts(FIRST_ATTEMPT_SECONDS, gang=True)
         self.client.refusals["w0"] = OrderRefusalReason.UNHEALTHY
         self.sut.run(1.5)
         self.client.refusals.clear()
