Let a stand-in worker that restarted leave calls to its former process unanswered

The leader's log: run_released at 402.748 with "another incarnation of the worker responded" for a run on w2 that the restarted worker had accepted 0.3 s before; the next round started the task on w0; unknown_run_stopped for the first run at 402.788, which ended at 403.583.

Cause: the stand-in of the platform answered a long poll that its former incarnation had held with 421. On the platform 421 comes from another worker at the address, and orders for a worker that restarted under its id are accepted; a process that is gone does not answer.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -340,6 +340,8 @@
         report = worker.renew_leases(epoch, deadline, acknowledged)
         if isinstance(report, RunReport) and not report.ends and body.get("wait_ms"):
             await wait_for(self.clock, worker.next_end(), body["wait_ms"] / 1000, None)
+            if worker.crashed:
+                await Future()  # The process that held the call no longer answers.
             report = worker.renew_leases(epoch, None, acknowledged)
         if not isinstance(report, RunReport):
             return _order_reply(worker, report)
