Limit the doublings of the delay of a failing long-running task

A task that lasts and fails early about 1,000 times in a row, in 40 minutes, would raise OverflowError when its next delay is computed, so that the end of its run is never recorded. test_task_that_fails_for_days fails on the code before with that error. The delay stays 0.25 s to 2 s.

--- a/chivefall/batch/_job.py
+++ b/chivefall/batch/_job.py
@@ -34,7 +34,7 @@
 MAX_SUSPECTED_WORKERS = 2  # that failed runs of one task speak against
 EARLY_FAILURE_SECONDS = 10.0  # from the assignment of a run
 MIN_RETRY_DELAY_SECONDS = 0.25  # before the third run of a task that fails early; then doubled
-MAX_RETRY_DELAY_SECONDS = 2.0  # a long-running task has to be restarted within seconds
+MAX_RETRY_DOUBLINGS = 3  # up to 2 s; a long-running task has to be restarted within seconds
 MAX_REPORT_INTERVAL_SECONDS = 1.0  # between two reports; a longer gap counts for no more
 
 
@@ -353,8 +353,8 @@
         is_early = now - task.started_at < EARLY_FAILURE_SECONDS
         task.early_failures = task.early_failures + 1 if is_early else 0
         if task.early_failures > 1:
-            delay = MIN_RETRY_DELAY_SECONDS * 2 ** (task.early_failures - 2)
-            task.earliest_retry = now + min(MAX_RETRY_DELAY_SECONDS, delay)
+            doublings = min(task.early_failures - 2, MAX_RETRY_DOUBLINGS)
+            task.earliest_retry = now + MIN_RETRY_DELAY_SECONDS * 2**doublings
 
     def failed_workers(self, occurrence: int, step: int, now: float) -> set[WorkerId]:
         """Return the workers on which runs of a step of an occurrence failed lately."""
--- a/tests/batch/test_failing_tasks.py
+++ b/tests/batch/test_failing_tasks.py
@@ -66,6 +66,17 @@
         self.assertLess(task.earliest_retry, now + 3600.0)
         self.assertEqual(task.early_failures, 0)
 
+    def test_task_that_fails_for_days(self) -> None:
+        """Guards against a delay that grows beyond what a number can hold."""
+        job = self.submit_failing(long_running=True)
+        task, now = job.group(0, 0)[0], self.sut.clock.now() + 5.0
+        job.release(task.key, task.last_run_number)
+        for _ in range(3000):
+            (run,) = job.assign([(task.key, "w0", 1)], now)
+            now += FAIL_SECONDS
+            self.assertTrue(job.end_run(run, EndKind.FAILED, "", now))
+        self.assertLess(task.earliest_retry - now, MAX_RESTART_SECONDS)
+
     def test_failures_on_few_workers(self) -> None:
         """Guards against placing on workers that fail the first runs of every task."""
         worker = self.sut.leader.application.fleet.fleet.workers
