--- a/chivefall/batch/_round.py
+++ b/chivefall/batch/_round.py
@@ -211,7 +211,7 @@
         for name, resources in self._reserved.items():
             free[name] += resources
         view = FreeResources(free, self._step_counts(group, workers))
-        chosen = _place(group, workers, view, local_only=False)
+        chosen = _place_tasks(group, workers, view, local_only=False)
         for worker in chosen:
             self._free[worker.worker_id] -= group.step.resources
         return chosen
@@ -234,7 +234,7 @@
         if count >= self._blocked.get(shape, UNLIMITED_TASKS):
             return []
         free = FreeResources(self._free, self._step_counts(group, workers))
-        chosen = _place(group, workers, free, local_only=local_only)
+        chosen = _place_tasks(group, workers, free, local_only=local_only)
         is_shared = workers is self._eligible.get((group.queue.service, step.label))
         if not chosen and is_shared and not step.max_per_worker:
             self._blocked[shape] = count if step.gang else 1
@@ -395,7 +395,7 @@
         return best
 
 
-def _place(
+def _place_tasks(
     group: TaskGroup, workers: Sequence[Worker], free: FreeResources, *, local_only: bool
 ) -> list[Worker]:
     """Return workers for the tasks of a group, and allocate their resources."""
