Log the incarnation and the acknowledged sequence of ended and released runs

The log could not tell whether a run that a report does not list had ended before its incarnation, was forgotten after an acknowledgement, or never started, nor whether an end was that of the current run of its task.

ends_acknowledged (7212) is logged once for each acknowledgement that a worker has received. run_ended has the incarnation and whether the run was current, run_released the incarnation, the acknowledged sequence and, for a missing run, whether a report had listed it and the age of the report.

--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -36,7 +36,14 @@
 )
 
 if TYPE_CHECKING:
-    from chivefall.batch import BatchTiming, Checkpoint, PlatformCodec, StepSpec, WorkerEntry
+    from chivefall.batch import (
+        BatchTiming,
+        Checkpoint,
+        EndSequence,
+        PlatformCodec,
+        StepSpec,
+        WorkerEntry,
+    )
     from chivefall.controllers._leader import LeaderController
     from chivefall.controllers.batch._run_listener import RunListener
     from chivefall.model import Epoch, WorkerId
@@ -237,6 +244,7 @@
                 worker=entry.worker_id,
                 incarnation=entry.incarnation,
                 unanswered=run in session.unanswered_starts,
+                acknowledged=previous.acknowledged,
             )
         for run in [run for run in previous.worker.runs if run not in session.worker.runs]:
             self._release(previous, run, "worker restarted")
@@ -285,10 +293,17 @@
             self._release(session, run, reason)
         self._remove_session(session)
 
-    def _release(self, session: Session, run: RunId, reason: str) -> None:
+    def _release(self, session: Session, run: RunId, reason: str, **inputs: float) -> None:
+        """Release a run that no longer exists; ``inputs`` of the decision are logged."""
         session.forget(run)
         log_event(
-            LogEvent.RUN_RELEASED, run=str(run), worker=session.worker.worker_id, reason=reason
+            LogEvent.RUN_RELEASED,
+            run=str(run),
+            worker=session.worker.worker_id,
+            incarnation=session.worker.entry.incarnation,
+            acknowledged=session.acknowledgement_sent,
+            reason=reason,
+            **inputs,
         )
         self._listener.run_released(run)
 
@@ -403,13 +418,26 @@
                 return
             session.probe_due = False
             if isinstance(outcome, RunReport):
-                session.acknowledgement_sent = max(session.acknowledgement_sent, acknowledged)
+                self._record_acknowledged(session, acknowledged)
                 self._record_report(session, outcome, sent_at)
                 await self._wait_for_end_writes(session)
             else:
                 self._record_failure(session, outcome)
                 await sleep(self.clock, RETRY_DELAY_SECONDS)
 
+    @staticmethod
+    def _record_acknowledged(session: Session, sequence: EndSequence) -> None:
+        """Record that a worker received the acknowledgement of the ends up to ``sequence``."""
+        if sequence > session.acknowledgement_sent:
+            log_event(
+                LogEvent.ENDS_ACKNOWLEDGED,
+                worker=session.worker.worker_id,
+                incarnation=session.worker.entry.incarnation,
+                after=session.acknowledgement_sent,
+                up_to=sequence,
+            )
+            session.acknowledgement_sent = sequence
+
     def _may_extend_leases(self, now: float) -> bool:
         """Return whether run leases may be extended even if another leader may exist."""
         return now < self._lease_extensions_end()
@@ -445,7 +473,13 @@
             if run in session.unanswered_starts:
                 self.stop_run(worker.worker_id, run, StopCause(StopReason.START_UNCERTAIN))
             else:
-                self._release(session, run, "not listed in the worker's report")
+                self._release(
+                    session,
+                    run,
+                    "not listed in the worker's report",
+                    reported=run in session.reported,
+                    report_age=round(self.clock.now() - sent_at, 3),
+                )
         if not was_synced:
             self._listener.fleet_changed()
 
@@ -476,8 +510,10 @@
             LogEvent.RUN_ENDED,
             run=str(end.run),
             worker=session.worker.worker_id,
+            incarnation=session.worker.entry.incarnation,
             kind=end.kind.value,
             sequence=end.sequence,
+            current=self._listener.is_current_run(end.run),
         )
         self._metrics.run_ends.inc({"kind": end.kind.value})
         self._record_result(session, end)
--- a/chivefall/telemetry/_events.py
+++ b/chivefall/telemetry/_events.py
@@ -84,6 +84,10 @@
         "A worker restarted; the run may have started since then, so a report has to show it.",
     )
     RUN_NOT_STOPPED = (7210, "A worker refused to stop a run; the stop is sent again.")
+    ENDS_ACKNOWLEDGED = (
+        7212,
+        "A worker was told that ends up to a sequence are recorded, and may forget them.",
+    )
     RETRY_DELAYED = (7211, "A long-running task that fails repeatedly starts again after a delay.")
     UNKNOWN_RUN_STOPPED = (7207, "A run without a record was stopped.")
     FLEET_CHANGED = (7301, "A worker's entry was added, changed or removed.")
--- a/chivefall/telemetry/_timeline.py
+++ b/chivefall/telemetry/_timeline.py
@@ -65,7 +65,18 @@
 )
 # Fields that differ between the runs of a job that take part in the same change.
 _RUN_FIELDS = frozenset(
-    {"run", "worker", "sequence", "timestamp", "seconds", "report_age", "progress", "member"}
+    {
+        "run",
+        "worker",
+        "incarnation",
+        "sequence",
+        "acknowledged",
+        "timestamp",
+        "seconds",
+        "report_age",
+        "progress",
+        "member",
+    }
 )
 GAP_EVENTS = frozenset({LogEvent.LOG_DROPPED, LogEvent.LOG_SUPPRESSED})
 _MIN_ERROR_STATUS = 400  # HTTP status
