Acknowledge ends only over connections to the incarnation that reported them

Callers saw: a task ran again although a run of it had ended as done and the worker had been told that this end was recorded.

Cause: each poll repeated the highest acknowledged sequence. Sequences start anew when a worker restarts under its id, so the first poll after a restart made the new incarnation forget ends that no report had listed. The next report listed neither the run nor its end, and the task was started again.

Fix: reports name the connection over which they came, and an acknowledgement is only sent over such a connection. A connection does not outlive the worker's process, so the call reaches the incarnation that listed the ends, or nobody. If none is open, the worker is polled without an acknowledgement first. Acknowledgements that a worker has received are not repeated.

The stand-in of the platform closes a worker's connections when it restarts, and the stand-in client answers a poll over a connection to an ended process as a closed connection does.

--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -27,6 +27,7 @@
 from chivefall.workers import (
     IncarnationMismatch,
     NoResponse,
+    NotSent,
     OrderAccepted,
     OrderPermission,
     OrderRefusalReason,
@@ -50,7 +51,7 @@
     from chivefall.runtime import Clock
     from chivefall.store import Entry, Store, Version
     from chivefall.telemetry import BatchMetrics
-    from chivefall.workers import OrderOutcome, RunClient, RunEnd
+    from chivefall.workers import Acknowledgement, OrderOutcome, RunClient, RunEnd
 
 __all__ = ["FleetController"]
 
@@ -66,6 +67,13 @@
 ACKNOWLEDGE_CHECK_INTERVAL_SECONDS = 0.05  # between checks whether ends have been written
 
 
+def _acknowledgement_delay(session: Session) -> float:
+    """Return the seconds until the next poll after an acknowledgement that was not sent."""
+    # The worker may close each connection after its response.
+    delay = ACKNOWLEDGE_CHECK_INTERVAL_SECONDS * 2**session.unsent_acknowledgements
+    return min(RETRY_DELAY_SECONDS, delay)
+
+
 class FleetController(Controller):
     """Tracks the workers and extends the leases of their runs while this instance leads.
 
@@ -377,8 +385,12 @@
         """Return the seconds between two probes of an idle worker."""
         return max(MIN_PROBE_INTERVAL_SECONDS, len(self._sessions) / MAX_PROBES_PER_SECOND)
 
-    def _poll_wait(self) -> float:
-        """Return the wait of a long poll in seconds, longer the more workers are polled."""
+    def _poll_wait(self, session: Session, acknowledgement: Acknowledgement | None) -> float:
+        """Return the wait of a poll in seconds, longer the more workers are polled."""
+        if not session.worker.synced or not session.worker.runs:
+            return 0.0
+        if acknowledgement is None and session.awaits_acknowledgement:
+            return 0.0  # A report is needed first, over a connection for the acknowledgement.
         wait = max(self._timing.poll_wait, len(self._sessions) / MAX_POLLS_PER_SECOND)
         return min(wait, self._timing.max_poll_wait)
 
@@ -405,20 +417,26 @@
                 if not session.closed and self._is_current(epoch):
                     self._release_expired(session)
                 continue
-            wait = self._poll_wait() if session.worker.synced and session.worker.runs else 0.0
-            sent_at, acknowledged = self.clock.now(), session.acknowledged
+            sent_at, acknowledgement = self.clock.now(), session.next_acknowledgement()
             outcome = await self._client.renew_leases(
                 session.worker.entry,
                 OrderPermission(epoch, self._lease_extensions_end()),
                 session.extend_leases(self._timing.run_lease, sent_at),
-                acknowledged,
-                wait,
+                acknowledgement,
+                self._poll_wait(session, acknowledgement),
             )
             if session.closed or not self._is_current(epoch):
                 return
+            if isinstance(outcome, NotSent):
+                # The next report shows whether the worker has restarted.
+                session.connections.clear()
+                session.unsent_acknowledgements += 1
+                await sleep(self.clock, _acknowledgement_delay(session))
+                continue
             session.probe_due = False
             if isinstance(outcome, RunReport):
-                self._record_acknowledged(session, acknowledged)
+                if acknowledgement is not None:
+                    self._record_acknowledged(session, acknowledgement.sequence)
                 self._record_report(session, outcome, sent_at)
                 await self._wait_for_end_writes(session)
             else:
@@ -428,6 +446,7 @@
     @staticmethod
     def _record_acknowledged(session: Session, sequence: EndSequence) -> None:
         """Record that a worker received the acknowledgement of the ends up to ``sequence``."""
+        session.unsent_acknowledgements = 0
         if sequence > session.acknowledgement_sent:
             log_event(
                 LogEvent.ENDS_ACKNOWLEDGED,
@@ -456,6 +475,7 @@
         if report.incarnation not in (worker.entry.incarnation, Incarnation(0)):
             self._record_restart(session, report.incarnation)
             return
+        session.record_connection(report.connection)
         session.record_clock(report.clock, self.clock.now())
         self._record_response(session)
         was_synced, worker.synced = worker.synced, True
--- a/chivefall/controllers/batch/_session.py
+++ b/chivefall/controllers/batch/_session.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass, field
 
 from chivefall.batch import MIN_CLOCK_RATE, EndSequence, RunId, Worker, WorkerEntry
-from chivefall.workers import RunEnd
+from chivefall.model import ConnectionId
+from chivefall.workers import Acknowledgement, RunEnd
 
 __all__ = ["Session"]
 
 NO_END = EndSequence(0)
+MAX_CONNECTIONS = 8  # that may carry an acknowledgement; more are rarely open to one worker
 MAX_REORDERING_SECONDS = 5.0  # by which a response may be older than one received before it
 
 
@@ -43,6 +46,10 @@
         Highest sequence acknowledged to the worker, which may discard ends up to it.
     unwritten_ends : dict
         Reported ends that are not written yet.
+    connections : deque of ConnectionId
+        Latest connections over which reports of this incarnation came.
+    unsent_acknowledgements : int
+        Consecutive acknowledgements that were not sent, as no such connection was open.
     lease_deadline : float
         Latest lease end sent so far, in seconds on the worker's clock.
     stopping : set of RunId
@@ -70,6 +77,8 @@
     acknowledgement_sent: EndSequence = NO_END
     _highest_written: EndSequence = NO_END
     unwritten_ends: dict[EndSequence, RunEnd] = field(default_factory=dict)
+    connections: deque[ConnectionId] = field(default_factory=lambda: deque(maxlen=MAX_CONNECTIONS))
+    unsent_acknowledgements: int = 0
     lease_deadline: float = 0.0
     stopping: set[RunId] = field(default_factory=set)
     stop_accepted: dict[RunId, float] = field(default_factory=dict)
@@ -188,6 +197,26 @@
             min(self.unwritten_ends, default=self._highest_written + 1) - 1
         )
 
+    def record_connection(self, connection: ConnectionId | None) -> None:
+        """Record a connection over which a report of this incarnation came."""
+        if connection is not None and connection not in self.connections:
+            self.connections.append(connection)
+
+    @property
+    def awaits_acknowledgement(self) -> bool:
+        """Return whether the worker still lists ends that are written."""
+        return self.acknowledgement_sent < self.acknowledged
+
+    def next_acknowledgement(self) -> Acknowledgement | None:
+        """Return the acknowledgement for the next poll, or None.
+
+        Each is sent until the worker has received it and not again, so that a call that is
+        executed late acknowledges no more than it has to.
+        """
+        if not self.awaits_acknowledgement or not self.connections:
+            return None
+        return Acknowledgement(self.acknowledged, frozenset(self.connections))
+
     @property
     def needs_poll(self) -> bool:
         """Return whether the worker must be polled again now."""
@@ -197,5 +226,5 @@
             or self.worker.suspect
             or self.worker.runs
             or self.unwritten_ends
-            or self.acknowledgement_sent < self.acknowledged
+            or self.awaits_acknowledgement
         )
--- a/chivefall/model/__init__.py
+++ b/chivefall/model/__init__.py
@@ -6,6 +6,7 @@
 from chivefall.model._ids import (
     AccountId,
     AttemptId,
+    ConnectionId,
     DomainId,
     EndpointId,
     Epoch,
@@ -41,6 +42,7 @@
     "AttemptId",
     "ChangeRecord",
     "Completed",
+    "ConnectionId",
     "Document",
     "DomainId",
     "DomainState",
--- a/chivefall/model/_ids.py
+++ b/chivefall/model/_ids.py
@@ -7,6 +7,7 @@
 __all__ = [
     "AccountId",
     "AttemptId",
+    "ConnectionId",
     "DomainId",
     "EndpointId",
     "Epoch",
@@ -23,6 +24,8 @@
 
 AccountId = NewType("AccountId", str)
 AttemptId = NewType("AttemptId", str)
+ConnectionId = NewType("ConnectionId", int)
+"""Number of a connection that this process has opened or accepted; never used again."""
 DomainId = NewType("DomainId", str)
 EndpointId = NewType("EndpointId", str)
 Epoch = NewType("Epoch", int)
--- a/chivefall/net/_http_caller.py
+++ b/chivefall/net/_http_caller.py
@@ -9,6 +9,8 @@
 if TYPE_CHECKING:
     import socket
 
+    from chivefall.model import ConnectionId
+
 __all__ = ["CallerConnection"]
 
 RECEIVE_TIMEOUT_SECONDS = 20.0  # from the first byte of a request to its last
@@ -40,12 +42,14 @@
         "busy",
         "framer",
         "half_closed",
+        "id",
         "last_active_at",
         "paused",
         "sock",
     )
 
-    def __init__(self, sock: socket.socket, now: float) -> None:
+    def __init__(self, connection_id: ConnectionId, sock: socket.socket, now: float) -> None:
+        self.id = connection_id
         self.sock = sock
         self.framer = MessageFramer(MessageLimits())
         self.busy = False
--- a/chivefall/net/_http_client.py
+++ b/chivefall/net/_http_client.py
@@ -7,7 +7,7 @@
 import math
 import socket
 from collections import defaultdict, deque
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
 from circuits import BaseComponent, handler
@@ -15,6 +15,7 @@
 from circuits.core.utils import findcmp
 
 from chivefall.config import Address
+from chivefall.model import ConnectionId
 from chivefall.net._http_connection import Connection, HttpFailure, HttpResponse, encode_request
 from chivefall.net._http_framing import FramingError, Message, MessageFramer, MessageLimits
 from chivefall.runtime import Clock, Future, TimerHandle
@@ -27,6 +28,7 @@
 # Shorter than the idle timeouts of common servers, so that this side closes most connections.
 IDLE_TIMEOUT_SECONDS = 15.0
 _channel_numbers = itertools.count()
+_connection_numbers = itertools.count(1)
 
 
 @dataclass(frozen=True)
@@ -62,6 +64,7 @@
     max_body_bytes: int
     restart_timeout_on_data: bool
     expires_at: float
+    connections: Collection[ConnectionId] | None = None
     timer: TimerHandle | None = None
 
 
@@ -113,6 +116,7 @@
         max_body_bytes: int = MAX_RESPONSE_BYTES,
         restart_timeout_on_data: bool = False,
         expires_at: float = math.inf,
+        connections: Collection[ConnectionId] | None = None,
     ) -> Future[HttpResponse | HttpFailure]:
         """Send a request and return a future of its response.
 
@@ -135,6 +139,9 @@
         expires_at : float
             Time from which the request is no longer sent, in seconds since the Unix
             epoch; it may pass while the connection is established or the process is paused.
+        connections : collection of ConnectionId, optional
+            The connections that may carry the request, which fails unsent if all of them
+            are closed or in use. They lead to the process that sent the earlier responses.
         """
         req = _Request(
             address,
@@ -147,8 +154,11 @@
             max_body_bytes,
             restart_timeout_on_data,
             expires_at,
+            connections,
         )
-        if self._waiting.get(address) or not self._begin(req):
+        if connections is not None:
+            self._begin_on(req, connections)
+        elif self._waiting.get(address) or not self._begin(req):
             self._wait(req)
         return req.fut
 
@@ -171,6 +181,23 @@
         except OSError as exc:
             req.fut.set_result(HttpFailure(f"cannot connect to {address}: {exc}", sent=False))
             return True
+        self._exchange(conn, req)
+        return True
+
+    def _begin_on(self, req: _Request, connections: Collection[ConnectionId]) -> None:
+        """Start the exchange of a request on one of some connections, or fail it unsent."""
+        for conn in list(self._idle.get(req.address, ())):
+            if conn.id not in connections:
+                continue
+            if conn.is_alive():
+                self._remove_idle(conn)
+                self._exchange(conn, req)
+                return
+            self._drop_idle(conn)
+        reason = f"no earlier connection to {req.address} is open and idle"
+        req.fut.set_result(HttpFailure(reason, sent=False))
+
+    def _exchange(self, conn: Connection, req: _Request) -> None:
         conn.fut, conn.verify, conn.sent = req.fut, req.verify, False
         conn.expires_at = req.expires_at
         limits = MessageLimits(max_body_bytes=req.max_body_bytes)
@@ -180,7 +207,6 @@
         self._start_timer(conn, max(0.0, req.deadline - self.clock.now()))
         self._active[conn.sock] = conn
         self._poller.addWriter(self, conn.sock)
-        return True
 
     def _fail_waiting(self, req: _Request) -> None:
         queue = self._waiting.get(req.address, ())
@@ -242,7 +268,7 @@
         self._connection_counts[address] += 1
         self._total_connections += 1
         self._poller.addReader(self, sock)
-        return Connection(address, sock)
+        return Connection(ConnectionId(next(_connection_numbers)), address, sock)
 
     def _close_one_idle(self) -> bool:
         """Close an idle connection to any server; return False if there is none."""
@@ -330,7 +356,7 @@
 
     def _complete(self, conn: Connection, message: Message) -> None:
         status = int(message.start_line.split(" ")[1])
-        response = HttpResponse(status, message.body, message.headers)
+        response = HttpResponse(status, message.body, message.headers, conn.id)
         if conn.verify is not None and not conn.verify(response):
             self._fail(conn, f"{conn.address} sent the response to another request")
             return
--- a/chivefall/net/_http_connection.py
+++ b/chivefall/net/_http_connection.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from chivefall.model import ConnectionId
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -23,11 +25,18 @@
 
 @dataclass(frozen=True)
 class HttpResponse:
-    """A complete response."""
+    """A complete response.
+
+    Attributes
+    ----------
+    connection : ConnectionId or None
+        The connection that it came over, which may still be open.
+    """
 
     status: int
     body: bytes
     headers: dict[str, str] = field(default_factory=dict)
+    connection: ConnectionId | None = None
 
 
 @dataclass(frozen=True)
@@ -52,6 +61,7 @@
         "expires_at",
         "framer",
         "fut",
+        "id",
         "outgoing",
         "read_timeout",
         "sent",
@@ -60,7 +70,8 @@
         "verify",
     )
 
-    def __init__(self, address: Address, sock: socket.socket) -> None:
+    def __init__(self, connection_id: ConnectionId, address: Address, sock: socket.socket) -> None:
+        self.id = connection_id
         self.address = address
         self.sock = sock
         self.fut: Future[HttpResponse | HttpFailure] | None = None
--- a/chivefall/net/_http_server.py
+++ b/chivefall/net/_http_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import socket
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -15,11 +16,12 @@
 from circuits.web.servers import BaseServer
 from circuits.web.wrappers import Request, Response
 
+from chivefall.model import ConnectionId
 from chivefall.net._http_caller import CallerConnection
 from chivefall.net._http_framing import FramingError, Message, parse_request_line
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from chivefall.config import Address
     from chivefall.runtime import Clock, Future
@@ -29,18 +31,26 @@
 MAX_PIPELINED_BYTES = 65_536  # buffered while a request is in progress
 MAX_CONNECTIONS = 512  # half of the usual limit on open files, 1024
 SWEEP_INTERVAL_SECONDS = 1.0
+_connection_numbers = itertools.count(1)
 INTERNAL_ERROR = b'{"error": "internal error; see the instance log"}'
 
 
 @dataclass(frozen=True)
 class HttpRequest:
-    """A complete request; header names are in lower case."""
+    """A complete request; header names are in lower case.
+
+    Attributes
+    ----------
+    connection : ConnectionId or None
+        The connection over which it came.
+    """
 
     method: str
     path: str
     query: str = ""
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
+    connection: ConnectionId | None = None
 
 
 @dataclass(frozen=True)
@@ -132,9 +142,16 @@
             tcp._on_accept_done(sock)
         tcp._close(tcp._sock)
 
+    def close_connections(self, connections: Collection[ConnectionId]) -> None:
+        """Close some connections at once; their requests in progress get no reply."""
+        for conn in list(self._conns.values()):
+            if conn.id in connections:
+                self._close(conn)
+
     @handler("connect")
     def _on_connect(self, sock: socket.socket, *_: object) -> None:
-        self._conns[sock] = CallerConnection(sock, self._clock.now())
+        connection_id = ConnectionId(next(_connection_numbers))
+        self._conns[sock] = CallerConnection(connection_id, sock, self._clock.now())
         if len(self._conns) > self._max_connections:
             idle = [conn for conn in self._conns.values() if conn.is_idle]
             # Clients expect that idle connections may be closed; the new one counts as idle, too.
@@ -200,7 +217,7 @@
             return
         conn.record_request()
         self._requests_in_progress += 1
-        req = HttpRequest(method, path, query, message.headers, message.body)
+        req = HttpRequest(method, path, query, message.headers, message.body, conn.id)
         fut = self._serve(req)
         fut.add_done_callback(lambda done: self._reply(conn, method, message, done))
 
--- a/chivefall/platform/_run_client.py
+++ b/chivefall/platform/_run_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from dataclasses import replace
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, TypeVar
 
@@ -25,8 +26,10 @@
 from chivefall.net import AdaptiveTimeout, HttpClient, HttpFailure, HttpResponse
 from chivefall.platform._wire import HoldBody, Milliseconds
 from chivefall.workers import (
+    Acknowledgement,
     IncarnationMismatch,
     NoResponse,
+    NotSent,
     OrderAccepted,
     OrderOutcome,
     OrderPermission,
@@ -43,12 +46,13 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from chivefall.model import Epoch
+    from chivefall.model import ConnectionId, Epoch
 
 __all__ = ["HttpRunClient"]
 
 T = TypeVar("T")
 
+NO_END = EndSequence(0)
 MIN_TIMEOUT_SECONDS = 0.4  # a start without response is repeated well before its gang stops waiting
 _REFUSAL_REASONS = {
     "fence": OrderRefusalReason.FENCED,
@@ -123,16 +127,24 @@
         worker: WorkerEntry,
         permission: OrderPermission,
         deadline: float | None,
-        acknowledged: EndSequence,
+        acknowledgement: Acknowledgement | None,
         wait: float,
     ) -> RenewalOutcome:
         """Extend all leases, acknowledge ends and return the worker's report."""
-        body: dict[str, Any] = {"fence_token": permission.epoch, "last_seen": acknowledged}
+        body: dict[str, Any] = {"fence_token": permission.epoch, "last_seen": NO_END}
+        connections = None
+        if acknowledgement is not None:
+            body["last_seen"] = acknowledgement.sequence
+            connections = acknowledgement.connections
         if deadline is not None:
             body["deadline_ms"] = round(deadline * 1000)
         if wait > 0:
             body["wait_ms"] = round(wait * 1000)
-        response = await self._call(worker, "hold", body, permission, self.timeout + wait)
+        response = await self._call(
+            worker, "hold", body, permission, self.timeout + wait, connections
+        )
+        if connections is not None and isinstance(response, HttpFailure) and not response.sent:
+            return NotSent(response.reason)
         if not isinstance(response, HttpResponse) or response.status != HTTPStatus.OK:
             outcome = _order_outcome(response)
             return (
@@ -141,7 +153,7 @@
                 else outcome
             )
         try:
-            return _run_report(response.body)
+            return replace(_run_report(response.body), connection=response.connection)
         except MessageError as exc:
             return NoResponse(str(exc))
 
@@ -152,6 +164,7 @@
         body: dict[str, Any],
         permission: OrderPermission,
         timeout: float,
+        connections: frozenset[ConnectionId] | None = None,
     ) -> HttpResponse | HttpFailure:
         self.calls += 1
         headers = {
@@ -168,6 +181,7 @@
             headers,
             timeout,
             expires_at=permission.valid_until,
+            connections=connections,
         )
         if "wait_ms" not in body and isinstance(response, HttpResponse):
             self._adaptive_timeout.record_response(self._http.clock.now() - started_at)
--- a/chivefall/workers/__init__.py
+++ b/chivefall/workers/__init__.py
@@ -20,8 +20,10 @@
 )
 from chivefall.workers._http_client import HttpWorkerClient
 from chivefall.workers._runs import (
+    Acknowledgement,
     IncarnationMismatch,
     NoResponse,
+    NotSent,
     OrderAccepted,
     OrderOutcome,
     OrderPermission,
@@ -36,6 +38,7 @@
 )
 
 __all__ = [
+    "Acknowledgement",
     "CommandAccepted",
     "CommandOutcome",
     "CommandRefusalReason",
@@ -46,6 +49,7 @@
     "LeaseReport",
     "LeaseRequest",
     "NoResponse",
+    "NotSent",
     "OrderAccepted",
     "OrderOutcome",
     "OrderPermission",
--- a/chivefall/workers/_runs.py
+++ b/chivefall/workers/_runs.py
@@ -8,14 +8,16 @@
 from typing import TYPE_CHECKING, Union
 
 from chivefall.batch import Checkpoint, EndKind, EndSequence, Incarnation, RunId
-from chivefall.model import Epoch
+from chivefall.model import ConnectionId, Epoch
 
 if TYPE_CHECKING:
     from chivefall.batch import WorkerEntry
 
 __all__ = [
+    "Acknowledgement",
     "IncarnationMismatch",
     "NoResponse",
+    "NotSent",
     "OrderAccepted",
     "OrderOutcome",
     "OrderPermission",
@@ -99,6 +101,26 @@
     checkpoint: Checkpoint
 
 
+@dataclass(frozen=True)
+class Acknowledgement:
+    """Tells a worker that ends have been processed, so that it may forget them.
+
+    Sequences start anew in each incarnation, and a worker may restart under its id at any
+    time. A connection does not outlive the worker's process, so an acknowledgement over one
+    that brought a report of an incarnation reaches that incarnation or none.
+
+    Attributes
+    ----------
+    sequence : EndSequence
+        All ends up to this one have been processed.
+    connections : frozenset of ConnectionId
+        The connections over which it may be sent.
+    """
+
+    sequence: EndSequence
+    connections: frozenset[ConnectionId]
+
+
 @dataclass(frozen=True)
 class OrderAccepted:
     """The worker executed the order.
@@ -120,12 +142,15 @@
     ----------
     clock : float
         The worker's clock in seconds.
+    connection : ConnectionId or None
+        The connection over which the report came.
     """
 
     clock: float
     incarnation: Incarnation
     running: tuple[RunStatus, ...]
     ends: tuple[RunEnd, ...]
+    connection: ConnectionId | None = None
 
 
 @dataclass(frozen=True)
@@ -148,8 +173,15 @@
     reason: str
 
 
+@dataclass(frozen=True)
+class NotSent:
+    """The call was not sent, because none of the connections that may carry it is open."""
+
+    reason: str
+
+
 OrderOutcome = Union[OrderAccepted, OrderRefused, IncarnationMismatch, NoResponse]
-RenewalOutcome = Union[RunReport, OrderRefused, IncarnationMismatch, NoResponse]
+RenewalOutcome = Union[RunReport, OrderRefused, IncarnationMismatch, NoResponse, NotSent]
 
 
 class RunClient(ABC):
@@ -173,7 +205,7 @@
         worker: WorkerEntry,
         permission: OrderPermission,
         deadline: float | None,
-        acknowledged: EndSequence,
+        acknowledgement: Acknowledgement | None,
         wait: float,
     ) -> RenewalOutcome:
         """Extend all leases, acknowledge ends and return the worker's report.
@@ -182,8 +214,8 @@
         ----------
         deadline : float or None
             New end of the leases, in seconds of the worker's clock; None keeps the current end.
-        acknowledged : EndSequence
-            Highest sequence of an end that has been processed.
+        acknowledgement : Acknowledgement or None
+            The ends that the worker may forget; None lets it forget nothing.
         wait : float
             Seconds after which the worker reports, unless a run ends before.
         """
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -5,6 +5,7 @@
 import argparse
 import base64
 import random
+from collections import defaultdict
 from dataclasses import replace
 from enum import Enum
 from typing import TYPE_CHECKING, Any
@@ -43,6 +44,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from chivefall.model import ConnectionId
     from chivefall.net import HttpReply, HttpRequest
 
 __all__ = ["PlatformService", "WorkerAction"]
@@ -137,6 +139,7 @@
         self._workers = RunWorkers(self.clock)
         self._holding: set[WorkerId] = set()
         self._refusing: set[WorkerId] = set()
+        self._connections: dict[WorkerId, set[ConnectionId]] = defaultdict(set)
         self._random = random.Random(0)
         for number, worker_address in enumerate(worker_addresses):
             entry = WorkerEntry(
@@ -166,9 +169,9 @@
             case (_, "chivefall", call, *rest) if call.startswith("kv-"):
                 return await self._store_call([call, *rest], query, body)
             case ("POST", "chivefall", call):
-                return await self._handle_order(
-                    call, body, req.headers.get("x-target-instance", "")
-                )
+                name = WorkerId(req.headers.get("x-target-instance", ""))
+                self._connections[name].add(req.connection)
+                return await self._handle_order(call, body, name)
         return json_reply(404, {"error": "no such call"})
 
     def _control(
@@ -197,6 +200,7 @@
             incarnation = Incarnation(worker.entry.incarnation + 1)
             entry = replace(worker.entry, incarnation=incarnation)
             self._workers.add(entry).run_seconds = worker.run_seconds
+            self.server.close_connections(self._connections.pop(name, ()))
             self._write_entry(entry)
         elif action is WorkerAction.LIST_ANEW:
             self._state.write_all([], [f"servers/{name}"])
@@ -301,8 +305,8 @@
         ttl = act(f"lease-{call[1]}")
         return json_reply(404, {}) if ttl is None else json_reply(200, {"ttl_ms": ttl * 1000})
 
-    async def _handle_order(self, call: str, body: dict[str, Any], name: str) -> HttpReply:
-        worker = self._workers.workers.get(WorkerId(name))
+    async def _handle_order(self, call: str, body: dict[str, Any], name: WorkerId) -> HttpReply:
+        worker = self._workers.workers.get(name)
         if worker is None:
             return json_reply(421, {})
         epoch = Epoch(body.get("fence_token", 0))
--- a/standins/run_workers.py
+++ b/standins/run_workers.py
@@ -4,7 +4,7 @@
 
 import itertools
 from collections import defaultdict
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -20,11 +20,13 @@
     TaskKey,
     WorkerEntry,
 )
-from chivefall.model import Epoch, JobId, WorkerId
+from chivefall.model import ConnectionId, Epoch, JobId, WorkerId
 from chivefall.runtime import Clock, Future, sleep, wait_for
 from chivefall.workers import (
+    Acknowledgement,
     IncarnationMismatch,
     NoResponse,
+    NotSent,
     OrderAccepted,
     OrderOutcome,
     OrderPermission,
@@ -47,6 +49,7 @@
 MAX_LEASE_SECONDS = 10.0  # limit for the deadline of a renewal
 START_DELAY_SECONDS = 3.0
 RESPONSE_TIMEOUT_SECONDS = 0.8
+_connection_numbers = itertools.count(1)
 
 
 @dataclass
@@ -289,6 +292,8 @@
         Whether calls reach no worker at all.
     latency : float
         Seconds until a call arrives.
+    connections : dict
+        By worker, the incarnation and the number of the open connection to it.
     """
 
     def __init__(self, workers: RunWorkers) -> None:
@@ -300,6 +305,7 @@
         self.refusals: dict[WorkerId, OrderRefusalReason] = {}
         self.isolated = False
         self.latency = 0.0
+        self.connections: dict[WorkerId, tuple[RunWorker, ConnectionId]] = {}
 
     async def start(
         self, worker: WorkerEntry, order: RunOrder, permission: OrderPermission
@@ -332,23 +338,57 @@
         worker: WorkerEntry,
         permission: OrderPermission,
         deadline: float | None,
-        acknowledged: EndSequence,
+        acknowledgement: Acknowledgement | None,
         wait: float,
     ) -> RenewalOutcome:
         """Extend all leases and return the report."""
+        name, sequence, peer = worker.worker_id, EndSequence(0), None
+        if acknowledgement is not None:
+            peer, number = self.connections.get(name, (None, None))
+            if number not in acknowledgement.connections or self._is_gone(name, peer):
+                self.connections.pop(name, None)
+                return NotSent("no connection that brought a report is open")
+            sequence = acknowledgement.sequence
         state = await self._reach(worker, permission)
         if not isinstance(state, RunWorker):
+            self.connections.pop(name, None)
             return state
+        if peer not in (None, state):
+            return NoResponse("the worker's process ended, and its connections with it")
         epoch = permission.epoch
-        outcome = state.renew_leases(epoch, deadline, acknowledged)
+        outcome = state.renew_leases(epoch, deadline, sequence)
         if isinstance(outcome, RunReport) and not outcome.ends and wait > 0:
             await wait_for(self._clock, state.next_end(), wait, None)
-            state = await self._reach(worker, permission)
-            if not isinstance(state, RunWorker):
-                return state
-            outcome = state.renew_leases(epoch, None, acknowledged)
+            outcome = await self._report_again(worker, permission, state, sequence)
+        if isinstance(outcome, RunReport):
+            outcome = replace(outcome, connection=self._connection_to(state))
         return outcome
 
+    async def _report_again(
+        self,
+        worker: WorkerEntry,
+        permission: OrderPermission,
+        state: RunWorker,
+        sequence: EndSequence,
+    ) -> RenewalOutcome:
+        """Return the report at the end of a wait, if the same process still answers."""
+        reached = await self._reach(worker, permission)
+        if not isinstance(reached, RunWorker):
+            return reached
+        if reached is not state:
+            return NoResponse("the worker's process ended during the wait")
+        return state.renew_leases(permission.epoch, None, sequence)
+
+    def _is_gone(self, name: WorkerId, peer: RunWorker) -> bool:
+        """Return whether the end of a connection has been noticed."""
+        return peer is not self._workers.workers.get(name) and name not in self.unreachable
+
+    def _connection_to(self, state: RunWorker) -> ConnectionId:
+        name = state.entry.worker_id
+        if self.connections.get(name, (None,))[0] is not state:
+            self.connections[name] = (state, ConnectionId(next(_connection_numbers)))
+        return self.connections[name][1]
+
     async def _reach(
         self, worker: WorkerEntry, permission: OrderPermission
     ) -> RunWorker | OrderOutcome:
--- a/tests/batch/test_permission.py
+++ b/tests/batch/test_permission.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING
 
 from chivefall.batch import (
-    EndSequence,
     JobState,
     Resources,
     StepSpec,
@@ -15,6 +14,7 @@
     StopReason,
 )
 from chivefall.workers import (
+    Acknowledgement,
     NoResponse,
     OrderOutcome,
     OrderPermission,
@@ -81,11 +81,11 @@
         worker: WorkerEntry,
         permission: OrderPermission,
         deadline: float | None,
-        acknowledged: EndSequence,
+        acknowledgement: Acknowledgement | None,
         wait: float,
     ) -> RenewalOutcome:
         self._record("renew", permission)
-        return await self._inner.renew_leases(worker, permission, deadline, acknowledged, wait)
+        return await self._inner.renew_leases(worker, permission, deadline, acknowledgement, wait)
 
 
 class Permission(unittest.TestCase):
--- a/tests/net/test_http_client.py
+++ b/tests/net/test_http_client.py
@@ -89,6 +89,34 @@
         self.assertEqual(self.respond(fut, self.accept()).status, 200)
         self.assertEqual(self.client.open_connections(self.address), 1)
 
+    def test_request_for_given_connections(self) -> None:
+        """Guards against an acknowledgement that reaches the next process of a worker."""
+        first = self.send()
+        peer = self.accept()
+        response = self.respond(first, peer)
+        again = self.send(connections={response.connection})
+        peer.wait_for(lambda data: data.count(b"body") == 2)
+        self.assertEqual(self.respond(again, peer).connection, response.connection)
+        peer.sock.close()
+        lost = self.send(connections={response.connection})
+        self.loop.run_until(lost.done)
+        self.assertEqual((type(lost.result()), lost.result().sent), (HttpFailure, False))
+        other = self.send()
+        peer = self.accept()
+        unsent = self.send(connections={response.connection})
+        self.assertFalse(unsent.result().sent)
+        self.assertNotEqual(self.respond(other, peer).connection, response.connection)
+        self.assertEqual(peer.received.count(b"body"), 1)
+
+    def test_request_for_a_connection_in_use(self) -> None:
+        """Guards against two requests at once on the connection that a request has to use."""
+        first = self.send()
+        peer = self.accept()
+        response = self.respond(first, peer)
+        self.send()
+        unsent = self.send(connections={response.connection})
+        self.assertFalse(unsent.result().sent)
+
     def test_non_idempotent_request_uses_a_new_connection(self) -> None:
         """Guards against a reused connection on which a failure leaves the outcome unknown (G6)."""
         first = self.send()
