Count an end as done also if its run had been released

Callers saw: a task whose run had ended as done ran again, when the leader had released that run before its end was reported.

Cause: an end of a run that was no longer the current one of its task was acknowledged without being recorded. A release that turns out to be wrong, for example after another worker responded at the address, was thus never corrected, and a later run worked to its end.

Change: such an end finishes the task, or its whole gang, and the later runs are stopped (reason task_done), also by a later leader. Long-running tasks are never done. A failed run of a task that is done no longer counts as an attempt.

--- a/chivefall/batch/_job.py
+++ b/chivefall/batch/_job.py
@@ -296,7 +296,7 @@
             task.state = TaskState.RUNNING
             task.reported_at = now
             # The members of a gang make no progress until the last one has started.
-            for member in self._members(task) if self.step_of(key).gang else (task,):
+            for member in self._gang_of(task):
                 member.unchanged_seconds = 0.0
 
     def record_progress(
@@ -362,10 +362,10 @@
         return {name for name, at in failures.items() if now < at + FAILURE_EVIDENCE_SECONDS}
 
     def end_run(self, run: RunId, kind: EndKind, checkpoint: Checkpoint, now: float) -> bool:
-        """Apply the end of a run; return False if it was not the current run of its task."""
+        """Apply the end of a run; return False if it changes nothing."""
         task = self._current(run.task, run.number)
         if task is None:
-            return False
+            return kind is EndKind.DONE and self._finish_by_former_run(run)
         self.begun = True
         self._record_checkpoint(task, checkpoint)
         if kind is EndKind.FAILED:
@@ -376,18 +376,36 @@
             self._release(task)
             return True
         if kind is EndKind.DONE:
-            members = self._members(task) if self.step_of(task.key).gang else [task]
-            for member in members:
+            for member in self._gang_of(task):
                 self._finish(member)
-            self._release(task)
-            return True
-        if kind is EndKind.FAILED:
+        elif kind is EndKind.FAILED and task.state is not TaskState.DONE:
             self._count_failure(task, run.number)
             if self._failures_of(task) >= self.max_attempts:
                 self.failed = True
         self._release(task)
         return True
 
+    def _finish_by_former_run(self, run: RunId) -> bool:
+        """Finish a task by a run that was released; return False if that changes nothing."""
+        task = self.task(run.task)
+        if task is None or self._is_long_running(task) or run.number > task.last_run_number:
+            return False
+        unfinished = [item for item in self._gang_of(task) if item.state is not TaskState.DONE]
+        for member in unfinished:
+            self._finish(member)
+        return bool(unfinished)
+
+    def superfluous_runs(self, key: TaskKey) -> list[RunId]:
+        """Return the later runs of a task, and of its gang, that was done by a former run."""
+        task = self.task(key)
+        if task is None or task.state is not TaskState.DONE:
+            return []
+        return [
+            RunId(self.job_id, member.key, member.assignment.number)
+            for member in self._gang_of(task)
+            if member.assignment is not None
+        ]
+
     def release(self, key: TaskKey, number: RunNumber) -> bool:
         """Return a task to waiting after its run turned out not to exist.
 
@@ -408,6 +426,10 @@
     def _members(self, task: Task) -> list[Task]:
         return self._tasks[task.key.occurrence, task.key.step]
 
+    def _gang_of(self, task: Task) -> list[Task]:
+        """Return the tasks that are done together with a task."""
+        return self._members(task) if self.step_of(task.key).gang else [task]
+
     def _failures_of(self, task: Task) -> int:
         if self.step_of(task.key).gang:
             return sum(member.failures for member in self._members(task))
--- a/chivefall/batch/_stops.py
+++ b/chivefall/batch/_stops.py
@@ -16,7 +16,8 @@
     PREEMPTED: for an urgent job. DISPLACED: to continue on another worker. GANG_MEMBER_LOST:
     another member of its gang cannot run. JOB_ENDED: the job was cancelled or has failed.
     START_UNCERTAIN: the start got no response. DECIDED_EARLIER: the stop was decided before
-    the worker reported the run. UNKNOWN_RUN: there is no record of the run.
+    the worker reported the run. TASK_DONE: a former run of the task has ended as done.
+    UNKNOWN_RUN: there is no record of the run.
     """
 
     PREEMPTED = "preempted"
@@ -25,6 +26,7 @@
     JOB_ENDED = "job_ended"
     START_UNCERTAIN = "start_uncertain"
     DECIDED_EARLIER = "decided_earlier"
+    TASK_DONE = "task_done"
     UNKNOWN_RUN = "unknown_run"
 
 
--- a/chivefall/controllers/batch/_scheduler.py
+++ b/chivefall/controllers/batch/_scheduler.py
@@ -17,6 +17,7 @@
     StopCause,
     StopReason,
     Submission,
+    TaskState,
     decode_submission,
     find_displacements,
     restore_progress,
@@ -485,7 +486,9 @@
         """Return whether a run must be stopped."""
         tracked = self.jobs.get(run.job)
         task = self._task_of(run)
-        return task is not None and (task.stopping or tracked.job.state.is_final)
+        return task is not None and (
+            task.stopping or task.state is TaskState.DONE or tracked.job.state.is_final
+        )
 
     def run_confirmed(self, run: RunId) -> None:
         """Record that the worker has reported the run."""
@@ -507,7 +510,11 @@
         tracked = self.jobs.get(run.job)
         if tracked is None:
             acknowledge()
-        elif tracked.job.end_run(run, kind, checkpoint, self.clock.now()):
+            return
+        was_current = self.is_current_run(run)
+        if tracked.job.end_run(run, kind, checkpoint, self.clock.now()):
+            if not was_current:
+                self._stop_superfluous_runs(tracked.job, run)
             self._record_begin(tracked)
             self._log_retry_delay(tracked.job, run)
             if tracked.job.state is JobState.FAILED:
@@ -519,6 +526,12 @@
         else:
             acknowledge()
 
+    def _stop_superfluous_runs(self, job: BatchJob, done: RunId) -> None:
+        """Stop the later runs of a task that a released run has finished."""
+        cause = StopCause(StopReason.TASK_DONE, {"done": str(done)})
+        for run in job.superfluous_runs(done.task):
+            self._stop(run, cause)
+
     def _log_retry_delay(self, job: BatchJob, run: RunId) -> None:
         task, now = job.task(run.task), self.clock.now()
         if task.earliest_retry > now:
--- a/standins/run_workers.py
+++ b/standins/run_workers.py
@@ -288,6 +288,8 @@
         Seconds.
     refusals : dict
         By worker, the reason with which it refuses starts and stops.
+    misdirected : set of WorkerId
+        Workers whose calls another worker refuses.
     isolated : bool
         Whether calls reach no worker at all.
     latency : float
@@ -303,6 +305,7 @@
         self.delayed: set[WorkerId] = set()
         self.start_delay = START_DELAY_SECONDS
         self.refusals: dict[WorkerId, OrderRefusalReason] = {}
+        self.misdirected: set[WorkerId] = set()
         self.isolated = False
         self.latency = 0.0
         self.connections: dict[WorkerId, tuple[RunWorker, ConnectionId]] = {}
@@ -400,6 +403,8 @@
         if state is None or worker.worker_id in self.unreachable or self.isolated:
             await sleep(self._clock, RESPONSE_TIMEOUT_SECONDS)
             return NoResponse("the worker is unreachable")
+        if worker.worker_id in self.misdirected:
+            return IncarnationMismatch()
         # Orders name the worker by its id, which its next incarnation may have, too.
         return state
 
