Do not release runs by a report that lists only the first ends

Callers saw: a task that had ended as done could run again.

Cause: workers list at most 500 ends in one response. A run that ended behind these stands in neither list of the report, and the leader took it for a run that does not exist.

Evidence: test_report_that_lists_only_some_ends fails without the condition.

Change: the adapter tells whether a report lists all ends, and only such a report releases runs.

--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -486,12 +486,20 @@
         for end in report.ends:
             listed.add(end.run)
             self._record_end(session, end)
-        for run in list(worker.runs):
+        if report.is_complete:
+            self._release_unlisted(session, listed, sent_at)
+        if not was_synced:
+            self._listener.fleet_changed()
+
+    def _release_unlisted(self, session: Session, listed: set[RunId], sent_at: float) -> None:
+        """Release the runs that a report requested at ``sent_at`` had to list and did not."""
+        for run in list(session.worker.runs):
             # A report requested before the run was expected does not prove its absence.
             if run in listed or session.expected_since.get(run, float("inf")) > sent_at:
                 continue
             if run in session.unanswered_starts:
-                self.stop_run(worker.worker_id, run, StopCause(StopReason.START_UNCERTAIN))
+                cause = StopCause(StopReason.START_UNCERTAIN)
+                self.stop_run(session.worker.worker_id, run, cause)
             else:
                 self._release(
                     session,
@@ -500,8 +508,6 @@
                     reported=run in session.reported,
                     report_age=round(self.clock.now() - sent_at, 3),
                 )
-        if not was_synced:
-            self._listener.fleet_changed()
 
     def _record_running(self, session: Session, run: RunId) -> None:
         if not self._listener.is_current_run(run):
--- a/chivefall/platform/_run_client.py
+++ b/chivefall/platform/_run_client.py
@@ -61,6 +61,7 @@
     "room": OrderRefusalReason.NO_ROOM,
     "ticket": OrderRefusalReason.TICKET,
 }
+MAX_LISTED_ENDS = 500  # in one response; further ones follow once these are acknowledged
 REPORT_REMEDY = "check which program listens at the worker's address"
 MAX_QUOTED_LENGTH = 40  # characters of an unknown value that a log line quotes
 # Names of tasks in other forms belong to other programs.
@@ -249,6 +250,7 @@
             for row in body.finished
             if (run := _run_id(row.task, row.run_id)) is not None
         ),
+        is_complete=len(body.finished) < MAX_LISTED_ENDS,
     )
 
 
--- a/chivefall/workers/_runs.py
+++ b/chivefall/workers/_runs.py
@@ -142,6 +142,8 @@
     ----------
     clock : float
         The worker's clock in seconds.
+    is_complete : bool
+        Whether the report lists all ends that are not acknowledged, and not only the first ones.
     connection : ConnectionId or None
         The connection over which the report came.
     """
@@ -150,6 +152,7 @@
     incarnation: Incarnation
     running: tuple[RunStatus, ...]
     ends: tuple[RunEnd, ...]
+    is_complete: bool = True
     connection: ConnectionId | None = None
 
 
--- a/standins/run_workers.py
+++ b/standins/run_workers.py
@@ -47,6 +47,7 @@
 __all__ = ["MemoryRunClient", "RunWorker", "RunWorkers"]
 
 MAX_LEASE_SECONDS = 10.0  # limit for the deadline of a renewal
+MAX_LISTED_ENDS = 500
 START_DELAY_SECONDS = 3.0
 RESPONSE_TIMEOUT_SECONDS = 0.8
 _connection_numbers = itertools.count(1)
@@ -74,6 +75,8 @@
         Whether runs end as failed.
     hangs : bool
         Whether runs make no progress.
+    max_listed_ends : int
+        Number of ends that a report lists at most.
     clock_origin : float
         Unix time in seconds at which the clock of this incarnation showed 0.
     """
@@ -85,6 +88,7 @@
     stop_seconds: float = 0.0
     fails: bool = False
     hangs: bool = False
+    max_listed_ends: int = MAX_LISTED_ENDS
     crashed: bool = False
     clock_origin: float = field(init=False)
     highest_epoch: Epoch = Epoch(0)
@@ -172,7 +176,8 @@
                 RunStatus(run, NO_CHECKPOINT, self._progress(item))
                 for run, item in self.running.items()
             ),
-            tuple(self.ends),
+            tuple(self.ends[: self.max_listed_ends]),
+            is_complete=len(self.ends) < self.max_listed_ends,
         )
 
     def crash(self) -> None:
--- a/tests/batch/test_acknowledgements.py
+++ b/tests/batch/test_acknowledgements.py
@@ -71,6 +71,13 @@
         self.sut.leader.client.latency = 0.0
         self.check_runs_once()
 
+    def test_report_that_lists_only_some_ends(self) -> None:
+        """Guards against taking a run for absent whose end is on a later page of the report."""
+        self.sut.worker("w0").max_listed_ends = 2
+        self.set_run_seconds(SHORT_RUN_SECONDS)
+        self.sut.submit("b1", StepSpec(6, RESOURCES, SHORT_RUN_SECONDS))
+        self.check_runs_once()
+
 
 class EndOfReleasedRun(unittest.TestCase):
     """A worker reports the end of a run that the leader had released."""
