Poll a worker at once if the connection for an acknowledgement is in use

A start or stop may use the connection at that moment. The next poll goes without the acknowledgement and without a delay, which grows only while acknowledgements repeatedly cannot be sent, and the connections that brought reports are kept.

test_worker_that_closes_each_connection guards the number of polls; it passes before this change, too.

--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -69,9 +69,9 @@
 
 def _acknowledgement_delay(session: Session) -> float:
     """Return the seconds until the next poll after an acknowledgement that was not sent."""
-    # The worker may close each connection after its response.
-    delay = ACKNOWLEDGE_CHECK_INTERVAL_SECONDS * 2**session.unsent_acknowledgements
-    return min(RETRY_DELAY_SECONDS, delay)
+    # The connections may have been in use once, or the worker closes each after its response.
+    repetitions = session.unsent_acknowledgements - 1
+    return min(RETRY_DELAY_SECONDS, ACKNOWLEDGE_CHECK_INTERVAL_SECONDS * repetitions)
 
 
 class FleetController(Controller):
@@ -410,14 +410,15 @@
         self.clock.call_later(self._probe_interval(), probe)
 
     async def _poll_while_busy(self, session: Session) -> None:
-        epoch = self._epoch
+        epoch, acknowledges = self._epoch, True
         while not session.closed and session.needs_poll and self._is_current(epoch):
             if not self._may_extend_leases(self.clock.now()):
                 await sleep(self.clock, RETRY_DELAY_SECONDS)
                 if not session.closed and self._is_current(epoch):
                     self._release_expired(session)
                 continue
-            sent_at, acknowledgement = self.clock.now(), session.next_acknowledgement()
+            sent_at = self.clock.now()
+            acknowledgement = session.next_acknowledgement() if acknowledges else None
             outcome = await self._client.renew_leases(
                 session.worker.entry,
                 OrderPermission(epoch, self._lease_extensions_end()),
@@ -427,9 +428,9 @@
             )
             if session.closed or not self._is_current(epoch):
                 return
-            if isinstance(outcome, NotSent):
-                # The next report shows whether the worker has restarted.
-                session.connections.clear()
+            acknowledges = not isinstance(outcome, NotSent)
+            if not acknowledges:
+                # A report over a new connection shows whether the worker has restarted.
                 session.unsent_acknowledgements += 1
                 await sleep(self.clock, _acknowledgement_delay(session))
                 continue
--- a/tests/batch/test_acknowledgements.py
+++ b/tests/batch/test_acknowledgements.py
@@ -28,6 +28,7 @@
 LONG_RUN_SECONDS = 2.0
 SHORT_RUN_SECONDS = 0.2
 SETTLE_SECONDS = 20.0
+MAX_POLLS_PER_SECOND = 10.0  # of a worker without runs
 POLL_LATENCY_SECONDS = 0.5  # longer than a short run
 
 
@@ -78,6 +79,23 @@
         self.sut.submit("b1", StepSpec(6, RESOURCES, SHORT_RUN_SECONDS))
         self.check_runs_once()
 
+    def test_worker_that_closes_each_connection(self) -> None:
+        """Guards against polls without pause of a worker that no acknowledgement can reach."""
+        client = self.sut.leader.client
+        polls = []
+        renew = client.renew_leases
+
+        async def renew_and_close(*args):
+            polls.append(args)
+            outcome = await renew(*args)
+            client.connections.clear()
+            return outcome
+
+        client.renew_leases = renew_and_close
+        self.sut.submit("b1", StepSpec(2, RESOURCES, SHORT_RUN_SECONDS))
+        self.check_runs_once()
+        self.assertLess(len(polls) / SETTLE_SECONDS, MAX_POLLS_PER_SECOND)
+
 
 class EndOfReleasedRun(unittest.TestCase):
     """A worker reports the end of a run that the leader had released."""
