Request a complete report of a worker that may have restarted

Callers saw, on the product's own interface: a gang that stayed unfinished because one of its workers had restarted and lost its tasks.

Renewals request the changes since a sequence of the worker's process. If it restarted between two renewals, none failed, and the new process, which numbers its reports anew, had no changes to report.

Evidence: test_worker_that_restarts_between_two_renewals fails without the change: the gang is not started again within 40 s.

Change: a renewal with a sequence uses a connection that brought a report. If none is open, a complete report is requested, which shows the lost tasks.

--- a/chivefall/controllers/workers/_table.py
+++ b/chivefall/controllers/workers/_table.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass, field, replace
 
 from chivefall.config import Address
-from chivefall.model import AttemptId, Epoch, TaskState
+from chivefall.model import AttemptId, ConnectionId, Epoch, TaskState
 from chivefall.workers import Instance, LeaseReport, TaskReport
 
 __all__ = ["Worker", "tasks_lost_by_restart"]
 
 
+MAX_CONNECTIONS = 8  # more are rarely open to one worker
+
+
 @dataclass
 class Worker:
     """A worker and the tasks that it reported.
@@ -19,6 +23,9 @@
     ----------
     last_sequence : int
         Highest report sequence that was processed; 0 requests a complete report.
+    connections : deque of ConnectionId
+        Latest connections over which reports came. A sequence is only valid for the process
+        that reported it, so later requests with one use these connections.
     ended_at : dict
         Time at which each recent attempt was first reported as ended.
     reported : bool
@@ -38,6 +45,7 @@
     instance: Instance
     address: Address
     last_sequence: int = 0
+    connections: deque[ConnectionId] = field(default_factory=lambda: deque(maxlen=MAX_CONNECTIONS))
     tasks: dict[AttemptId, TaskReport] = field(default_factory=dict)
     ended_at: dict[AttemptId, float] = field(default_factory=dict)
     reported: bool = False
--- a/chivefall/controllers/workers/_workers.py
+++ b/chivefall/controllers/workers/_workers.py
@@ -307,6 +307,7 @@
         if worker.renewal_epoch != epoch:
             worker.renewal_epoch = epoch
             worker.last_sequence = worker.failed_renewals = 0
+            worker.connections.clear()
             worker.reported = worker.lost = False
             worker.tasks.clear()
             worker.ended_at.clear()
@@ -333,11 +334,15 @@
                 worker.last_sequence,
                 timing.worker_poll if responsive else 0.0,
             )
-            outcome = await self._client.renew(worker.address, request)
+            connections = worker.connections if worker.last_sequence else None
+            outcome = await self._client.renew(worker.address, request, connections)
             if self._leader.epoch != epoch:
                 return
             if isinstance(outcome, LeaseReport):
                 self._accept_report(worker, outcome)
+            elif connections is not None and isinstance(outcome, Unreachable) and not outcome.sent:
+                # The worker may have restarted; a complete report shows whether it has.
+                worker.last_sequence = 0
             elif isinstance(outcome, CommandRefused):
                 self._check_epoch(outcome)
                 await sleep(self.clock, RENEWAL_RETRY_DELAY_SECONDS)
@@ -357,6 +362,8 @@
             else (*report.tasks, *tasks_lost_by_restart(worker, report))
         )
         worker.last_sequence = report.sequence
+        if report.connection not in worker.connections:
+            worker.connections.append(report.connection)
         for task in tasks:
             worker.record_report(task, now)
             self.fire(task_reported(report.worker, task))
--- a/chivefall/workers/_client.py
+++ b/chivefall/workers/_client.py
@@ -10,6 +10,7 @@
 from chivefall.model import (
     AccountId,
     AttemptId,
+    ConnectionId,
     DomainId,
     EndpointId,
     Epoch,
@@ -24,6 +25,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from chivefall.config import Address
 
 __all__ = [
@@ -178,11 +181,18 @@
 
 @dataclass(frozen=True)
 class LeaseReport:
-    """Tasks that changed since the sequence in the request."""
+    """Tasks that changed since the sequence in the request.
+
+    Attributes
+    ----------
+    connection : ConnectionId or None
+        The connection over which the report came; not part of the message.
+    """
 
     worker: WorkerId
     sequence: int
     tasks: tuple[TaskReport, ...] = field(default=())
+    connection: ConnectionId | None = None
 
 
 @dataclass(frozen=True)
@@ -232,9 +242,18 @@
 
     @abstractmethod
     async def renew(
-        self, address: Address, request: LeaseRequest
+        self,
+        address: Address,
+        request: LeaseRequest,
+        connections: Collection[ConnectionId] | None = None,
     ) -> LeaseReport | CommandRefused | Unreachable:
-        """Renew a worker's leases and wait for changes of its tasks."""
+        """Renew a worker's leases and wait for changes of its tasks.
+
+        Parameters
+        ----------
+        connections : collection of ConnectionId, optional
+            The connections that may carry the request, which is not sent if none is open.
+        """
 
     @abstractmethod
     async def reserve(
--- a/chivefall/workers/_http_client.py
+++ b/chivefall/workers/_http_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, TypeVar
 
@@ -26,7 +27,9 @@
 )
 
 if TYPE_CHECKING:
-    from chivefall.model import AttemptId, Epoch
+    from collections.abc import Collection
+
+    from chivefall.model import AttemptId, ConnectionId, Epoch
 
 __all__ = ["HttpWorkerClient"]
 
@@ -73,7 +76,10 @@
         return self._instances
 
     async def renew(
-        self, address: Address, request: LeaseRequest
+        self,
+        address: Address,
+        request: LeaseRequest,
+        connections: Collection[ConnectionId] | None = None,
     ) -> LeaseReport | CommandRefused | Unreachable:
         """Renew a worker's leases and wait for changes of its tasks."""
         body = msgspec.json.encode(request)
@@ -83,15 +89,17 @@
             "/v1/lease",
             body,
             timeout=request.wait + RENEWAL_TIMEOUT_MARGIN_SECONDS,
+            connections=connections,
         )
         if isinstance(response, HttpFailure):
             return Unreachable(response.reason, response.sent)
         if response.status >= HTTPStatus.MULTIPLE_CHOICES:
             return _refused(response.status, response.body)
         try:
-            return _decode(response.body, LeaseReport)
+            report = _decode(response.body, LeaseReport)
         except MessageError as exc:
             return Unreachable(str(exc), sent=True)
+        return replace(report, connection=response.connection)
 
     async def reserve(
         self, address: Address, epoch: Epoch, share: TaskShare, ttl: float
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import itertools
+from collections import defaultdict
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
+from chivefall.model import ConnectionId
 from chivefall.net import Envelope, Heartbeat, PeerFailure, PeerRequest, Peers
 from chivefall.runtime import Clock, Future, TimerHandle, spawn, wait_for
 from chivefall.workers import (
@@ -22,7 +25,7 @@
 from standins.worker import CommandRefusedError, WorkerState
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from chivefall.config import Address
     from chivefall.model import AttemptId, Epoch, InstanceId
@@ -116,6 +119,10 @@
         self.command_replies_to_lose: dict[tuple[str, str], float] = {}
         self.unreachable_commands: set[tuple[str, str]] = set()
         self.commands: list[tuple[str, str]] = []
+        numbers = itertools.count(1)
+        self._connections: dict[tuple[str, int], ConnectionId] = defaultdict(
+            lambda: ConnectionId(next(numbers))
+        )
 
     def add(self, instance: Instance, clock: Clock) -> WorkerState:
         """Add a worker to the instance list of the platform."""
@@ -129,20 +136,26 @@
         return self.instances
 
     async def renew(
-        self, address: Address, request: LeaseRequest
+        self,
+        address: Address,
+        request: LeaseRequest,
+        connections: Collection[ConnectionId] | None = None,
     ) -> LeaseReport | CommandRefused | Unreachable:
         """Renew a worker's leases and wait for changes of its tasks."""
         if str(address) in self.unreachable:
             return Unreachable("the worker is unreachable", sent=False)
         state = self.states[str(address)]
         restarts = state.restarts
+        connection = self._connections[str(address), restarts]
+        if connections is not None and connection not in connections:
+            return Unreachable("no connection that brought a report is open", sent=False)
         try:
             report = await state.renew(request)
         except CommandRefusedError as exc:
             return CommandRefused(exc.reason, state.epoch)
         if str(address) in self.unreachable or state.restarts != restarts:
             return Unreachable("the connection was closed", sent=True)
-        return report
+        return replace(report, connection=connection)
 
     async def reserve(
         self, address: Address, epoch: Epoch, share: TaskShare, ttl: float
@@ -312,10 +325,15 @@
         return await self._workers.list_instances()
 
     async def renew(
-        self, address: Address, request: LeaseRequest
+        self,
+        address: Address,
+        request: LeaseRequest,
+        connections: Collection[ConnectionId] | None = None,
     ) -> LeaseReport | CommandRefused | Unreachable:
         """Renew a worker's leases and wait for changes of its tasks."""
-        return await self._forward(address, lambda: self._workers.renew(address, request))
+        return await self._forward(
+            address, lambda: self._workers.renew(address, request, connections)
+        )
 
     async def reserve(
         self, address: Address, epoch: Epoch, share: TaskShare, ttl: float
--- a/tests/controllers/jobs/test_gangs.py
+++ b/tests/controllers/jobs/test_gangs.py
@@ -5,6 +5,7 @@
 import unittest
 from dataclasses import replace
 from math import inf
+from typing import TYPE_CHECKING, Any
 
 from chivefall.controllers.jobs._attempts import (
     AttemptDecision,
@@ -30,6 +31,9 @@
 from chivefall.workers import TaskReport
 from standins.cluster import Cluster
 
+if TYPE_CHECKING:
+    from chivefall.config import Address
+
 DOMAIN = "zarcero"
 FIRST, SECOND = f"{DOMAIN}-w00", f"{DOMAIN}-w01"
 GANG = {"gang_size": 2, "accelerators": 8, "payload": {"run_time": 2.0}}
@@ -141,6 +145,33 @@
         self.assertFalse(first & set(running.values()))
         self.assertIsInstance(self.cluster.outcome(self.job_id), Completed)
 
+    def test_worker_that_restarts_between_two_renewals(self) -> None:
+        """Guards against a report of changes since a sequence of the worker's former process.
+
+        The renewal that was waiting has ended before the restart, so that none fails.
+        """
+        self.cluster.outcome(self.job_id)
+        self.job_id = self.cluster.submit(DOMAIN, **{**GANG, "payload": {"run_time": 90.0}})
+        self.cluster.advance(1)
+        first = set(self.cluster.running_attempts(self.job_id).values())
+        workers, address = self.cluster.workers, self.cluster.address(SECOND)
+        renew = workers.renew
+
+        def restart_and_renew(to: Address, *args: Any) -> Any:
+            if str(to) == str(address):
+                workers.renew = renew
+                self.cluster.worker(SECOND).restart()
+            return renew(to, *args)
+
+        workers.renew = restart_and_renew
+        self.cluster.advance(40)
+        self.assertIs(workers.renew, renew)
+        running = self.cluster.running_attempts(self.job_id)
+        self.assertEqual(set(running), {FIRST, SECOND})
+        self.assertFalse(first & set(running.values()))
+        self.cluster.advance(90)
+        self.assertIsInstance(self.cluster.outcome(self.job_id), Completed)
+
     def test_unreachable_worker_releases_the_gang_but_not_its_own_share(self) -> None:
         """Guards against a second attempt while a share of the first may still run."""
         self.cluster.workers.unreachable.add(self.cluster.address(SECOND))
