Let the members of a finished gang end by themselves

Callers saw: nothing but needless stops. Since the end of a released run finishes its task, a member of a gang whose report came a moment after that of another one, which was done, was stopped as working on a task that is done.

Change: only other runs than the one that finished the gang are stopped.

--- a/chivefall/batch/_job.py
+++ b/chivefall/batch/_job.py
@@ -395,17 +395,26 @@
             self._finish(member)
         return bool(unfinished)
 
-    def superfluous_runs(self, key: TaskKey) -> list[RunId]:
-        """Return the later runs of a task, and of its gang, that was done by a former run."""
-        task = self.task(key)
+    def superfluous_runs(self, done: RunId) -> list[RunId]:
+        """Return the other runs of a task, and of its gang, that a run has finished."""
+        task = self.task(done.task)
         if task is None or task.state is not TaskState.DONE:
             return []
         return [
             RunId(self.job_id, member.key, member.assignment.number)
             for member in self._gang_of(task)
-            if member.assignment is not None
+            if member.assignment is not None and member.assignment.number != done.number
         ]
 
+    def is_superfluous(self, run: RunId) -> bool:
+        """Return whether a run works on a task that another run has finished.
+
+        The members of a gang end one by one, so a run of one that is done may be its own.
+        """
+        task = self._current(run.task, run.number)
+        is_gang = self.step_of(run.task).gang
+        return task is not None and task.state is TaskState.DONE and not is_gang
+
     def release(self, key: TaskKey, number: RunNumber) -> bool:
         """Return a task to waiting after its run turned out not to exist.
 
--- a/chivefall/controllers/batch/_scheduler.py
+++ b/chivefall/controllers/batch/_scheduler.py
@@ -17,7 +17,6 @@
     StopCause,
     StopReason,
     Submission,
-    TaskState,
     decode_submission,
     find_displacements,
     restore_progress,
@@ -487,7 +486,7 @@
         tracked = self.jobs.get(run.job)
         task = self._task_of(run)
         return task is not None and (
-            task.stopping or task.state is TaskState.DONE or tracked.job.state.is_final
+            task.stopping or tracked.job.is_superfluous(run) or tracked.job.state.is_final
         )
 
     def run_confirmed(self, run: RunId) -> None:
@@ -529,7 +528,7 @@
     def _stop_superfluous_runs(self, job: BatchJob, done: RunId) -> None:
         """Stop the later runs of a task that a released run has finished."""
         cause = StopCause(StopReason.TASK_DONE, {"done": str(done)})
-        for run in job.superfluous_runs(done.task):
+        for run in job.superfluous_runs(done):
             self._stop(run, cause)
 
     def _log_retry_delay(self, job: BatchJob, run: RunId) -> None:
--- a/tests/batch/test_acknowledgements.py
+++ b/tests/batch/test_acknowledgements.py
@@ -195,7 +195,7 @@
         job.release(key, first.number)
         (second,) = job.assign([(key, WorkerId("w1"), Incarnation(1))], 1.0)
         self.assertTrue(job.end_run(first, EndKind.DONE, NO_CHECKPOINT, 2.0))
-        self.assertEqual(job.superfluous_runs(key), [second])
+        self.assertEqual(job.superfluous_runs(first), [second])
         job.end_run(second, EndKind.FAILED, NO_CHECKPOINT, 3.0)
         self.assertIs(job.state, JobState.COMPLETED)
         self.assertEqual(job.active_tasks(), [])
