Let reports decide whether a worker with runs has restarted

Callers saw: a task that was at work ran a second time.

Cause: an entry with a higher incarnation than the session's released the runs that reports had listed. If the clock of the worker's machine had stepped back before a restart, the earlier incarnation has the higher number, and a delayed write or a new list of its entry looks like a restart.

Change: while a worker that has reported has runs, an entry of another incarnation only takes effect once a report shows that incarnation.

--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -197,9 +197,12 @@
 
     def _record_entry(self, entry: WorkerEntry) -> None:
         session = self._sessions.get(entry.worker_id)
-        if session is not None and session.is_newer_with_runs(entry):
-            # The worker's reports and the end of its leases show whether it restarted.
+        if session is not None and session.leaves_restart_to_reports(entry):
+            session.unconfirmed_entry = entry
             return
+        self._accept_entry(session, entry)
+
+    def _accept_entry(self, session: Session | None, entry: WorkerEntry) -> None:
         if session is not None and session.worker.entry.incarnation != entry.incarnation:
             session = self._replace_session(session, entry)
         elif session is None:
@@ -264,6 +267,10 @@
         Until the entry follows, its capacity and labels may be those of the previous
         incarnation, so nothing is placed on the worker.
         """
+        entry = session.unconfirmed_entry
+        if entry is not None and entry.incarnation == incarnation:
+            self._accept_entry(session, entry)
+            return
         entry = replace(session.worker.entry, incarnation=incarnation)
         session = self._replace_session(session, entry)
         session.worker.listed = False
--- a/chivefall/controllers/batch/_session.py
+++ b/chivefall/controllers/batch/_session.py
@@ -62,6 +62,8 @@
         whether that probe is due.
     closed : bool
         Whether the incarnation or this leadership has ended.
+    unconfirmed_entry : WorkerEntry or None
+        Latest entry of another incarnation that no report has shown yet.
     failures : int
         Consecutive calls without a response.
     """
@@ -86,16 +88,19 @@
     probe_scheduled: bool = False
     probe_due: bool = False
     closed: bool = False
+    unconfirmed_entry: WorkerEntry | None = None
     failures: int = 0
     _clock_reading: tuple[float, float] | None = None
 
-    def is_newer_with_runs(self, entry: WorkerEntry) -> bool:
-        """Return whether an entry has a lower incarnation than this one, which still has runs.
+    def leaves_restart_to_reports(self, entry: WorkerEntry) -> bool:
+        """Return whether an entry of another incarnation does not prove a restart.
 
-        It is a delayed write of an earlier incarnation, or the worker restarted after its
-        clock had stepped back.
+        It may be a delayed write of an earlier incarnation, which has a higher number if the
+        clock of the worker's machine stepped back in between.
         """
-        return bool(self.worker.runs) and entry.incarnation < self.worker.entry.incarnation
+        current = self.worker.entry.incarnation
+        may_be_delayed = self.worker.synced or entry.incarnation < current
+        return bool(self.worker.runs) and entry.incarnation != current and may_be_delayed
 
     def forget(self, run: RunId) -> None:
         """Release the resources of a run that has ended or does not exist."""
--- a/tests/batch/test_wrong_releases.py
+++ b/tests/batch/test_wrong_releases.py
@@ -3,11 +3,18 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
+
+import msgspec
 
 from chivefall.batch import (
+    Incarnation,
     Resources,
     StepSpec,
 )
+from chivefall.model import JobId, WorkerId
+from standins.run_history import repeated_runs, run_spans
+from standins.run_workers import make_worker_entry
 from tests.batch.deployment import Deployment
 
 RESOURCES = Resources(4_000, 16_000, 1)
@@ -17,6 +24,59 @@
 POLLS_UNTIL_OVERFLOW = 1100  # 2 to this power exceeds the range of a float
 
 
+class EntryOfAnEarlierIncarnation(unittest.TestCase):
+    """The clock of a worker's machine steps back before the worker restarts under its id.
+
+    Then the earlier incarnation has the higher number. Its entry appears again after reports
+    have shown the later one: by a write that arrives late, or by a new list of all entries.
+    """
+
+    def setUp(self) -> None:
+        self.sut = Deployment(workers=1)
+        self.earlier = replace(self.sut.worker("w0").entry, incarnation=Incarnation(7))
+        self.sut.add_worker(self.earlier)
+        self.sut.run(3.0)
+        self.sut.workers.add(replace(self.earlier, incarnation=Incarnation(3)))
+        self.sut.worker("w0").run_seconds = RUN_SECONDS
+        self.sut.leader.client.latency = 0.1
+        self.sut.submit("b1", StepSpec(1, RESOURCES, RUN_SECONDS))
+        self.sut.run(2.0)
+        session = self.sut.leader.application.fleet._sessions[WorkerId("w0")]
+        self.assertEqual(session.worker.entry.incarnation, 3)
+        self.assertEqual(len(session.reported), 1)
+
+    def repeat_earlier_entry(self) -> None:
+        self.sut.write("servers/w0", msgspec.json.encode(self.earlier))
+
+    def starts(self) -> int:
+        return sum(map(len, self.sut.workers.starts_of(JobId("b1")).values()))
+
+    def check_runs_once(self) -> None:
+        self.assertEqual(list(repeated_runs(run_spans(self.sut.workers.histories()))), [])
+        self.assertEqual(self.starts(), 1)
+
+    def test_run_in_progress(self) -> None:
+        """Guards against releasing a run that the last report has listed as running."""
+        self.repeat_earlier_entry()
+        self.sut.run(1.0)
+        self.sut.list_worker(self.sut.worker("w0"))
+        self.sut.run(SETTLE_SECONDS)
+        self.check_runs_once()
+
+    def test_run_that_ends_before_the_worker_is_listed(self) -> None:
+        """Guards against a second run whose first one is acknowledged as done later."""
+        self.sut.run(RUN_SECONDS - 2.5)
+        self.repeat_earlier_entry()
+        self.sut.run(1.5)
+        kinds = [kind for _, kind, _ in self.sut.worker("w0").history]
+        self.assertEqual(kinds[:2], ["start", "done"])
+        self.sut.add_worker(make_worker_entry("w1"))
+        self.sut.run(0.7)
+        self.sut.list_worker(self.sut.worker("w0"))
+        self.sut.run(SETTLE_SECONDS)
+        self.check_runs_once()
+
+
 class GangMembers(unittest.TestCase):
     def test_member_that_is_done_a_moment_later(self) -> None:
         """Guards against stopping a gang's member because another one has ended as done."""
