Acknowledge ends of a worker that closes each connection

Callers saw, with such a worker: jobs that never completed. It lists at most 500 ends at a time, and none was ever acknowledged.

Cause: an acknowledgement is bound to connections that brought a report.

Change: after two acknowledgements in a row that could not be sent, the next one is sent over any connection, if all runs of the worker began before the last report was requested. No start is placed on the worker until it is answered, so that a next incarnation cannot have ends that it would cover.

--- a/chivefall/batch/_fleet.py
+++ b/chivefall/batch/_fleet.py
@@ -29,6 +29,9 @@
         Whether the last call to the worker failed.
     listed : bool
         Whether the platform lists the worker.
+    accepts_starts : bool
+        Whether starts may be sent; not while an acknowledgement is that may reach the next
+        incarnation.
     runs : dict
         Step of each run that uses resources, from its assignment until its end is known.
     used : Resources
@@ -47,6 +50,7 @@
     synced: bool = False
     suspect: bool = False
     listed: bool = True
+    accepts_starts: bool = True
     runs: dict[RunId, StepSpec] = field(default_factory=dict)
     used: Resources = field(default_factory=Resources)
     avoided_until: float = 0.0
@@ -121,6 +125,7 @@
             and worker.listed
             and worker.synced
             and not worker.suspect
+            and worker.accepts_starts
             and entry.domain not in self.domains_out_of_service
             and (step.label is None or step.label in entry.labels)
         )
--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -426,6 +426,8 @@
                 continue
             sent_at = self.clock.now()
             acknowledgement = session.next_acknowledgement() if acknowledges else None
+            is_bound = acknowledgement is None or acknowledgement.connections is not None
+            session.worker.accepts_starts = is_bound
             outcome = await self._client.renew_leases(
                 session.worker.entry,
                 OrderPermission(epoch, self._lease_extensions_end()),
@@ -433,6 +435,7 @@
                 acknowledgement,
                 self._poll_wait(session, acknowledgement),
             )
+            session.worker.accepts_starts = True
             if session.closed or not self._is_current(epoch):
                 return
             acknowledges = not isinstance(outcome, NotSent)
@@ -483,7 +486,7 @@
         if report.incarnation not in (worker.entry.incarnation, Incarnation(0)):
             self._record_restart(session, report.incarnation)
             return
-        session.record_connection(report.connection)
+        session.record_report(report.connection, sent_at)
         session.record_clock(report.clock, self.clock.now())
         self._record_response(session)
         was_synced, worker.synced = worker.synced, True
--- a/chivefall/controllers/batch/_session.py
+++ b/chivefall/controllers/batch/_session.py
@@ -13,6 +13,7 @@
 
 NO_END = EndSequence(0)
 MAX_CONNECTIONS = 8  # that may carry an acknowledgement; more are rarely open to one worker
+MAX_UNSENT = 2  # acknowledgements, until they are no longer bound to a connection
 MAX_REORDERING_SECONDS = 5.0  # by which a response may be older than one received before it
 
 
@@ -50,6 +51,8 @@
         Latest connections over which reports of this incarnation came.
     unsent_acknowledgements : int
         Consecutive acknowledgements that were not sent, as no such connection was open.
+    report_requested_at : float
+        Time at which the last report was requested, in seconds since the Unix epoch.
     lease_deadline : float
         Latest lease end sent so far, in seconds on the worker's clock.
     stopping : set of RunId
@@ -81,6 +84,7 @@
     unwritten_ends: dict[EndSequence, RunEnd] = field(default_factory=dict)
     connections: deque[ConnectionId] = field(default_factory=lambda: deque(maxlen=MAX_CONNECTIONS))
     unsent_acknowledgements: int = 0
+    report_requested_at: float = float("-inf")
     lease_deadline: float = 0.0
     stopping: set[RunId] = field(default_factory=set)
     stop_accepted: dict[RunId, float] = field(default_factory=dict)
@@ -202,8 +206,9 @@
             min(self.unwritten_ends, default=self._highest_written + 1) - 1
         )
 
-    def record_connection(self, connection: ConnectionId | None) -> None:
-        """Record a connection over which a report of this incarnation came."""
+    def record_report(self, connection: ConnectionId | None, requested_at: float) -> None:
+        """Record the connection of a report of this incarnation and the time of its request."""
+        self.report_requested_at = requested_at
         if connection is not None and connection not in self.connections:
             self.connections.append(connection)
 
@@ -218,10 +223,24 @@
         Each is sent until the worker has received it and not again, so that a call that is
         executed late acknowledges no more than it has to.
         """
-        if not self.awaits_acknowledgement or not self.connections:
+        if not self.awaits_acknowledgement:
+            return None
+        if self.unsent_acknowledgements >= MAX_UNSENT and self._starts_precede_last_report():
+            return Acknowledgement(self.acknowledged, None)
+        if not self.connections:
             return None
         return Acknowledgement(self.acknowledged, frozenset(self.connections))
 
+    def _starts_precede_last_report(self) -> bool:
+        """Return whether all runs began before the last report was requested.
+
+        They end with this incarnation, so the next one has no ends unless starts are sent.
+        """
+        return not self.unanswered_starts and all(
+            self.expected_since.get(run, float("inf")) <= self.report_requested_at
+            for run in self.worker.runs
+        )
+
     @property
     def needs_poll(self) -> bool:
         """Return whether the worker must be polled again now."""
--- a/chivefall/workers/_runs.py
+++ b/chivefall/workers/_runs.py
@@ -113,12 +113,13 @@
     ----------
     sequence : EndSequence
         All ends up to this one have been processed.
-    connections : frozenset of ConnectionId
-        The connections over which it may be sent.
+    connections : frozenset of ConnectionId or None
+        The connections over which it may be sent; None if the next incarnation cannot have
+        any end, so that it may be sent over any connection.
     """
 
     sequence: EndSequence
-    connections: frozenset[ConnectionId]
+    connections: frozenset[ConnectionId] | None
 
 
 @dataclass(frozen=True)
--- a/standins/run_workers.py
+++ b/standins/run_workers.py
@@ -352,11 +352,12 @@
         """Extend all leases and return the report."""
         name, sequence, peer = worker.worker_id, EndSequence(0), None
         if acknowledgement is not None:
+            sequence = acknowledgement.sequence
+        if acknowledgement is not None and acknowledgement.connections is not None:
             peer, number = self.connections.get(name, (None, None))
             if number not in acknowledgement.connections or self._is_gone(name, peer):
                 self.connections.pop(name, None)
                 return NotSent("no connection that brought a report is open")
-            sequence = acknowledgement.sequence
         state = await self._reach(worker, permission)
         if not isinstance(state, RunWorker):
             self.connections.pop(name, None)
--- a/tests/batch/test_wrong_releases.py
+++ b/tests/batch/test_wrong_releases.py
@@ -9,6 +9,7 @@
 
 from chivefall.batch import (
     Incarnation,
+    JobState,
     Resources,
     StepSpec,
 )
@@ -77,6 +78,61 @@
         self.check_runs_once()
 
 
+class UnsentAcknowledgements(unittest.TestCase):
+    def setUp(self) -> None:
+        self.sut = Deployment(workers=1)
+        self.sut.worker("w0").run_seconds = 0.2
+
+    def close_connections(self) -> None:
+        """Let the worker close each connection after its response."""
+        client = self.sut.leader.client
+        renew_leases = client.renew_leases
+
+        async def renew_and_close(worker, *args):
+            client.connections.clear()
+            outcome = await renew_leases(worker, *args)
+            client.connections.clear()
+            return outcome
+
+        client.renew_leases = renew_and_close
+
+    def test_worker_that_closes_each_connection(self) -> None:
+        """Guards against ends that are never acknowledged to a worker without keep-alive."""
+        self.close_connections()
+        self.sut.submit("b1", StepSpec(2, RESOURCES, 0.2))
+        self.sut.run(SETTLE_SECONDS)
+        kinds = [kind for _, kind, _ in self.sut.worker("w0").history]
+        self.assertEqual(kinds.count("noted"), 2)
+
+    def test_tasks_of_a_worker_that_closes_each_connection(self) -> None:
+        """Guards against jobs that never complete once a report has no room for more ends."""
+        self.close_connections()
+        self.sut.worker("w0").max_listed_ends = 2
+        self.sut.submit("b1", StepSpec(6, RESOURCES, 0.2))
+        self.sut.run(SETTLE_SECONDS)
+        self.assertIs(self.sut.state_of("b1"), JobState.COMPLETED)
+
+    def test_many_unsent_acknowledgements(self) -> None:
+        """Guards against a delay whose exponent grows without a limit."""
+        self.close_connections()
+        self.sut.submit("b1", StepSpec(2, RESOURCES, 0.2))
+        self.sut.run(2.0)
+        fleet = self.sut.leader.application.fleet
+        session = fleet._sessions[WorkerId("w0")]
+        session.unsent_acknowledgements = POLLS_UNTIL_OVERFLOW
+        self.sut.submit("b2", StepSpec(2, RESOURCES, 0.2))
+        calls = []
+        renew_leases = self.sut.leader.client.renew_leases
+
+        async def count(worker, *args):
+            calls.append(self.sut.clock.now())
+            return await renew_leases(worker, *args)
+
+        self.sut.leader.client.renew_leases = count
+        self.sut.run(4.0)
+        self.assertIn(len(calls), range(1, 30))
+
+
 class GangMembers(unittest.TestCase):
     def test_member_that_is_done_a_moment_later(self) -> None:
         """Guards against stopping a gang's member because another one has ended as done."""
