Acknowledge an end that is reported again during the write of its record

A worker listed such an end for ever, and as acknowledgements are cumulative, all its later ends too. A worker lists at most 500 ends, so runs that ended behind these were not seen any more.

Cause: the acknowledgement was put beside those of the next write, and after the write under way there was none unless the job changed again.

Evidence: test_new_session_during_the_write; the worker still listed the end 6 s after its record was written.

Change: the job is written once more and the end acknowledged after that. With it the worker lists no end at that time, and the task has one start.

--- a/chivefall/controllers/batch/_scheduler.py
+++ b/chivefall/controllers/batch/_scheduler.py
@@ -521,8 +521,8 @@
                 self._stop_all(tracked.job)
             self._writer.schedule_write(tracked, acknowledge)
         elif tracked.has_pending_write:
-            # The end may have been applied already and its write may be pending.
-            tracked.on_written.append(acknowledge)
+            # The end may have been applied already, and the write under way may be the last one.
+            self._writer.schedule_write(tracked, acknowledge)
         else:
             acknowledge()
 
--- a/tests/batch/test_acknowledgements.py
+++ b/tests/batch/test_acknowledgements.py
@@ -19,9 +19,11 @@
     TaskState,
 )
 from chivefall.model import JobId, WorkerId
+from chivefall.runtime import sleep
+from chivefall.store import BatchPart
 from standins.run_history import repeated_runs, run_spans
 from standins.run_workers import make_worker_entry
-from tests.batch.deployment import ACCOUNT, NORMAL, Deployment
+from tests.batch.deployment import ACCOUNT, NORMAL, Deployment, Instance
 
 RESOURCES = Resources(4_000, 16_000, 1)
 WHOLE_WORKER = Resources(32_000, 131_072, 8)
@@ -193,6 +195,45 @@
         self.assertIs(job.task(key).state, TaskState.WAITING)
 
 
+class EndReportedAgain(unittest.TestCase):
+    """A worker reports an end again while the write of its record is under way."""
+
+    def test_new_session_during_the_write(self) -> None:
+        """Guards against an end that is recorded and never acknowledged.
+
+        Acknowledgements are cumulative, so it would hold back all later ends of the worker.
+        """
+        sut = Deployment(workers=1)
+        sut.worker("w0").run_seconds = LONG_RUN_SECONDS
+        leader = sut.leader
+        sut.submit("b1", StepSpec(1, RESOURCES, LONG_RUN_SECONDS))
+        sut.run(1.0)
+        delay_progress_writes(leader, 3.0)
+        sut.run(LONG_RUN_SECONDS - 0.9)
+        self.assertTrue(sut.worker("w0").ends)
+        leader.client.misdirected.add("w0")
+        sut.run(1.2)
+        leader.client.misdirected.clear()
+        sut.list_worker(sut.worker("w0"))
+        sut.run(6.0)
+        self.assertIs(sut.state_of("b1"), JobState.COMPLETED)
+        self.assertEqual(sut.worker("w0").ends, [])
+        self.assertEqual([kind for _, kind, _ in sut.worker("w0").history].count("start"), 1)
+
+
+def delay_progress_writes(instance: Instance, seconds: float) -> None:
+    """Delay the replies to an instance's writes of progress."""
+    transact = instance.store.transact
+
+    async def delayed(conditions, puts=(), deletes=()):
+        outcome = await transact(conditions, puts, deletes)
+        if any(put.key.endswith(f"/{BatchPart.PROGRESS.value}") for put in puts):
+            await sleep(instance.store._clock, seconds)
+        return outcome
+
+    instance.store.transact = delayed
+
+
 def submission(step: StepSpec) -> Submission:
     """Return the submission of a job with one step."""
     return Submission(JobId("b1"), NORMAL, ACCOUNT.name, 0.0, BatchSpec("payload", (step,)))
