Count a failed end of a released run as an attempt, once

Callers saw: a task was started more often than its queue's max_attempts allows, when a run of it was released and its failed end was reported later. And a gang whose members failed before and after a takeover could be shown as failed after one run.

Cause: only the end of the current run counted. Which run of a gang had been counted was kept in memory, not in the record.

Change: a task keeps the numbers of the runs that counted, also in its record, and each run counts once, whether it is the current one or not. Records of earlier versions hold the number of failures only; their failed runs count again if their ends are reported again. Test: two starts, and failed.

--- a/chivefall/batch/_codec.py
+++ b/chivefall/batch/_codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from typing import Annotated
 
 import msgspec
@@ -59,9 +60,17 @@
     number: _Count = 0
 
 
-class _Progress(msgspec.Struct):
+class _FailedRunRow(msgspec.Struct, array_like=True):
+    occurrence: _Count
+    step: _Count
+    index: _Count
+    number: _Count
+
+
+class _Progress(msgspec.Struct, omit_defaults=True):
     state: JobState
     tasks: list[_TaskRow]
+    failed_runs: list[_FailedRunRow] = []  # absent in the records of earlier versions
 
 
 def encode_submission(submission: Submission) -> bytes:
@@ -96,7 +105,13 @@
 
 def encode_progress(job: BatchJob) -> bytes:
     """Return the record of a job's progress; tasks that were never assigned are left out."""
-    return msgspec.json.encode(_Progress(job.state, [_row(task) for task in _assigned_tasks(job)]))
+    rows = [_row(task) for task in _assigned_tasks(job)]
+    failed_runs = [
+        _FailedRunRow(*task.key, number)
+        for task in job.tasks()
+        for number in sorted(task.failed_runs)
+    ]
+    return msgspec.json.encode(_Progress(job.state, rows, failed_runs))
 
 
 def decode_job_state(value: bytes) -> JobState:
@@ -122,19 +137,25 @@
     job.failed = raw.state is JobState.FAILED
     job.cancelled = job.cancelled or raw.state is JobState.CANCELLED
     job.started = job.started or raw.state is not JobState.QUEUED
+    failed_runs: dict[TaskKey, list[RunNumber]] = defaultdict(list)
+    for row in raw.failed_runs:
+        key = TaskKey(row.occurrence, row.step, row.index)
+        failed_runs[key].append(RunNumber(row.number))
     for row in raw.tasks:
+        key = TaskKey(row.occurrence, row.step, row.index)
         assignment = None
         if row.worker:
             assignment = Assignment(
                 WorkerId(row.worker), Incarnation(row.incarnation), RunNumber(row.number)
             )
         job.restore(
-            TaskKey(row.occurrence, row.step, row.index),
+            key,
             _STATES[row.state],
             RunNumber(row.runs),
             row.failures,
             Checkpoint(row.checkpoint),
             assignment,
+            failed_runs[key],
         )
 
 
--- a/chivefall/batch/_job.py
+++ b/chivefall/batch/_job.py
@@ -102,6 +102,8 @@
         Number of the latest run; 0 if the task was never assigned.
     failures : int
         Number of failed runs; a failed run of a gang counts for one member only.
+    failed_runs : set of RunNumber
+        The counted runs, since an end may be reported again, also to a later leader.
     started_at : float
         Time of the assignment of the current run, in seconds since the Unix epoch.
     progress : float
@@ -130,6 +132,7 @@
     state: TaskState = TaskState.WAITING
     last_run_number: RunNumber = NO_RUN
     failures: int = 0
+    failed_runs: set[RunNumber] = field(default_factory=set)
     checkpoint: Checkpoint = NO_CHECKPOINT
     assignment: Assignment | None = None
     started_at: float = 0.0
@@ -181,7 +184,6 @@
         self._unfinished = {group: len(tasks) for group, tasks in self._tasks.items()}
         self._ready_since: dict[tuple[int, int], float] = {}
         self._room_since: dict[tuple[int, int], float] = {}
-        self._failed_runs: set[tuple[int, int, RunNumber]] = set()
 
     @property
     def job_id(self) -> JobId:
@@ -365,7 +367,7 @@
         """Apply the end of a run; return False if it changes nothing."""
         task = self._current(run.task, run.number)
         if task is None:
-            return kind is EndKind.DONE and self._finish_by_former_run(run)
+            return self._end_former_run(run, kind)
         self.begun = True
         self._record_checkpoint(task, checkpoint)
         if kind is EndKind.FAILED:
@@ -380,20 +382,25 @@
                 self._finish(member)
         elif kind is EndKind.FAILED and task.state is not TaskState.DONE:
             self._count_failure(task, run.number)
-            if self._failures_of(task) >= self.max_attempts:
-                self.failed = True
         self._release(task)
         return True
 
-    def _finish_by_former_run(self, run: RunId) -> bool:
-        """Finish a task by a run that was released; return False if that changes nothing."""
+    def _end_former_run(self, run: RunId, kind: EndKind) -> bool:
+        """Apply the end of a run that was released; return False if it changes nothing."""
         task = self.task(run.task)
         if task is None or self._is_long_running(task) or run.number > task.last_run_number:
             return False
         unfinished = [item for item in self._gang_of(task) if item.state is not TaskState.DONE]
-        for member in unfinished:
-            self._finish(member)
-        return bool(unfinished)
+        if kind is EndKind.DONE:
+            for member in unfinished:
+                self._finish(member)
+            changed = bool(unfinished)
+        elif kind is EndKind.FAILED and task in unfinished and not self.state.is_final:
+            changed = self._count_failure(task, run.number)
+        else:
+            changed = False
+        self.begun = self.begun or changed
+        return changed
 
     def superfluous_runs(self, key: TaskKey) -> list[RunId]:
         """Return the later runs of a task, and of its gang, that was done by a former run."""
@@ -435,14 +442,17 @@
             return sum(member.failures for member in self._members(task))
         return task.failures
 
-    def _count_failure(self, task: Task, number: RunNumber) -> None:
-        """Count a failed run; a run of a gang counts once, even if several members fail."""
-        if self.step_of(task.key).gang:
-            run = (task.key.occurrence, task.key.step, number)
-            if run in self._failed_runs:
-                return
-            self._failed_runs.add(run)
+    def _count_failure(self, task: Task, number: RunNumber) -> bool:
+        """Count a failed run as an attempt; return False if it was counted before.
+
+        A run of a gang counts once, even if several members fail.
+        """
+        if any(number in member.failed_runs for member in self._gang_of(task)):
+            return False
+        task.failed_runs.add(number)
         task.failures += 1
+        self.failed = self.failed or self._failures_of(task) >= self.max_attempts
+        return True
 
     def _is_long_running(self, task: Task) -> bool:
         return self.step_of(task.key).long_running
@@ -470,6 +480,7 @@
         failures: int,
         checkpoint: Checkpoint,
         assignment: Assignment | None,
+        failed_runs: Iterable[RunNumber] = (),
     ) -> None:
         """Set the state of a task from a stored record."""
         task = self.task(key)
@@ -487,3 +498,4 @@
             checkpoint,
         )
         task.assignment = assignment
+        task.failed_runs = set(failed_runs)
--- a/tests/batch/test_acknowledgements.py
+++ b/tests/batch/test_acknowledgements.py
@@ -17,6 +17,8 @@
     Submission,
     TaskKey,
     TaskState,
+    encode_progress,
+    restore_progress,
 )
 from chivefall.model import JobId, WorkerId
 from chivefall.runtime import sleep
@@ -194,6 +196,53 @@
         self.assertFalse(job.end_run(first, EndKind.DONE, NO_CHECKPOINT, 2.0))
         self.assertIs(job.task(key).state, TaskState.WAITING)
 
+    def test_failed_end(self) -> None:
+        """Guards against a third run of a task that has failed twice, once after its release."""
+        for name in ("w0", "w1"):
+            self.sut.worker(name).fails = True
+            self.set_run_seconds(name, LONG_RUN_SECONDS)
+        self.sut.submit("b1", StepSpec(1, WHOLE_WORKER, LONG_RUN_SECONDS))
+        self.sut.run(0.5)
+        first, second = ("w0", "w1") if self.sut.worker("w0").running else ("w1", "w0")
+        self.set_run_seconds(second, 4 * LONG_RUN_SECONDS)
+        self.sut.leader.client.misdirected.add(first)
+        self.sut.delete(f"servers/{first}")
+        self.sut.run(LONG_RUN_SECONDS)
+        self.sut.leader.client.misdirected.clear()
+        self.sut.list_worker(self.sut.worker(first))
+        self.sut.run(SETTLE_SECONDS)
+        self.assertIs(self.sut.state_of("b1"), JobState.FAILED)
+        self.assertEqual(self.starts(), [2])
+
+    def test_failed_ends_that_are_reported_again(self) -> None:
+        """Guards against an attempt that counts twice, in this leader or in the next."""
+        for gang in (False, True):
+            with self.subTest(gang=gang):
+                self.check_failed_ends_count_once(gang=gang)
+
+    def check_failed_ends_count_once(self, *, gang: bool) -> None:
+        job_submission = submission(StepSpec(2, RESOURCES, LONG_RUN_SECONDS, gang=gang))
+        job = BatchJob(job_submission, max_attempts=3)
+        placements = [(TaskKey(0, 0, index), WorkerId("w0"), Incarnation(1)) for index in (0, 1)]
+        released = job.assign(placements, 0.0)
+        for run in released:
+            job.release(run.task, run.number)
+        current = job.assign(placements, 1.0)
+        self.assertTrue(job.end_run(released[0], EndKind.FAILED, NO_CHECKPOINT, 2.0))
+        job.end_run(current[0], EndKind.FAILED, NO_CHECKPOINT, 2.0)
+        later = BatchJob(job_submission, max_attempts=3)
+        restore_progress(later, encode_progress(job))
+        for item in (job, later):
+            self.assertFalse(item.end_run(released[0], EndKind.FAILED, NO_CHECKPOINT, 3.0))
+            self.assertFalse(item.end_run(current[0], EndKind.FAILED, NO_CHECKPOINT, 3.0))
+            # In a gang these are ends of the same two runs.
+            item.end_run(released[1], EndKind.FAILED, NO_CHECKPOINT, 3.0)
+            item.end_run(current[1], EndKind.FAILED, NO_CHECKPOINT, 3.0)
+            self.assertIs(item.state, JobState.RUNNING)
+            (third,) = item.assign(placements[:1], 4.0)
+            item.end_run(third, EndKind.FAILED, NO_CHECKPOINT, 5.0)
+            self.assertIs(item.state, JobState.FAILED)
+
 
 class EndReportedAgain(unittest.TestCase):
     """A worker reports an end again while the write of its record is under way."""
