Decide about ends of unknown jobs by the store before they are acknowledged

Callers saw: a task that had ended as done ran again after an invalid record of its job was repaired. A job that a list of the store had missed stayed as it was for ever, and the ends of its runs were lost.

Cause: the end of a run of a job that the leader did not manage was acknowledged at once. Removed jobs, ignored jobs and jobs that were not read were not told apart. Records of jobs that came after the load were read without their progress.

Change: the keys of the job are read first. Ends of a removed job are acknowledged. A job that was not read is read with its progress, and the end applied. Ends of a job with an invalid record are stored below its own key, and applied by the next leader that can read the job, so that they hold back no other acknowledgement of the worker. A list of the platform's store misses no key that exists throughout, as its pages are in the order of keys and the watch starts at the revision of the first one; the tests use a list that does.

--- a/chivefall/batch/__init__.py
+++ b/chivefall/batch/__init__.py
@@ -3,15 +3,25 @@
 from __future__ import annotations
 
 from chivefall.batch._codec import (
+    decode_ends,
     decode_job_state,
     decode_submission,
+    encode_ends,
     encode_progress,
     encode_submission,
     restore_progress,
 )
 from chivefall.batch._displacement import Displacement, DisplacementReason, find_displacements
 from chivefall.batch._fleet import Fleet, Worker
-from chivefall.batch._job import Assignment, BatchJob, EndKind, Submission, Task, TaskState
+from chivefall.batch._job import (
+    Assignment,
+    BatchJob,
+    EndKind,
+    RecordedEnd,
+    Submission,
+    Task,
+    TaskState,
+)
 from chivefall.batch._model import (
     NO_CHECKPOINT,
     ApiKey,
@@ -91,6 +101,7 @@
     "PlatformCodec",
     "Queue",
     "QueueId",
+    "RecordedEnd",
     "Resources",
     "RunId",
     "RunNumber",
@@ -105,8 +116,10 @@
     "Worker",
     "WorkerEntry",
     "WorkerStatus",
+    "decode_ends",
     "decode_job_state",
     "decode_submission",
+    "encode_ends",
     "encode_progress",
     "encode_submission",
     "find_displacements",
--- a/chivefall/batch/_codec.py
+++ b/chivefall/batch/_codec.py
@@ -3,17 +3,25 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from typing import Annotated
+from typing import TYPE_CHECKING, Annotated
 
 import msgspec
 
-from chivefall.batch._job import Assignment, BatchJob, Submission, TaskState
+from chivefall.batch._job import (
+    Assignment,
+    BatchJob,
+    EndKind,
+    RecordedEnd,
+    Submission,
+    TaskState,
+)
 from chivefall.batch._model import (
     BatchSpec,
     Checkpoint,
     Incarnation,
     JobState,
     Queue,
+    RunId,
     RunNumber,
     TaskKey,
 )
@@ -22,9 +30,14 @@
 from chivefall.errors import MessageError
 from chivefall.model import AccountId, JobId, WorkerId
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 __all__ = [
+    "decode_ends",
     "decode_job_state",
     "decode_submission",
+    "encode_ends",
     "encode_progress",
     "encode_submission",
     "restore_progress",
@@ -73,6 +86,15 @@
     failed_runs: list[_FailedRunRow] = []  # absent in the records of earlier versions
 
 
+class _EndRow(msgspec.Struct, array_like=True):
+    occurrence: _Count
+    step: _Count
+    index: _Count
+    number: _Count
+    kind: EndKind
+    checkpoint: str
+
+
 def encode_submission(submission: Submission) -> bytes:
     """Return the record of an accepted job."""
     return msgspec.json.encode(
@@ -159,6 +181,31 @@
         )
 
 
+def encode_ends(ends: Iterable[RecordedEnd]) -> bytes:
+    """Return the record of ends of runs of one job."""
+    return msgspec.json.encode(
+        [_EndRow(*end.run.task, end.run.number, end.kind, end.checkpoint) for end in ends]
+    )
+
+
+def decode_ends(job_id: JobId, value: bytes) -> list[RecordedEnd]:
+    """Return the ends of runs of a job that a record holds.
+
+    Raises
+    ------
+    MessageError
+        If the record cannot be read.
+    """
+    return [
+        RecordedEnd(
+            RunId(job_id, TaskKey(row.occurrence, row.step, row.index), RunNumber(row.number)),
+            row.kind,
+            Checkpoint(row.checkpoint),
+        )
+        for row in _decode(value, list[_EndRow])
+    ]
+
+
 def _assigned_tasks(job: BatchJob):
     return (
         task for task in job.tasks() if task.last_run_number or task.state is not TaskState.WAITING
--- a/chivefall/batch/_job.py
+++ b/chivefall/batch/_job.py
@@ -24,7 +24,7 @@
     from collections.abc import Iterable, Iterator
 
 
-__all__ = ["Assignment", "BatchJob", "EndKind", "Submission", "Task", "TaskState"]
+__all__ = ["Assignment", "BatchJob", "EndKind", "RecordedEnd", "Submission", "Task", "TaskState"]
 
 
 NO_RUN = RunNumber(0)
@@ -66,6 +66,15 @@
     ALONE = "alone"
 
 
+@dataclass(frozen=True)
+class RecordedEnd:
+    """The end of a run, independent of the worker that reported it."""
+
+    run: RunId
+    kind: EndKind
+    checkpoint: Checkpoint
+
+
 @dataclass(frozen=True)
 class Submission:
     """An accepted job as it is stored.
--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -322,7 +322,9 @@
         session = self._sessions.get(worker)
         if session is None:
             self._orphans.setdefault(worker, []).append((run, step, incarnation))
-        else:
+            if self.is_loaded:
+                self._schedule_orphan_release(self._epoch)
+        elif not session.has_unwritten_end(run):
             self._adopt_run(session, run, step, incarnation)
 
     def _adopt_run(
--- a/chivefall/controllers/batch/_scheduler.py
+++ b/chivefall/controllers/batch/_scheduler.py
@@ -12,12 +12,14 @@
     Candidate,
     JobState,
     Queue,
+    RecordedEnd,
     RunId,
     StepSpec,
     StopCause,
     StopReason,
     Submission,
     TaskState,
+    decode_ends,
     decode_submission,
     find_displacements,
     restore_progress,
@@ -27,6 +29,7 @@
 from chivefall.controllers.batch._progress_writer import ProgressWriter
 from chivefall.controllers.batch._records import TrackedJob
 from chivefall.controllers.batch._run_listener import RunListener
+from chivefall.controllers.batch._unapplied_ends import UnappliedEnds
 from chivefall.errors import MessageError
 from chivefall.model import JobId
 from chivefall.runtime import sleep
@@ -63,7 +66,7 @@
 WATCH_INTERVAL_SECONDS = 0.03  # between watches of the jobs, which change with each commit
 MISSED_CHECK_INTERVAL_SECONDS = 0.5  # between checks for jobs missed by the watch
 MAX_UNCONFIRMED_SECONDS = 1.0  # from an assignment until the job counts as pending again
-JOBS_PER_REMOVAL = 10  # 3 keys a job; a store transaction takes 32 entries
+JOBS_PER_REMOVAL = 7  # 4 keys a job; a store transaction takes 32 entries
 LOAD_TIMEOUT_SECONDS = 8.0  # for a new leader to read the jobs; 2 MB take 3 s at 5 Mbit/s
 
 
@@ -100,6 +103,9 @@
         self._round_scheduled = False
         self._last_round_seconds = 0.0
         self._writer = ProgressWriter(clock, store, leader, self.run_task, self._record_written)
+        self._unapplied_ends = UnappliedEnds(
+            clock, store, leader, metrics, self.run_task, self._read_job, self._apply_end
+        )
         self._checking_missed = False
         self._next_missed_check = 0.0
         self._ignored_jobs: set[JobId] = set()
@@ -123,6 +129,7 @@
         self._close()
         self._epoch = epoch
         self._writer.open(epoch)
+        self._unapplied_ends.open(epoch)
         mirror = PrefixMirror(
             self.clock,
             self._store,
@@ -154,6 +161,7 @@
         self._epoch, self._loaded = None, False
         self.jobs, self._ignored_jobs, self._assigned_at = {}, set(), {}
         self._writer.close()
+        self._unapplied_ends.close()
         self._fleet.close()
 
     def _is_current(self, epoch: Epoch) -> bool:
@@ -167,37 +175,56 @@
         del deleted  # only this leader deletes records
         if not self._is_current(epoch):
             return
+        added = self._apply_entries(entries)
+        if is_snapshot and not self._loaded:
+            self._loaded = True
+            log_event(LogEvent.BATCH_LOADED, epoch=epoch, jobs=len(self.jobs))
+            # Worker reports can only be evaluated once all job records are loaded.
+            self._fleet.open(epoch, self)
+            for tracked in self.jobs.values():
+                self._adopt_active_runs(tracked.job)
+        elif self._loaded:
+            for job_id in added:
+                if self.jobs[job_id].job.started:
+                    self._adopt_active_runs(self.jobs[job_id].job)
+        self._request_round()
+
+    def _apply_entries(self, entries: tuple[Entry, ...]) -> set[JobId]:
+        """Apply changed records and return the jobs that were added and are valid."""
         parts: dict[BatchPart, list[tuple[JobId, Entry]]] = {part: [] for part in BatchPart}
         for entry in entries:
             parsed = parse_batch_key(entry.key)
             if parsed is not None:
                 parts[parsed[1]].append((JobId(parsed[0]), entry))
-        for job_id, entry in parts[BatchPart.SPEC]:
-            self._add(job_id, entry)
+        added = {job_id for job_id, entry in parts[BatchPart.SPEC] if self._add(job_id, entry)}
         if not self._loaded:
-            for job_id, entry in parts[BatchPart.PROGRESS]:
+            added = set(self.jobs)  # also those of a load that was interrupted by an error
+        for job_id, entry in parts[BatchPart.PROGRESS]:
+            if job_id in added:
                 self._restore(job_id, entry)
+        for job_id, entry in parts[BatchPart.ENDS]:
+            if job_id in added:
+                self._apply_stored_ends(job_id, entry)
         for job_id, _ in parts[BatchPart.CANCEL]:
             self._cancel(job_id)
-        if is_snapshot and not self._loaded:
-            self._loaded = True
-            log_event(LogEvent.BATCH_LOADED, epoch=epoch, jobs=len(self.jobs))
-            # Worker reports can only be evaluated once all job records are loaded.
-            self._fleet.open(epoch, self)
-            for tracked in self.jobs.values():
-                self._adopt_active_runs(tracked.job)
-        self._request_round()
+        return added & self.jobs.keys()
+
+    def _read_job(self, job_id: JobId, entries: tuple[Entry, ...]) -> bool:
+        """Read a job from its keys and return whether it is managed from now on."""
+        self._apply(self._epoch, entries, (), False)
+        return job_id in self.jobs
 
-    def _add(self, job_id: JobId, entry: Entry) -> None:
+    def _add(self, job_id: JobId, entry: Entry) -> bool:
+        """Add a job and return whether it is new and valid."""
         if job_id in self.jobs or job_id in self._ignored_jobs:
-            return
+            return False
         try:
             submission = decode_submission(entry.value)
             if submission.job_id != job_id:
                 raise MessageError("the record is that of another job", "remove the key")
         except MessageError as exc:
             self._ignore_job(job_id, entry.key, str(exc))
-            return
+            return False
         queue = self._current_queue(submission)
         self.jobs[job_id] = TrackedJob(BatchJob(submission, queue.max_attempts))
         log_event(
@@ -210,6 +237,7 @@
             occurrences=submission.spec.occurrences,
             steps=[_describe_step(step) for step in submission.spec.steps],
         )
+        return True
 
     def _ignore_job(self, job_id: JobId, key: str, reason: str) -> None:
         """Do not schedule a job with an invalid record while this instance leads."""
@@ -234,6 +262,28 @@
         if tracked.logged_state.is_final:
             tracked.final_since = self.clock.now()
 
+    def _apply_stored_ends(self, job_id: JobId, entry: Entry) -> None:
+        """Apply the ends that were stored while a record of the job was invalid."""
+        tracked = self.jobs.get(job_id)
+        if tracked is None:
+            return
+        try:
+            ends = decode_ends(job_id, entry.value)
+        except MessageError as exc:
+            del self.jobs[job_id]
+            self._ignore_job(job_id, entry.key, str(exc))
+            return
+        for end in ends:
+            self.run_ended(end.run, end.kind, end.checkpoint, lambda: None)
+        # If the key is not removed, the next leader applies the ends again without effect.
+        self._writer.schedule_write(tracked, lambda: self._remove_ends(entry))
+
+    def _remove_ends(self, entry: Entry) -> None:
+        self.run_task(self._store.delete(entry.key, entry.version))
+
+    def _apply_end(self, end: RecordedEnd, acknowledge: Callable[[], None]) -> None:
+        self.run_ended(end.run, end.kind, end.checkpoint, acknowledge)
+
     def _cancel(self, job_id: JobId) -> None:
         tracked = self.jobs.get(job_id)
         if tracked is None or tracked.job.state.is_final:
@@ -509,7 +559,7 @@
         """Apply the end of a run and call ``acknowledge`` once the result is written."""
         tracked = self.jobs.get(run.job)
         if tracked is None:
-            acknowledge()
+            self._unapplied_ends.add(RecordedEnd(run, kind, checkpoint), acknowledge)
             return
         was_current = self.is_current_run(run)
         if tracked.job.end_run(run, kind, checkpoint, self.clock.now()):
@@ -605,11 +655,7 @@
 
     async def _delete(self, epoch: Epoch, expired: list[TrackedJob]) -> None:
         conditions: dict[str, Version] = {self._leader.key: Version(epoch)}
-        removes = [
-            batch_key(tracked.job.job_id, part)
-            for tracked in expired
-            for part in (BatchPart.PROGRESS, BatchPart.CANCEL, BatchPart.SPEC)
-        ][: JOBS_PER_REMOVAL * 3]
+        removes = [batch_key(tracked.job.job_id, part) for tracked in expired for part in BatchPart]
         outcome = await self._store.transact(conditions, (), removes)
         if isinstance(outcome, Stored) and self._is_current(epoch):
             for tracked in expired:
--- a/chivefall/controllers/batch/_session.py
+++ b/chivefall/controllers/batch/_session.py
@@ -189,6 +189,10 @@
         clock, read_at = self._clock_reading
         return read_at + max(0.0, self.lease_deadline - clock) / MIN_CLOCK_RATE
 
+    def has_unwritten_end(self, run: RunId) -> bool:
+        """Return whether an end of the run was reported and is not written yet."""
+        return any(end.run == run for end in self.unwritten_ends.values())
+
     def acknowledge(self, sequence: EndSequence) -> None:
         """Record that an end has been written to the store."""
         self.unwritten_ends.pop(sequence, None)
--- a/chivefall/store/_keys.py
+++ b/chivefall/store/_keys.py
@@ -88,11 +88,15 @@
 
 
 class BatchPart(Enum):
-    """A part of a batch job that has its own key; each part has one writer."""
+    """A part of a batch job that has its own key; each part has one writer.
+
+    ENDS: ends of runs that could not be applied, since a record of the job is invalid.
+    """
 
     SPEC = "spec"
     CANCEL = "cancel"
     PROGRESS = "progress"
+    ENDS = "ends"
 
 
 def batch_prefix(job_id: JobId) -> str:
--- a/chivefall/telemetry/_batch_metrics.py
+++ b/chivefall/telemetry/_batch_metrics.py
@@ -53,6 +53,10 @@
         self.run_ends = self._counter(
             "run_ends_total", "Ended runs that workers reported, by kind."
         )
+        self.unapplied_ends = self._counter(
+            "unapplied_ends_total",
+            "Ends of runs that were stored beside an invalid record of their job, by kind.",
+        )
         self.stops = self._counter("stops_total", "Stops of runs that were decided, by reason.")
         self.invalid_entries = self._counter(
             "invalid_entries_total", "Revisions of stored keys that could not be decoded, by kind."
--- a/chivefall/telemetry/_events.py
+++ b/chivefall/telemetry/_events.py
@@ -88,6 +88,10 @@
         7212,
         "A worker was told that ends up to a sequence are recorded, and may forget them.",
     )
+    END_NOT_APPLIED = (
+        7213,
+        "A run of a job with an invalid record ended; the end is stored until it can be read.",
+    )
     RETRY_DELAYED = (7211, "A long-running task that fails repeatedly starts again after a delay.")
     UNKNOWN_RUN_STOPPED = (7207, "A run without a record was stopped.")
     FLEET_CHANGED = (7301, "A worker's entry was added, changed or removed.")
--- a/chivefall/telemetry/_timeline.py
+++ b/chivefall/telemetry/_timeline.py
@@ -41,6 +41,7 @@
         LogEvent.RUN_CARRIED_OVER,
         LogEvent.RUN_NOT_STOPPED,
         LogEvent.RETRY_DELAYED,
+        LogEvent.END_NOT_APPLIED,
         LogEvent.STORE_UNREACHABLE,
         LogEvent.LEADERSHIP_LAPSED,
         LogEvent.BATCH_COMMIT_DELAYED,
@@ -61,6 +62,7 @@
         LogEvent.RETRY_DELAYED,
         LogEvent.RUN_NOT_STARTED,
         LogEvent.RUN_UNCERTAIN,
+        LogEvent.END_NOT_APPLIED,
     }
 )
 # Fields that differ between the runs of a job that take part in the same change.
--- a/tests/batch/test_acknowledgements.py
+++ b/tests/batch/test_acknowledgements.py
@@ -10,9 +10,12 @@
     BatchJob,
     BatchSpec,
     EndKind,
+    EndSequence,
     Incarnation,
     JobState,
     Resources,
+    RunId,
+    RunNumber,
     StepSpec,
     Submission,
     TaskKey,
@@ -22,7 +25,8 @@
 )
 from chivefall.model import JobId, WorkerId
 from chivefall.runtime import sleep
-from chivefall.store import BatchPart
+from chivefall.store import BATCH_JOBS_PREFIX, BatchPart, Listed, batch_key
+from chivefall.workers import RunEnd
 from standins.run_history import repeated_runs, run_spans
 from standins.run_workers import make_worker_entry
 from tests.batch.deployment import ACCOUNT, NORMAL, Deployment, Instance
@@ -270,6 +274,127 @@
         self.assertEqual([kind for _, kind, _ in sut.worker("w0").history].count("start"), 1)
 
 
+class EndOfUnknownRun(unittest.TestCase):
+    """A worker reports the end of a run of a job that the leader does not manage."""
+
+    def setUp(self) -> None:
+        self.sut = Deployment(workers=1)
+        self.worker = self.sut.worker("w0")
+        self.worker.run_seconds = LONG_RUN_SECONDS
+        self.sut.submit("b1", StepSpec(1, RESOURCES, LONG_RUN_SECONDS))
+        self.sut.run(LONG_RUN_SECONDS - 0.2)
+        self.scheduler = self.sut.leader.application.scheduler
+
+    def key(self, part: BatchPart) -> str:
+        return batch_key(JobId("b1"), part)
+
+    def change_leadership(self) -> None:
+        """Let the next leadership begin after the run has ended."""
+        self.sut.leader.application.leader.step_down("test")
+        self.sut.run(6.0)
+        self.assertFalse(self.worker.running)
+
+    def check_completed(self) -> None:
+        self.sut.run(SETTLE_SECONDS)
+        self.assertIs(self.sut.state_of("b1"), JobState.COMPLETED)
+        self.assertEqual(len(self.sut.workers.starts_of(JobId("b1"))[TaskKey(0, 0, 0)]), 1)
+        self.assertEqual(self.worker.ends, [])
+
+    def test_job_with_an_invalid_record(self) -> None:
+        """Guards against a task that runs again once the record of its job is repaired."""
+        record = self.sut.state.get(self.key(BatchPart.PROGRESS)).value
+        self.sut.write(self.key(BatchPart.PROGRESS), b"{")
+        self.change_leadership()
+        self.assertEqual(self.worker.ends, [])
+        self.assertIsNotNone(self.sut.state.get(self.key(BatchPart.ENDS)))
+        # Later ends are acknowledged as well.
+        self.sut.submit("b2", StepSpec(2, RESOURCES, LONG_RUN_SECONDS))
+        self.sut.run(4.0)
+        self.assertIs(self.sut.state_of("b2"), JobState.COMPLETED)
+        self.assertEqual(self.worker.ends, [])
+        self.sut.write(self.key(BatchPart.PROGRESS), record)
+        self.change_leadership()
+        self.check_completed()
+        self.assertIsNone(self.sut.state.get(self.key(BatchPart.ENDS)))
+
+    def test_end_while_the_store_is_down(self) -> None:
+        """Guards against forgetting an end that could not be stored."""
+        record = self.sut.state.get(self.key(BatchPart.PROGRESS)).value
+        self.sut.write(self.key(BatchPart.PROGRESS), b"{")
+        self.change_leadership()
+        self.sut.write(self.key(BatchPart.PROGRESS), record)
+        self.sut.delete(self.key(BatchPart.ENDS))
+        self.worker.ends.append(RunEnd(EndSequence(9), self.run_id(), EndKind.DONE, NO_CHECKPOINT))
+        self.sut.leader.store.faults.refuse_writes = True
+        self.sut.run(1.5)
+        self.assertTrue(self.worker.ends)
+        self.sut.leader.store.faults.refuse_writes = False
+        self.sut.run(1.5)
+        self.assertEqual(self.worker.ends, [])
+        self.assertIsNotNone(self.sut.state.get(self.key(BatchPart.ENDS)))
+
+    def run_id(self) -> RunId:
+        return RunId(JobId("b1"), TaskKey(0, 0, 0), RunNumber(1))
+
+    def test_invalid_ends(self) -> None:
+        """Guards against overwriting stored ends that this version cannot read."""
+        self.sut.write(self.key(BatchPart.ENDS), b"{")
+        self.change_leadership()
+        self.assertNotIn("b1", self.sut.leader.application.scheduler.jobs)
+        self.assertEqual(self.sut.state.get(self.key(BatchPart.ENDS)).value, b"{")
+        self.assertEqual(len(self.worker.ends), 1)
+        self.sut.delete(self.key(BatchPart.ENDS))
+        self.change_leadership()
+        self.check_completed()
+
+    def hide_jobs(self) -> None:
+        """Let the leader's lists of all jobs miss them."""
+        store = self.sut.leader.store
+        complete = store.list
+
+        async def incomplete(prefix: str):
+            listed = await complete(prefix)
+            if prefix == BATCH_JOBS_PREFIX and isinstance(listed, Listed):
+                return Listed((), listed.version)
+            return listed
+
+        store.list = incomplete
+
+    def test_job_missed_by_the_list(self) -> None:
+        """Guards against acknowledging the end of a job that was not read yet."""
+        self.hide_jobs()
+        self.change_leadership()
+        self.check_completed()
+
+    def test_job_missed_by_the_list_with_a_worker_that_left(self) -> None:
+        """Guards against a job that waits for ever for the end of a run on a lost worker."""
+        lost = self.sut.add_worker(make_worker_entry("w1"))
+        lost.run_seconds = LONG_RUN_SECONDS
+        self.sut.run(1.0)
+        self.sut.submit("b3", StepSpec(2, WHOLE_WORKER, LONG_RUN_SECONDS))
+        self.sut.run(LONG_RUN_SECONDS - 0.2)
+        self.assertTrue(lost.running)
+        self.assertTrue(self.worker.running)
+        self.hide_jobs()
+        self.sut.delete("servers/w1")
+        lost.crash()
+        self.sut.leader.client.unreachable.add("w0")
+        self.change_leadership()
+        self.sut.run(2 * SETTLE_SECONDS)
+        self.sut.leader.client.unreachable.clear()
+        self.sut.run(2 * SETTLE_SECONDS)
+        self.assertIs(self.sut.state_of("b3"), JobState.COMPLETED)
+
+    def test_removed_job(self) -> None:
+        """Guards against listing the ends of jobs for ever that are no longer in the store."""
+        for part in (BatchPart.SPEC, BatchPart.PROGRESS):
+            self.sut.delete(self.key(part))
+        self.scheduler.jobs.clear()
+        self.sut.run(2.0)
+        self.assertEqual(self.worker.ends, [])
+        self.assertEqual([kind for _, kind, _ in self.worker.history].count("start"), 1)
+
+
 def delay_progress_writes(instance: Instance, seconds: float) -> None:
     """Delay the replies to an instance's writes of progress."""
     transact = instance.store.transact
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -11,15 +11,23 @@
 from hypothesis import strategies as st
 
 from chivefall.batch import (
+    NO_CHECKPOINT,
     BatchJob,
     BatchSpec,
+    EndKind,
     Queue,
     QueueId,
+    RecordedEnd,
     Resources,
+    RunId,
+    RunNumber,
     StepSpec,
     Submission,
+    TaskKey,
+    decode_ends,
     decode_job_state,
     decode_submission,
+    encode_ends,
     encode_progress,
     encode_submission,
     restore_progress,
@@ -101,6 +109,7 @@
     "submission": decode_submission,
     "progress": progress,
     "job state": decode_job_state,
+    "ends of runs": lambda data: decode_ends(SUBMISSION.job_id, data),
     "submitted job": lambda data: decode_json(data, JobBody, "the job", "correct it"),
     "worker's report": run_report,
     "response to an order": order_outcome,
@@ -136,6 +145,15 @@
     ).encode(),
     "submission": encode_submission(SUBMISSION),
     "progress": encode_progress(BatchJob(SUBMISSION, 2)),
+    "ends of runs": encode_ends(
+        [
+            RecordedEnd(
+                RunId(SUBMISSION.job_id, TaskKey(0, 0, 0), RunNumber(1)),
+                EndKind.DONE,
+                NO_CHECKPOINT,
+            )
+        ]
+    ),
     "submitted job": b'{"task_spec": "x", "steps": [{"count": 1, "cpu": 1, "after": []}]}',
     "worker's report": b'{"clock_ms": 5, "running": [["0a.0.0.0", 1, "", 4]], "finished":'
     b' [[1, "0a.0.0.1", 1, "done", ""]], "born": 7}',
