Record an end once if it is listed behind one that is not written

Callers saw: a worker was avoided ever longer after one failed run, and chivefall_batch_run_ends_total counted its end with each report.

Cause: of the ends above the acknowledged sequence only those without a written record were remembered. A written end behind an unwritten one was taken for a new one each time it was listed, and counted as another bad run of the worker.

Evidence: test_end_behind_one_that_is_not_written saw 18 run_ended lines for two runs within 10 s.

Change: a session remembers the written ends until their acknowledgement. With it the test sees two lines.

--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -530,7 +530,7 @@
             self.stop_run(session.worker.worker_id, run, StopCause(StopReason.DECIDED_EARLIER))
 
     def _record_end(self, session: Session, end: RunEnd) -> None:
-        if end.sequence in session.unwritten_ends or end.sequence <= session.acknowledged:
+        if session.is_recorded(end.sequence):
             return
         session.unwritten_ends[end.sequence] = end
         session.forget(end.run)
--- a/chivefall/controllers/batch/_session.py
+++ b/chivefall/controllers/batch/_session.py
@@ -75,7 +75,7 @@
     reported: set[RunId] = field(default_factory=set)
     acknowledged: EndSequence = NO_END
     acknowledgement_sent: EndSequence = NO_END
-    _highest_written: EndSequence = NO_END
+    _written_ends: set[EndSequence] = field(default_factory=set)
     unwritten_ends: dict[EndSequence, RunEnd] = field(default_factory=dict)
     connections: deque[ConnectionId] = field(default_factory=lambda: deque(maxlen=MAX_CONNECTIONS))
     unsent_acknowledgements: int = 0
@@ -196,9 +196,20 @@
     def acknowledge(self, sequence: EndSequence) -> None:
         """Record that an end has been written to the store."""
         self.unwritten_ends.pop(sequence, None)
-        self._highest_written = max(self._highest_written, sequence)
-        self.acknowledged = EndSequence(
-            min(self.unwritten_ends, default=self._highest_written + 1) - 1
+        self._written_ends.add(sequence)
+        first_unwritten = min(self.unwritten_ends, default=max(self._written_ends) + 1)
+        self.acknowledged = EndSequence(max(self.acknowledged, first_unwritten - 1))
+        self._written_ends = {item for item in self._written_ends if item > self.acknowledged}
+
+    def is_recorded(self, sequence: EndSequence) -> bool:
+        """Return whether an end was recorded from an earlier report.
+
+        An end that is written is listed until all ends before it are written, too.
+        """
+        return (
+            sequence <= self.acknowledged
+            or sequence in self.unwritten_ends
+            or sequence in self._written_ends
         )
 
     def record_connection(self, connection: ConnectionId | None) -> None:
--- a/tests/batch/test_acknowledgements.py
+++ b/tests/batch/test_acknowledgements.py
@@ -26,10 +26,12 @@
 from chivefall.model import JobId, WorkerId
 from chivefall.runtime import sleep
 from chivefall.store import BATCH_JOBS_PREFIX, BatchPart, Listed, batch_key
+from chivefall.telemetry import LogEvent
 from chivefall.workers import RunEnd
 from standins.run_history import repeated_runs, run_spans
 from standins.run_workers import make_worker_entry
 from tests.batch.deployment import ACCOUNT, NORMAL, Deployment, Instance
+from tests.batch.test_odd_entries import LoggedEvents
 
 RESOURCES = Resources(4_000, 16_000, 1)
 WHOLE_WORKER = Resources(32_000, 131_072, 8)
@@ -347,6 +349,18 @@
         self.change_leadership()
         self.check_completed()
 
+    def test_end_behind_one_that_is_not_written(self) -> None:
+        """Guards against counting an end again with each report that lists it."""
+        self.sut.write(self.key(BatchPart.ENDS), b"{")
+        self.change_leadership()
+        logged = LoggedEvents(self)
+        self.worker.fails = True
+        self.sut.submit("b2", StepSpec(1, RESOURCES, LONG_RUN_SECONDS))
+        self.sut.run(10.0)
+        self.assertIs(self.sut.state_of("b2"), JobState.FAILED)
+        ended = [fields["run"] for fields in logged.of(LogEvent.RUN_ENDED)]
+        self.assertEqual(ended, ["b2.0.0.0#1", "b2.0.0.0#2"])
+
     def hide_jobs(self) -> None:
         """Let the leader's lists of all jobs miss them."""
         store = self.sut.leader.store
