Ignore a late heartbeat of a replaced process that was not known

Callers saw, on the product's own interface: an instance that others no longer used although it was alive.

Cause: a heartbeat of an unknown incarnation always replaced the known one, which was then ignored as a former process. After a restart of the receiver, a late heartbeat of the former process thus hid its successor for good.

Change: a heartbeat of a process that started earlier than the known one is ignored while the known one sends heartbeats.

--- a/chivefall/membership/_table.py
+++ b/chivefall/membership/_table.py
@@ -10,6 +10,7 @@
 
 NEVER = float("-inf")
 MAX_PAST_INCARNATIONS = 4  # kept per peer, to ignore late messages of replaced processes
+MAX_MESSAGE_DELAY_SECONDS = 10.0  # after which a silent process no longer hides an earlier start
 
 
 @dataclass(frozen=True)
@@ -56,6 +57,19 @@
     leaving: bool = False
 
 
+def _is_late(peer: PeerState, known: PeerState) -> bool:
+    """Return whether a heartbeat comes from a process that ``known`` has replaced.
+
+    Start times are only known as upper bounds, so a process that started earlier is believed
+    once the known one has been silent.
+    """
+    return (
+        peer.incarnation != known.incarnation
+        and peer.started_at < known.started_at
+        and peer.received_at - known.received_at < MAX_MESSAGE_DELAY_SECONDS
+    )
+
+
 class PeerTable:
     """The latest heartbeat of each peer."""
 
@@ -69,6 +83,8 @@
         if peer.incarnation in past:
             return False
         known = self._peers.get(peer.instance)
+        if known is not None and _is_late(peer, known):
+            return False
         if known is not None and known.incarnation != peer.incarnation:
             self._past_incarnations[peer.instance] = (*past, known.incarnation)[
                 -MAX_PAST_INCARNATIONS:
