Give half of the soak's jobs tasks of 50 to 400 ms

All tasks of the soak took 1 s, longer than the time from the start of a run to the next poll of its worker, so that no run ended ahead of the first poll of a new incarnation. A job's payload now may state the run time of its tasks, drawn from the seed apart from the other choices.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import random
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
@@ -13,8 +14,6 @@
 from soak._testbed import REVOKED_KEY, VALID_KEY
 
 if TYPE_CHECKING:
-    import random
-
     from chivefall.net import HttpClient
     from chivefall.runtime import Clock
     from soak._oracle import Oracle
@@ -33,6 +32,9 @@
 URGENT_SHARE = 0.4  # of the jobs
 GANG_SHARE = 0.5  # of the first steps
 SECOND_STEP_SHARE = 0.5  # of the jobs
+SHORT_SHARE = 0.5  # of the jobs
+# So short that a task may start and end between two polls of its worker.
+MIN_SHORT_TASK_MS, MAX_SHORT_TASK_MS = 50, 400
 _REFUSED_STATUSES = (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
 _NOT_READY_STATUSES = (HTTPStatus.UNAUTHORIZED, HTTPStatus.NOT_FOUND)
 
@@ -125,6 +127,12 @@
 
     async def _submit(self, history: JobHistory) -> None:
         body = {"task_spec": "text", "steps": self._steps()}
+        # Drawn separately, so that the other choices of a recorded seed stay as they were.
+        rng = random.Random(f"run time {history.job}")
+        if rng.random() < SHORT_SHARE:
+            run_time = rng.randint(MIN_SHORT_TASK_MS, MAX_SHORT_TASK_MS)
+            body["task_spec"] = f"run {run_time} ms"
+            body["steps"][0]["est_runtime_ms"] = run_time
         may_run = False
         for _ in range(MAX_ATTEMPTS):
             response = await _call(self._http, self._any_instance(), "POST", history.path, body)
--- a/standins/run_workers.py
+++ b/standins/run_workers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import re
 from collections import defaultdict
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
@@ -51,6 +52,7 @@
 START_DELAY_SECONDS = 3.0
 RESPONSE_TIMEOUT_SECONDS = 0.8
 _connection_numbers = itertools.count(1)
+_RUN_TIME = re.compile(r"run ([0-9]+) ms")  # payload of tasks that state their run time
 
 
 @dataclass
@@ -66,7 +68,7 @@
     Attributes
     ----------
     run_seconds : float
-        Run time of each task.
+        Run time of each task whose payload is not ``run N ms``.
     max_lease : float
         Longest lease in seconds; longer ones are shortened.
     stop_seconds : float
@@ -131,10 +133,12 @@
             max(self.peak_usage.memory, used.memory),
             max(self.peak_usage.accelerators, used.accelerators),
         )
-        self.running[run] = _Running(self.clock.now(), self.run_seconds)
+        run_time = _RUN_TIME.fullmatch(order.payload)
+        seconds = int(run_time[1]) / 1000 if run_time else self.run_seconds
+        self.running[run] = _Running(self.clock.now(), seconds)
         self.history.append((self.clock.now(), "start", run))
         if not self.hangs:
-            self.clock.call_later(self.run_seconds, lambda: self._finish(run))
+            self.clock.call_later(seconds, lambda: self._finish(run))
         return OrderAccepted(self.own_clock)
 
     def resume(self) -> None:
@@ -142,7 +146,7 @@
         self.hangs = False
         for run, item in self.running.items():
             item.started_at = self.clock.now()
-            self.clock.call_later(self.run_seconds, lambda run=run: self._finish(run))
+            self.clock.call_later(item.seconds, lambda run=run: self._finish(run))
 
     def stop(self, run: RunId, epoch: Epoch) -> OrderOutcome:
         """Stop a run; a later order to start it is refused."""
