Restart workers of the soak between a report and its acknowledgement

The soak had not found the acknowledgement that reached the next incarnation of a worker. Its restarts were independent of reports, the new entry was written at once, and calls between processes of one machine take a millisecond, so that a start hardly ever fell between a restart and the next poll.

The new fault restarts each worker once, right after a report that lists an end. Its entry follows at once or seconds later, and the store is slow meanwhile, since an acknowledgement waits for the record of the end.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -30,9 +30,15 @@
 SERIES_SHARE = 0.3  # of the drawn faults; they are injected several times in a row
 MAX_SERIES_LENGTH = 3
 SERIES_PAUSE_SECONDS = 0.5
+# From a restart after a report to the worker's new entry; chosen by the target of the fault.
+ENTRY_DELAYS_SECONDS = (0.0, 1.0, 3.0)
 
 # Kinds that were added after seeds had been recorded.
-_ADDED_KINDS = (FaultKind.ODD_ENTRIES, FaultKind.ORDERS_DISTURBED)
+_ADDED_KINDS = (
+    FaultKind.ODD_ENTRIES,
+    FaultKind.ORDERS_DISTURBED,
+    FaultKind.RESTARTED_AFTER_REPORT,
+)
 
 FAULTS: dict[FaultKind, type[Fault]] = {}
 
@@ -202,6 +208,21 @@
     action = WorkerAction.RESTART
 
 
+@_register(FaultKind.RESTARTED_AFTER_REPORT)
+class _RestartedAfterReport(_StoreSlow):
+    """Restarts workers between the report of an end and its acknowledgement.
+
+    An end is acknowledged once it is written, so while the store is slow, starts that were
+    recorded before reach the new incarnation, and short runs end there, ahead of the next poll.
+    """
+
+    async def begin(self) -> None:
+        await super().begin()
+        delay = ENTRY_DELAYS_SECONDS[self._target % len(ENTRY_DELAYS_SECONDS)]
+        for number in range(self._testbed.worker_count):
+            await self._testbed.change_worker(number, WorkerAction.RESTART_AFTER_REPORT, delay)
+
+
 @_register(FaultKind.WORKER_LISTED_ANEW)
 class _WorkerListedAnew(_WorkerFault):
     action = WorkerAction.LIST_ANEW
@@ -287,6 +308,8 @@
     plan += _draw(f"odd entries {seed}", FaultKind.ODD_ENTRIES, size.odd_entries, size)
     plan += _draw(f"orders {seed}", FaultKind.ORDERS_DISTURBED, size.disturbed_orders, size)
     plan += _draw(f"restarts {seed}", FaultKind.WORKER_RESTARTED, size.restarts, size)
+    reported = FaultKind.RESTARTED_AFTER_REPORT
+    plan += _draw(f"reported {seed}", reported, size.reported_restarts, size)
     return sorted(plan, key=lambda item: item.at)
 
 
--- a/soak/_model.py
+++ b/soak/_model.py
@@ -33,6 +33,8 @@
     see :class:`WorkerAction`. ODD_ENTRIES: another writer leaves entries among those of the
     workers, and overwrites one of them. ORDERS_DISTURBED: all workers leave a part of the starts
     unanswered and execute them seconds later, while one refuses a part of its orders.
+    RESTARTED_AFTER_REPORT: each worker restarts once between a report that lists an end and its
+    acknowledgement, while the store is slow.
     """
 
     INSTANCE_KILLED = "instance_killed"
@@ -56,6 +58,7 @@
     KEY_REVOKED = "key_revoked"
     ODD_ENTRIES = "odd_entries"
     ORDERS_DISTURBED = "orders_disturbed"
+    RESTARTED_AFTER_REPORT = "restarted_after_report"
 
 
 @dataclass(frozen=True)
@@ -90,6 +93,8 @@
         Number of ORDERS_DISTURBED faults, likewise.
     restarts : int
         Number of restarts of workers under their ids, likewise.
+    reported_restarts : int
+        Number of RESTARTED_AFTER_REPORT faults, likewise.
     seconds : float
         Duration of the traffic; faults start during it.
     completion_timeout_seconds : float
@@ -103,5 +108,6 @@
     odd_entries: int = 2
     disturbed_orders: int = 2
     restarts: int = 8
+    reported_restarts: int = 4
     seconds: float = 30.0
     completion_timeout_seconds: float = 60.0
--- a/soak/_testbed.py
+++ b/soak/_testbed.py
@@ -270,9 +270,9 @@
                 return response.body
             await sleep(self.clock, POLL_INTERVAL_SECONDS)
 
-    async def change_worker(self, number: int, action: WorkerAction) -> None:
-        """Apply an action to a worker."""
-        await self.control("PUT", f"worker?name=w{number}&act={action.value}")
+    async def change_worker(self, number: int, action: WorkerAction, delay: float = 0.0) -> None:
+        """Apply an action to a worker, whose entry follows after ``delay`` seconds."""
+        await self.control("PUT", f"worker?name=w{number}&act={action.value}&delay={delay}")
 
     async def write_catalog(self, keys: tuple[str, ...]) -> None:
         """Write a new version of the catalog with the given API keys, as operators do."""
--- a/standins/_service.py
+++ b/standins/_service.py
@@ -18,16 +18,23 @@
 
 
 class Service(AbstractComponent):
-    """An HTTP service on its own event loop; a signal ends it immediately."""
+    """An HTTP service on its own event loop; a signal ends it immediately.
+
+    Parameters
+    ----------
+    clock : Clock, optional
+        Replaces the clock of the event loop.
+    """
 
     channel = "service"
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, clock: Clock | None = None) -> None:
         super().__init__()
         EPoll().register(self)
-        clock = LoopClock()
-        clock.timer_component.register(self)
-        self.clock: Clock = clock
+        if clock is None:
+            clock = LoopClock()
+            clock.timer_component.register(self)
+        self.clock = clock
         self.server = HttpServer(address, self._serve, self.clock).register(self)
 
     def _serve(self, req: HttpRequest) -> Future[HttpReply]:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -46,6 +46,7 @@
 
     from chivefall.model import ConnectionId
     from chivefall.net import HttpReply, HttpRequest
+    from chivefall.runtime import Clock
 
 __all__ = ["PlatformService", "WorkerAction"]
 
@@ -56,6 +57,8 @@
 REFUSED_SHARE = 0.4  # of the other starts, and of the stops
 MIN_HELD_SECONDS, MAX_HELD_SECONDS = 2.0, 5.0
 UNLISTED_SECONDS = 0.3  # between removal and re-addition of a worker's entry
+# From a report of an end to the restart: it has left the process, and no poll has followed yet.
+REPORT_TO_RESTART_SECONDS = 0.005
 _CALL_KINDS = {
     "kv-key": CallKind.READ,
     "kv-range": CallKind.READ,
@@ -92,13 +95,15 @@
 class WorkerAction(Enum):
     """Actions of a test on a worker.
 
-    RESTART replaces it by a new incarnation, LIST_ANEW deletes its entry from the store
-    and writes it again, FAIL makes its runs end as failed, HANG stops their progress,
-    HOLD leaves starts unanswered and executes them seconds later, REFUSE refuses starts and
-    stops, both a part of them, and RECOVER ends FAIL, HANG, HOLD and REFUSE.
+    RESTART replaces it by a new incarnation, RESTART_AFTER_REPORT does so once, right after
+    its next report that lists an end and before the acknowledgement, LIST_ANEW deletes its
+    entry from the store and writes it again, FAIL makes its runs end as failed, HANG stops
+    their progress, HOLD leaves starts unanswered and executes them seconds later, REFUSE
+    refuses starts and stops, both a part of them, and RECOVER ends FAIL, HANG, HOLD and REFUSE.
     """
 
     RESTART = "restart"
+    RESTART_AFTER_REPORT = "restart_after_report"
     LIST_ANEW = "list_anew"
     FAIL = "fail"
     HANG = "hang"
@@ -113,7 +118,8 @@
     Control interface below ``/control``: ``PUT key?key=K`` and ``DELETE key?key=K``
     write to the store as operators do, ``PUT faults`` sets the faults of the store
     (see :class:`StoreFaults`), ``PUT worker?name=W&act=A`` applies a
-    :class:`WorkerAction`, ``GET lives`` returns the run histories of all worker
+    :class:`WorkerAction` (the entry of a worker that restarts is written ``delay`` seconds
+    later, if that parameter is given), ``GET lives`` returns the run histories of all worker
     incarnations, and ``GET history`` the events of the current ones.
 
     Parameters
@@ -132,13 +138,15 @@
         worker_addresses: Sequence[str],
         domains: Sequence[str],
         run_seconds: float,
+        clock: Clock | None = None,
     ) -> None:
-        super().__init__(address)
+        super().__init__(address, clock)
         self._state = KeyValueState(self.clock)
         self._faults = StoreFaults()
         self._workers = RunWorkers(self.clock)
         self._holding: set[WorkerId] = set()
         self._refusing: set[WorkerId] = set()
+        self._restarting: dict[WorkerId, float] = {}  # delay of the entry in seconds
         self._connections: dict[WorkerId, set[ConnectionId]] = defaultdict(set)
         self._random = random.Random(0)
         for number, worker_address in enumerate(worker_addresses):
@@ -185,7 +193,8 @@
             case ("PUT", "faults"):
                 self._faults = decode_faults(content)
             case ("PUT", "worker"):
-                self._change_worker(WorkerId(query["name"]), WorkerAction(query["act"]))
+                delay = float(query.get("delay", "0"))
+                self._change_worker(WorkerId(query["name"]), WorkerAction(query["act"]), delay)
             case ("GET", "lives"):
                 return json_reply(200, self._workers.histories())
             case ("GET", "history"):
@@ -194,20 +203,31 @@
                 return json_reply(404, {"error": "no such call"})
         return json_reply(200, {})
 
-    def _change_worker(self, name: WorkerId, action: WorkerAction) -> None:
+    def _write_current_entry(self, name: WorkerId, delay: float) -> None:
+        """Write the entry that a worker has after ``delay`` seconds; it may restart meanwhile."""
+        self.clock.call_later(delay, lambda: self._write_entry(self._workers.workers[name].entry))
+
+    def _restart(self, worker: RunWorker, delay: float) -> None:
+        """Replace a worker by its next incarnation, whose entry follows after ``delay`` seconds."""
+        name = worker.entry.worker_id
+        if self._workers.workers[name] is not worker:
+            return
+        incarnation = Incarnation(worker.entry.incarnation + 1)
+        entry = replace(worker.entry, incarnation=incarnation)
+        self._workers.add(entry).run_seconds = worker.run_seconds
+        # A connection does not outlive the worker's process.
+        self.server.close_connections(self._connections.pop(name, ()))
+        self._write_current_entry(name, delay)
+
+    def _change_worker(self, name: WorkerId, action: WorkerAction, delay: float) -> None:
         worker = self._workers.workers[name]
         if action is WorkerAction.RESTART:
-            incarnation = Incarnation(worker.entry.incarnation + 1)
-            entry = replace(worker.entry, incarnation=incarnation)
-            self._workers.add(entry).run_seconds = worker.run_seconds
-            self.server.close_connections(self._connections.pop(name, ()))
-            self._write_entry(entry)
+            self._restart(worker, delay)
+        elif action is WorkerAction.RESTART_AFTER_REPORT:
+            self._restarting[name] = delay
         elif action is WorkerAction.LIST_ANEW:
             self._state.write_all([], [f"servers/{name}"])
-            # Looked up late, since the worker may have been restarted in between.
-            self.clock.call_later(
-                UNLISTED_SECONDS, lambda: self._write_entry(self._workers.workers[name].entry)
-            )
+            self._write_current_entry(name, UNLISTED_SECONDS)
         elif action is WorkerAction.HOLD:
             self._holding.add(name)
         elif action is WorkerAction.REFUSE:
@@ -349,6 +369,10 @@
             report = worker.renew_leases(epoch, None, acknowledged)
         if not isinstance(report, RunReport):
             return _order_reply(worker, report)
+        name = worker.entry.worker_id
+        if report.ends and name in self._restarting:
+            delay = self._restarting.pop(name)
+            self.clock.call_later(REPORT_TO_RESTART_SECONDS, lambda: self._restart(worker, delay))
         running = [
             [_task_name(item.run), item.run.number, item.checkpoint, round(item.progress * 100), 0]
             for item in report.running
