Hold signals back until an instance has started

Callers saw: an instance that received SIGHUP shortly after its start ended with status -1 and refused connections until it was started again. SIGTERM in that time ended it with status -15 instead of 0.

Cause: the handler of SIGHUP was installed when the event loop had started, those of SIGTERM and SIGINT just before. During the imports, which take half a second or more, the default actions held. Instances without batch jobs had no handler of SIGHUP at any time.

Change: the entry point installs handlers before all other imports. They hold signals back until the instance has started; then these are carried out. Other commands get the default actions back as soon as the command is known. Instances without batch jobs ignore SIGHUP.

A signal before the first line of the program still has its default action.

--- a/chivefall/batch_daemon.py
+++ b/chivefall/batch_daemon.py
@@ -16,6 +16,7 @@
 from chivefall.config import Address
 from chivefall.controllers._errors import log_timer_error
 from chivefall.controllers._settings import SettingsController
+from chivefall.early_signals import EARLY_SIGNALS
 from chivefall.errors import ConfigError
 from chivefall.net import ConnectionLimits, HttpClient, HttpReply, HttpRequest, HttpServer
 from chivefall.platform import BatchHttpApi, HttpRunClient, JsonPlatformCodec, PlatformStore
@@ -91,6 +92,7 @@
     def __init__(self, cfg: Settings, path: Path) -> None:
         super().__init__()
         self.cfg = cfg
+        self._started = False
         self._stop_requested_at: float | None = None
         self._ended = False
         EPoll().register(self)
@@ -150,14 +152,18 @@
 
     @handler("started", channel="*")
     def _on_started(self, *_: object) -> None:
-        # circuits handles SIGINT and SIGTERM, but SIGHUP would terminate the process.
-        signals.signal(signals.SIGHUP, lambda signo, frame: self.fire(signal(signo, frame)))
         self.settings.start()
         self.application.start_controllers()
         log_event(LogEvent.PROCESS_STARTED, instance=self.cfg.instance, listen=self.cfg.listen)
+        self._started = True
+        EARLY_SIGNALS.deliver(lambda signo, frame: self.fire(signal(signo, frame)))
 
     @handler("signal", channel="*")
-    def _on_signal(self, signo: int, _frame: FrameType | None) -> None:
+    def _on_signal(self, signo: int, frame: FrameType | None) -> None:
+        if not self._started:
+            # circuits installs handlers of its own just before the start.
+            EARLY_SIGNALS.hold(signo, frame)
+            return
         if signo == signals.SIGHUP:
             self.settings.reload("SIGHUP")
             return
--- a/chivefall/cli/_main.py
+++ b/chivefall/cli/_main.py
@@ -10,11 +10,13 @@
 from chivefall import __version__
 from chivefall.cli import _document, _domains, _explain, _jobs, _report
 from chivefall.config import load_settings
+from chivefall.early_signals import EARLY_SIGNALS
 from chivefall.errors import ChivefallError
 
 __all__ = ["app", "main"]
 
 EXIT_FAILURE = 2
+RUN_COMMAND = "run"
 
 SettingsOption = Annotated[Path, typer.Option(help="Settings file, JSON with comments.")]
 
@@ -28,11 +30,13 @@
 
 
 @app.callback()
-def _root() -> None:
+def _root(ctx: typer.Context) -> None:
     """Schedule multi-accelerator jobs under client-account guarantees."""
+    if ctx.invoked_subcommand != RUN_COMMAND:
+        EARLY_SIGNALS.cancel()  # Only instances handle signals.
 
 
-@app.command()
+@app.command(name=RUN_COMMAND)
 def run(settings: SettingsOption) -> None:
     """Run one instance until SIGTERM or SIGINT."""
     # Imported here, so that each command loads only the libraries that it needs.
--- a/chivefall/daemon.py
+++ b/chivefall/daemon.py
@@ -6,11 +6,13 @@
 from typing import TYPE_CHECKING
 
 from circuits import BaseComponent, handler
+from circuits.core.events import signal
 from circuits.core.pollers import EPoll
 
 from chivefall.application import Application, Connections
 from chivefall.config import Address
 from chivefall.controllers._errors import log_timer_error
+from chivefall.early_signals import EARLY_SIGNALS
 from chivefall.endpoints import HttpEndpointClient
 from chivefall.net import HttpClient, HttpServer, NngPeers
 from chivefall.runtime import LoopClock
@@ -38,6 +40,7 @@
     def __init__(self, cfg: Settings) -> None:
         super().__init__()
         self.cfg = cfg
+        self._started = False
         self._stopping = False
         self._ended = False
         self._stop_deadline = 0.0
@@ -81,9 +84,15 @@
     def _on_started(self, *_: object) -> None:
         self.application.start_controllers()
         log_event(LogEvent.PROCESS_STARTED, instance=self.cfg.instance, listen=self.cfg.listen)
+        self._started = True
+        EARLY_SIGNALS.deliver(lambda signo, frame: self.fire(signal(signo, frame)))
 
     @handler("signal", channel="*")
-    def _on_signal(self, signo: int, _frame: FrameType | None) -> None:
+    def _on_signal(self, signo: int, frame: FrameType | None) -> None:
+        if not self._started:
+            # circuits installs handlers of its own just before the start.
+            EARLY_SIGNALS.hold(signo, frame)
+            return
         if signo not in (signals.SIGTERM, signals.SIGINT):
             return
         log_event(LogEvent.PROCESS_STOPPING, signal=signals.Signals(signo).name)
