--- a/standins/memory_store.py
+++ b/standins/memory_store.py
@@ -214,8 +214,8 @@
 
     async def _exchange(self, kind: CallKind, act: Callable[[], Any]) -> Any:
         faults = self.faults
-        if faults.delay:
-            await sleep(self._state.clock, faults.delay)
+        if delay := faults.delay_of(kind):
+            await sleep(self._state.clock, delay)
         if faults.refuses(kind):
             return DOWN
         outcome = act()
--- a/standins/run_workers.py
+++ b/standins/run_workers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 from collections import defaultdict
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
@@ -21,7 +22,7 @@
     WorkerEntry,
 )
 from chivefall.model import ConnectionId, Epoch, JobId, WorkerId
-from chivefall.runtime import Clock, Future, sleep, wait_for
+from chivefall.runtime import Clock, Future, sleep, spawn, wait_for
 from chivefall.workers import (
     Acknowledgement,
     IncarnationMismatch,
@@ -42,9 +43,10 @@
 from standins.run_history import IncarnationHistory
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Coroutine
+    from typing import Any
 
-__all__ = ["MemoryRunClient", "RunWorker", "RunWorkers"]
+__all__ = ["Gangs", "MemoryRunClient", "RunWorker", "RunWorkers"]
 
 MAX_LEASE_SECONDS = 10.0  # limit for the deadline of a renewal
 MAX_LISTED_ENDS = 500
@@ -65,6 +67,8 @@
 
     Attributes
     ----------
+    gangs : Gangs or None
+        The gangs that all workers share; without them, members of gangs run independently.
     run_seconds : float
         Run time of each task.
     max_lease : float
@@ -83,6 +87,7 @@
 
     entry: WorkerEntry
     clock: Clock
+    gangs: Gangs | None = None
     run_seconds: float = 2.0
     max_lease: float = MAX_LEASE_SECONDS
     stop_seconds: float = 0.0
@@ -133,7 +138,9 @@
         )
         self.running[run] = _Running(self.clock.now(), self.run_seconds)
         self.history.append((self.clock.now(), "start", run))
-        if not self.hangs:
+        if self.gangs is not None and self.gangs.size_of(run) > 1:
+            self.gangs.join(self, run)
+        elif not self.hangs:
             self.clock.call_later(self.run_seconds, lambda: self._finish(run))
         return OrderAccepted(self.own_clock)
 
@@ -235,11 +242,61 @@
         self._fence_run(run)
         self.history.append((self.clock.now(), kind.value, run))
         self.ends.append(RunEnd(EndSequence(next(self._sequence)), run, kind, NO_CHECKPOINT))
+        if self.gangs is not None:
+            self.gangs.leave(run)
         waiters, self._waiters = self._waiters, []
         for fut in waiters:
             fut.set_result(None)
 
 
+class Gangs:
+    """Gangs of all workers, whose members work together and end together.
+
+    Parameters
+    ----------
+    size_of : callable
+        Returns the number of members of a run; 1 if its task is not a member of a gang.
+    wait_seconds : float
+        Time for which a member waits for the others.
+    """
+
+    def __init__(self, clock: Clock, size_of: Callable[[RunId], int], wait_seconds: float) -> None:
+        self.size_of = size_of
+        self._clock = clock
+        self._wait_seconds = wait_seconds
+        self._members: dict[tuple, dict[RunId, RunWorker]] = {}
+
+    def join(self, worker: RunWorker, run: RunId) -> None:
+        """Add a member; the gang starts to work when the last one joins."""
+        key = _gang_of(run)
+        members = self._members.setdefault(key, {})
+        members[run] = worker
+        if len(members) == self.size_of(run):
+            self._clock.call_later(worker.run_seconds, lambda: self._finish(key, members))
+        else:
+            self._clock.call_later(self._wait_seconds, lambda: self._give_up(key, run))
+
+    def leave(self, run: RunId) -> None:
+        """End the other members of a gang after the end of one."""
+        for member, worker in self._members.pop(_gang_of(run), {}).items():
+            worker._end(member, EndKind.BROKEN)
+
+    def _finish(self, key: tuple, members: dict[RunId, RunWorker]) -> None:
+        if self._members.get(key) is members:
+            del self._members[key]
+            for member, worker in members.items():
+                worker._end(member, EndKind.DONE)
+
+    def _give_up(self, key: tuple, run: RunId) -> None:
+        members = self._members.get(key, {})
+        if run in members and len(members) < self.size_of(run):
+            members[run]._end(run, EndKind.ALONE)
+
+
+def _gang_of(run: RunId) -> tuple:
+    return (run.job, run.task.occurrence, run.task.step, run.number)
+
+
 class RunWorkers:
     """All stand-in workers of a test by id, shared by the clients of all instances."""
 
@@ -248,10 +305,11 @@
         self.workers: dict[WorkerId, RunWorker] = {}
         self.past_incarnations: list[RunWorker] = []
         self.resources_of: Callable[[RunId], Resources] = lambda _: Resources()
+        self.gangs: Gangs | None = None
 
     def add(self, entry: WorkerEntry) -> RunWorker:
         """Add a worker, or a new incarnation of one, which ends all runs of the previous one."""
-        worker = RunWorker(entry, self.clock)
+        worker = RunWorker(entry, self.clock, self.gangs)
         old = self.workers.get(entry.worker_id)
         if old is not None:
             self.past_incarnations.append(old)
@@ -299,6 +357,11 @@
         Whether calls reach no worker at all.
     latency : float
         Seconds until a call arrives.
+    reply_latency : float
+        Seconds from the execution of a call to its response.
+    timeout : float
+        Seconds after which a call returns without a response, in addition to the wait that it
+        requests; it may still be executed later.
     connections : dict
         By worker, the incarnation and the number of the open connection to it.
     """
@@ -313,12 +376,59 @@
         self.misdirected: set[WorkerId] = set()
         self.isolated = False
         self.latency = 0.0
+        self.reply_latency = 0.0
+        self.timeout = math.inf
         self.connections: dict[WorkerId, tuple[RunWorker, ConnectionId]] = {}
 
     async def start(
         self, worker: WorkerEntry, order: RunOrder, permission: OrderPermission
     ) -> OrderOutcome:
         """Start a run."""
+        return await self._in_time(self._start(worker, order, permission), 0.0)
+
+    async def stop(
+        self, worker: WorkerEntry, run: RunId, permission: OrderPermission
+    ) -> OrderOutcome:
+        """Stop a run."""
+        return await self._in_time(self._stop(worker, run, permission), 0.0)
+
+    async def renew_leases(
+        self,
+        worker: WorkerEntry,
+        permission: OrderPermission,
+        deadline: float | None,
+        acknowledgement: Acknowledgement | None,
+        wait: float,
+    ) -> RenewalOutcome:
+        """Extend all leases and return the report."""
+        name, sequence, peer = worker.worker_id, EndSequence(0), None
+        if acknowledgement is not None:
+            peer, number = self.connections.get(name, (None, None))
+            if number not in acknowledgement.connections or self._is_gone(name, peer):
+                self.connections.pop(name, None)
+                return NotSent("no connection that brought a report is open")
+            sequence = acknowledgement.sequence
+        call = self._renew_leases(worker, permission, deadline, sequence, peer, wait)
+        outcome = await self._in_time(call, wait)
+        if isinstance(outcome, tuple):
+            state, outcome = outcome
+            if isinstance(outcome, RunReport):
+                outcome = replace(outcome, connection=self._connection_to(state))
+        if isinstance(outcome, NoResponse | IncarnationMismatch):
+            self.connections.pop(name, None)
+        return outcome
+
+    async def _in_time(self, call: Coroutine[Any, Any, Any], wait: float) -> Any:
+        """Return the outcome of a call, or NoResponse after its timeout."""
+        fut = spawn(call)
+        if not fut.done() and self.timeout != math.inf:
+            limit = self.timeout + wait
+            fut = wait_for(self._clock, fut, limit, NoResponse("no response in time"))
+        return await fut
+
+    async def _start(
+        self, worker: WorkerEntry, order: RunOrder, permission: OrderPermission
+    ) -> OrderOutcome:
         state = await self._reach(worker, permission)
         if not isinstance(state, RunWorker):
             return state
@@ -330,47 +440,49 @@
             return NoResponse("the start is delayed by an injected fault")
         if worker.worker_id in self.refusals:
             return OrderRefused(self.refusals[worker.worker_id])
-        return state.start(order, epoch, resources)
+        return await self._reply(state.start(order, epoch, resources))
 
-    async def stop(
+    async def _stop(
         self, worker: WorkerEntry, run: RunId, permission: OrderPermission
     ) -> OrderOutcome:
-        """Stop a run."""
         state = await self._reach(worker, permission)
         if worker.worker_id in self.refusals:
             return OrderRefused(self.refusals[worker.worker_id])
-        return state.stop(run, permission.epoch) if isinstance(state, RunWorker) else state
+        if not isinstance(state, RunWorker):
+            return state
+        return await self._reply(state.stop(run, permission.epoch))
 
-    async def renew_leases(
+    async def _renew_leases(
         self,
         worker: WorkerEntry,
         permission: OrderPermission,
         deadline: float | None,
-        acknowledgement: Acknowledgement | None,
+        sequence: EndSequence,
+        peer: RunWorker | None,
         wait: float,
-    ) -> RenewalOutcome:
-        """Extend all leases and return the report."""
-        name, sequence, peer = worker.worker_id, EndSequence(0), None
-        if acknowledgement is not None:
-            peer, number = self.connections.get(name, (None, None))
-            if number not in acknowledgement.connections or self._is_gone(name, peer):
-                self.connections.pop(name, None)
-                return NotSent("no connection that brought a report is open")
-            sequence = acknowledgement.sequence
+    ) -> RenewalOutcome | tuple[RunWorker, RenewalOutcome]:
+        """Return the outcome of a poll and, if one responded, the process that did."""
         state = await self._reach(worker, permission)
         if not isinstance(state, RunWorker):
-            self.connections.pop(name, None)
             return state
         if peer not in (None, state):
             return NoResponse("the worker's process ended, and its connections with it")
-        epoch = permission.epoch
-        outcome = state.renew_leases(epoch, deadline, sequence)
+        outcome = self._execute_renewal(state, permission, deadline, sequence)
         if isinstance(outcome, RunReport) and not outcome.ends and wait > 0:
             await wait_for(self._clock, state.next_end(), wait, None)
             outcome = await self._report_again(worker, permission, state, sequence)
-        if isinstance(outcome, RunReport):
-            outcome = replace(outcome, connection=self._connection_to(state))
-        return outcome
+            if not isinstance(outcome, RunReport):
+                return outcome
+        return state, await self._reply(outcome)
+
+    def _execute_renewal(
+        self,
+        state: RunWorker,
+        permission: OrderPermission,
+        deadline: float | None,
+        sequence: EndSequence,
+    ) -> RenewalOutcome:
+        return state.renew_leases(permission.epoch, deadline, sequence)
 
     async def _report_again(
         self,
@@ -385,7 +497,13 @@
             return reached
         if reached is not state:
             return NoResponse("the worker's process ended during the wait")
-        return state.renew_leases(permission.epoch, None, sequence)
+        return self._execute_renewal(state, permission, None, sequence)
+
+    async def _reply(self, outcome: Any) -> Any:
+        """Return the response of a worker, which a restart of its process does not recall."""
+        if self.reply_latency:
+            await sleep(self._clock, self.reply_latency)
+        return outcome
 
     def _is_gone(self, name: WorkerId, peer: RunWorker) -> bool:
         """Return whether the end of a connection has been noticed."""
@@ -402,8 +520,15 @@
     ) -> RunWorker | OrderOutcome:
         if self._clock.now() >= permission.valid_until:
             return NoResponse("the request expired before it was sent")
-        if self.latency:
-            await sleep(self._clock, self.latency)
+        if (latency := self.latency) > 0:
+            # A connection is opened before the timeout, and ends with the worker's process.
+            connect = min(latency, self.timeout)
+            await sleep(self._clock, connect)
+            peer = self._workers.workers.get(worker.worker_id)
+            if latency > connect:
+                await sleep(self._clock, latency - connect)
+                if peer is not self._workers.workers.get(worker.worker_id):
+                    return NoResponse("the worker's process ended before it executed the call")
         state = self._workers.workers.get(worker.worker_id)
         if state is None or worker.worker_id in self.unreachable or self.isolated:
             await sleep(self._clock, RESPONSE_TIMEOUT_SECONDS)
--- a/standins/store.py
+++ b/standins/store.py
@@ -184,8 +184,8 @@
                 return json_reply(200, self._calls.counts)
         kind = _kind_of(req)
         self._calls.count(kind, self.clock.now())
-        if self._faults.delay:
-            await sleep(self.clock, self._faults.delay)
+        if delay := self._faults.delay_of(kind):
+            await sleep(self.clock, delay)
         if self._faults.refuses(kind):
             return json_reply(503, {"error": "the stand-in store is set to be down"})
         reply = await self._handle_call(req)
--- a/standins/store_faults.py
+++ b/standins/store_faults.py
@@ -35,6 +35,9 @@
         Whether writes and lease calls fail before they take effect.
     delay : float
         Seconds until a call takes effect.
+    write_delay : float
+        Further seconds until a key write takes effect. A call that is sent after a change of
+        this delay may overtake it.
     reply_delay : float
         Seconds from the effect of a call to its reply.
     lose_replies, lose_lease_replies : int
@@ -45,10 +48,15 @@
     down: bool = False
     refuse_writes: bool = False
     delay: float = 0.0
+    write_delay: float = 0.0
     reply_delay: float = 0.0
     lose_replies: int = 0
     lose_lease_replies: int = 0
 
+    def delay_of(self, kind: CallKind) -> float:
+        """Return the seconds until a call takes effect."""
+        return self.delay + (self.write_delay if kind is CallKind.WRITE else 0.0)
+
     def refuses(self, kind: CallKind) -> bool:
         """Return whether a call fails before it takes effect."""
         return self.down or (self.refuse_writes and kind in (CallKind.WRITE, CallKind.LEASE))
--- a/tests/batch/deployment.py
+++ b/tests/batch/deployment.py
@@ -74,7 +74,7 @@
     def __init__(self, deployment: Deployment, name: str, cores: float) -> None:
         self.store = MemoryStore(deployment.state, deployment.clock, timeout=1.0)
         self.store.faults.delay = 0.002
-        self.client = MemoryRunClient(deployment.workers)
+        self.client = deployment.make_client()
         addresses = [f"127.0.0.1:{port}" for port in (1, 2, 3)]
         cfg = Settings(
             InstanceId(name),
@@ -131,6 +131,10 @@
         """Return the codec of all instances."""
         return StubPlatformCodec()
 
+    def make_client(self) -> MemoryRunClient:
+        """Return the run client of a new instance."""
+        return MemoryRunClient(self.workers)
+
     def add_instance(self, name: str, cores: float = 1.0) -> Instance:
         self.instances.append(Instance(self, name, cores))
         return self.instances[-1]
