Reproduce adopted runs that are neither released nor started again

The test has its cause alone: a worker with several runs restarts, and the leader is replaced before the worker's entry names its next incarnation.

--- a/tests/batch/test_acknowledgements.py
+++ b/tests/batch/test_acknowledgements.py
@@ -79,6 +79,26 @@
         self.check_runs_once()
 
 
+class AdoptedRuns(unittest.TestCase):
+    def test_worker_that_restarted_before_a_takeover(self) -> None:
+        """Guards against runs that a next leader neither releases nor starts again.
+
+        The first poll shows the restart while the leader is still adopting the runs of the
+        worker, if the client responds at once.
+        """
+        sut = Deployment(instances=2, workers=1)
+        sut.worker("w0").run_seconds = LONG_RUN_SECONDS
+        sut.submit("b1", StepSpec(3, RESOURCES, LONG_RUN_SECONDS))
+        sut.run(0.5)
+        entry = sut.worker("w0").entry
+        sut.workers.add(replace(entry, incarnation=Incarnation(entry.incarnation + 1)))
+        sut.leader.kill()
+        sut.run(5.0)
+        sut.list_worker(sut.worker("w0"))
+        sut.run(SETTLE_SECONDS)
+        self.assertIs(sut.state_of("b1", instance=sut.leader), JobState.COMPLETED)
+
+
 class EndOfReleasedRun(unittest.TestCase):
     """A worker reports the end of a run that the leader had released."""
 
