Adopt each run in the worker's current session

Callers saw: an accepted job stayed in state running for good.

Cause: adopting the first run of a worker starts a poll. If it shows that the worker has restarted, the session is replaced, and the other runs were adopted in the session that had just been closed, so that no report could release them. It takes a client that responds without a wait; the HTTP client does not, so that this was seen on the manual clock only.

Change: each run is adopted through the session that the worker has then.

--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -336,8 +336,10 @@
         self._ensure_polling(session)
 
     def _adopt_orphans(self, session: Session) -> None:
-        for run, step, incarnation in self._orphans.pop(session.worker.worker_id, ()):
-            self._adopt_run(session, run, step, incarnation)
+        worker_id = session.worker.worker_id
+        for run, step, incarnation in self._orphans.pop(worker_id, ()):
+            # The first poll may find that the worker has restarted and replace the session.
+            self.adopt(run, step, worker_id, incarnation)
 
     def _schedule_orphan_release(self, epoch: Epoch) -> None:
         def release() -> None:
