Reproduce a second run after an unanswered start reached the next incarnation

The test has the cause alone: a worker restarts unnoticed, executes a start whose response is lost, and is cut off. The leader releases the run at the end of the lease by the clock of the former incarnation, but the next one grants its longest lease.

--- a/tests/batch/test_unanswered_starts.py
+++ b/tests/batch/test_unanswered_starts.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 
-from chivefall.batch import BatchOperation, JobState, JobStatus, Resources, StepSpec
+from chivefall.batch import BatchOperation, Incarnation, JobState, JobStatus, Resources, StepSpec
 from chivefall.model import JobId
 from chivefall.workers import OrderRefusalReason
 from standins.run_history import late_starts, repeated_runs, run_spans
@@ -15,6 +16,7 @@
 FIRST_ATTEMPT_SECONDS = 0.4  # within which the first attempt of a start was sent, and no other
 FIRST_TWO_ATTEMPTS_SECONDS = 1.4
 ALL_ATTEMPTS_SECONDS = 2.3
+LONGEST_LEASE_SECONDS = 10.0  # that workers grant
 SETTLE_SECONDS = 30.0
 
 
@@ -107,6 +109,23 @@
         spans = run_spans(self.sut.workers.histories())
         self.assertEqual(list(late_starts(spans, {JobId("a1"): cancelled_at})), [])
 
+    def test_worker_that_restarted_unnoticed_and_is_cut_off(self) -> None:
+        """Guards against a second run after the lease end by the former incarnation's clock.
+
+        The next incarnation may have executed the unanswered start. For its clock, which starts
+        anew, the deadline is far away, so it grants its longest lease.
+        """
+        self.sut.run(LONGEST_LEASE_SECONDS)
+        entry = self.sut.worker("w0").entry
+        self.sut.workers.add(replace(entry, incarnation=Incarnation(entry.incarnation + 1)))
+        self.sut.worker("w0").run_seconds = LONGEST_LEASE_SECONDS
+        self.client.timeout, self.client.reply_latency = 0.8, 2.0
+        self.submit()
+        self.sut.run(0.1)
+        self.client.unreachable.add("w0")
+        self.client.reply_latency = 0.0
+        self.check_settled()
+
 
 if __name__ == "__main__":
     unittest.main()
