--- a/chivefall/controllers/batch/_session.py
+++ b/chivefall/controllers/batch/_session.py
@@ -13,7 +13,7 @@
 
 NO_END = EndSequence(0)
 MAX_CONNECTIONS = 8  # that may carry an acknowledgement; more are rarely open to one worker
-MAX_UNSENT = 2  # acknowledgements, until they are no longer bound to a connection
+MAX_UNSENT_ACKNOWLEDGEMENTS = 2  # in a row, until they are not bound to a connection
 MAX_REORDERING_SECONDS = 5.0  # by which a response may be older than one received before it
 
 
@@ -240,7 +240,10 @@
         """
         if not self.awaits_acknowledgement:
             return None
-        if self.unsent_acknowledgements >= MAX_UNSENT and self._starts_precede_last_report():
+        if (
+            self.unsent_acknowledgements >= MAX_UNSENT_ACKNOWLEDGEMENTS
+            and self._starts_precede_last_report()
+        ):
             return Acknowledgement(self.acknowledged, None)
         if not self.connections:
             return None
