Reproduce a second run after a late lease extension by the previous clock

The test has the cause alone: a call to a worker's former incarnation is executed by the next one after its entry is known.

--- a/tests/batch/test_worker_restart.py
+++ b/tests/batch/test_worker_restart.py
@@ -14,6 +14,7 @@
 RUN_SECONDS = 4.0
 UPTIME_SECONDS = 20.0  # by which the clock of a restarted worker is behind
 UNLISTED_SECONDS = 0.3  # from the restart until the worker's entry shows it
+LATE_CALL_SECONDS = 3.0  # until a call is executed
 SETTLE_SECONDS = 25.0
 
 
@@ -154,6 +155,22 @@
         self.sut.leader.client.unreachable.add("w0")
         self.check_settled()
 
+    def test_lease_by_the_previous_clock_that_is_granted_late(self) -> None:
+        """Guards against a lease extension to the previous incarnation that arrives later."""
+        client = self.sut.leader.client
+        self.restart("w0")
+        client.timeout, client.latency = 0.8, LATE_CALL_SECONDS
+        self.sut.run(1.2)
+        client.latency = 0.0
+        self.list_workers()
+        self.sut.run(0.3)
+        self.sut.worker("w0").run_seconds = UPTIME_SECONDS
+        self.sut.submit("a1", StepSpec(1, WHOLE_WORKER, UPTIME_SECONDS))
+        self.sut.run(LATE_CALL_SECONDS - 0.3)
+        self.assertEqual(len(self.sut.worker("w0").running), 1)
+        client.unreachable.add("w0")
+        self.check_settled()
+
     def test_end_kinds_after_a_restart(self) -> None:
         """Guards against counting a run that its worker's crash ended as a failed attempt."""
         self.submit()
