Allow for lease extensions to a former incarnation that are executed late

Callers saw: a task that was started again after its end was acknowledged, or two runs of it at the same time.

Cause: a call may be executed seconds after it got no response. Lease ends by the clock of the former incarnation are far away for the next one, so that it grants its longest lease from then on. The leader counted that lease from the moment when it noticed the restart, and not at all if it had removed the worker meanwhile. It released the runs while the worker's leases still held.

--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -20,7 +20,7 @@
 )
 from chivefall.controllers._base import Controller
 from chivefall.controllers.batch._mirror import PrefixMirror
-from chivefall.controllers.batch._session import Session
+from chivefall.controllers.batch._session import MAX_CALL_DELAY_SECONDS, Session
 from chivefall.errors import MessageError
 from chivefall.runtime import sleep
 from chivefall.telemetry import LogEvent, log_event
@@ -110,6 +110,7 @@
         self._leader = leader
         self._listener: RunListener | None = None
         self._sessions: dict[WorkerId, Session] = {}
+        self._removed_at: dict[WorkerId, float] = {}
         self._orphans: dict[WorkerId, list[tuple[RunId, StepSpec, Incarnation]]] = {}
         self._invalid_entries: dict[str, Version] = {}
         self._epoch: Epoch | None = None
@@ -139,7 +140,7 @@
         self._epoch = None
         for session in self._sessions.values():
             session.closed = True
-        self._sessions, self._orphans = {}, {}
+        self._sessions, self._orphans, self._removed_at = {}, {}, {}
         self.is_loaded = False
         self.fleet = Fleet()
 
@@ -227,6 +228,10 @@
 
     def _add_session(self, entry: WorkerEntry) -> Session:
         session = Session(Worker(entry), self._timing.max_lease, self._timing.longest_lease)
+        now = self.clock.now()
+        if now - self._removed_at.pop(entry.worker_id, float("-inf")) < MAX_CALL_DELAY_SECONDS:
+            # Calls of the earlier session may still be under way.
+            session.record_restart(now)
         self._sessions[entry.worker_id] = session
         self.fleet.workers[entry.worker_id] = session.worker
         log_event(
@@ -300,6 +305,11 @@
         if self._sessions.get(worker_id) is session:
             del self._sessions[worker_id]
             del self.fleet.workers[worker_id]
+            now = self.clock.now()
+            removed = {**self._removed_at, worker_id: now}
+            self._removed_at = {
+                name: at for name, at in removed.items() if now - at < MAX_CALL_DELAY_SECONDS
+            }
 
     def _end_incarnation(self, session: Session, reason: str) -> None:
         """Release all runs of an incarnation that has ended, and remove its session."""
--- a/chivefall/controllers/batch/_session.py
+++ b/chivefall/controllers/batch/_session.py
@@ -9,7 +9,7 @@
 from chivefall.model import ConnectionId
 from chivefall.workers import Acknowledgement, RunEnd
 
-__all__ = ["Session"]
+__all__ = ["MAX_CALL_DELAY_SECONDS", "Session"]
 
 NO_END = EndSequence(0)
 MAX_CONNECTIONS = 8  # that may carry an acknowledgement; more are rarely open to one worker
@@ -143,13 +143,16 @@
                 self.expected_since[run] = now
 
     def record_restart(self, now: float) -> None:
-        """Allow for leases that were sent by the clock of the previous incarnation."""
-        self.max_lease = self.longest_lease
+        """Allow for leases that were sent by the clock of the previous incarnation.
+
+        Calls that carry them may still be under way.
+        """
+        self.max_lease = self.longest_lease + MAX_CALL_DELAY_SECONDS
         if self._clock_reading is None:
-            self.unread_leases_end = now + self.longest_lease / MIN_CLOCK_RATE
+            longest = self.longest_lease / MIN_CLOCK_RATE
+            self.unread_leases_end = now + MAX_CALL_DELAY_SECONDS + longest
         else:
-            deadline = self.worker_clock(now) + self.longest_lease
-            self.lease_deadline = max(self.lease_deadline, deadline)
+            self.lease_deadline = max(self.lease_deadline, self.worker_clock(now) + self.max_lease)
 
     def record_clock(self, clock: float, now: float) -> None:
         """Record the worker's clock, in seconds, from a response received at ``now``."""
@@ -158,7 +161,7 @@
             self.lease_deadline = max(self.lease_deadline, clock + self.max_lease)
         elif clock < self._clock_reading[0] - MAX_REORDERING_SECONDS:
             # The worker restarted, and no report has shown its new incarnation yet.
-            self.lease_deadline = clock + self.longest_lease
+            self.lease_deadline = clock + self.longest_lease + MAX_CALL_DELAY_SECONDS
         self._clock_reading = (clock, now)
 
     def extend_leases(self, seconds: float, now: float) -> float | None:
--- a/tests/batch/test_worker_restart.py
+++ b/tests/batch/test_worker_restart.py
@@ -14,6 +14,7 @@
 RUN_SECONDS = 4.0
 UPTIME_SECONDS = 20.0  # by which the clock of a restarted worker is behind
 UNLISTED_SECONDS = 0.3  # from the restart until the worker's entry shows it
+WATCH_SECONDS = 0.6  # within which the leader notices a changed entry
 LATE_CALL_SECONDS = 3.0  # until a call is executed
 SETTLE_SECONDS = 25.0
 
@@ -157,13 +158,24 @@
 
     def test_lease_by_the_previous_clock_that_is_granted_late(self) -> None:
         """Guards against a lease extension to the previous incarnation that arrives later."""
+        for is_relisted in (False, True):
+            with self.subTest(is_relisted=is_relisted):
+                self.setUp()
+                self.check_late_lease(is_relisted=is_relisted)
+
+    def check_late_lease(self, *, is_relisted: bool) -> None:
         client = self.sut.leader.client
         self.restart("w0")
         client.timeout, client.latency = 0.8, LATE_CALL_SECONDS
         self.sut.run(1.2)
         client.latency = 0.0
         self.list_workers()
-        self.sut.run(0.3)
+        self.sut.run(0.2)
+        if is_relisted:
+            self.sut.delete("servers/w0")
+            self.sut.run(WATCH_SECONDS)
+            self.list_workers()
+        self.sut.run(WATCH_SECONDS)
         self.sut.worker("w0").run_seconds = UPTIME_SECONDS
         self.sut.submit("a1", StepSpec(1, WHOLE_WORKER, UPTIME_SECONDS))
         self.sut.run(LATE_CALL_SECONDS - 0.3)
