Reproduce a task that runs again after its record could not be read

A leader that cannot read a job's record ignores the job, but acknowledges the ends of its runs. A later leader that reads the record starts the task again.

--- a/tests/batch/test_acknowledgements.py
+++ b/tests/batch/test_acknowledgements.py
@@ -19,6 +19,7 @@
     TaskState,
 )
 from chivefall.model import JobId, WorkerId
+from chivefall.store import BatchPart, batch_key
 from standins.run_history import repeated_runs, run_spans
 from standins.run_workers import make_worker_entry
 from tests.batch.deployment import ACCOUNT, NORMAL, Deployment
@@ -99,6 +100,29 @@
         self.assertIs(sut.state_of("b1", instance=sut.leader), JobState.COMPLETED)
 
 
+class UnreadableRecord(unittest.TestCase):
+    def test_end_while_the_record_cannot_be_read(self) -> None:
+        """Guards against forgetting an end that this leader cannot record, but a later one could.
+
+        Records may come from another version of the program.
+        """
+        sut = Deployment(instances=2, workers=1)
+        sut.worker("w0").run_seconds = LONG_RUN_SECONDS
+        sut.submit("b1", StepSpec(1, RESOURCES, LONG_RUN_SECONDS))
+        sut.run(0.5)
+        key = batch_key(JobId("b1"), BatchPart.PROGRESS)
+        record = sut.state.get(key).value
+        sut.leader.kill()
+        sut.write(key, b"of another version")
+        sut.run(2 * LONG_RUN_SECONDS + 2.0)
+        sut.write(key, record)
+        sut.leader.kill()
+        sut.add_instance("i2")
+        sut.run(SETTLE_SECONDS)
+        self.assertEqual(list(repeated_runs(run_spans(sut.workers.histories()))), [])
+        self.assertIs(sut.state_of("b1", instance=sut.leader), JobState.COMPLETED)
+
+
 class EndOfReleasedRun(unittest.TestCase):
     """A worker reports the end of a run that the leader had released."""
 
