Do not acknowledge ends of jobs whose records cannot be read

Callers saw: a task that ran again after its end was acknowledged.

Cause: a leader that cannot read the record of a job, for example of another version of the program, ignores the job, and acknowledged the ends of its runs without recording them.

Change: such ends are not acknowledged, so that a later leader can record them. Until then the worker lists them, and the later ones, again.

--- a/chivefall/controllers/batch/_scheduler.py
+++ b/chivefall/controllers/batch/_scheduler.py
@@ -103,6 +103,7 @@
         self._checking_missed = False
         self._next_missed_check = 0.0
         self._ignored_jobs: set[JobId] = set()
+        self._unreadable_jobs: set[JobId] = set()
         self._assigned_at: dict[JobId, float] = {}
         self.jobs: dict[JobId, TrackedJob] = {}
         catalog.on_change(self.fleet_changed)
@@ -152,7 +153,8 @@
 
     def _close(self) -> None:
         self._epoch, self._loaded = None, False
-        self.jobs, self._ignored_jobs, self._assigned_at = {}, set(), {}
+        self.jobs, self._assigned_at = {}, {}
+        self._ignored_jobs, self._unreadable_jobs = set(), set()
         self._writer.close()
         self._fleet.close()
 
@@ -196,6 +198,7 @@
             if submission.job_id != job_id:
                 raise MessageError("the record is that of another job", "remove the key")
         except MessageError as exc:
+            self._unreadable_jobs.add(job_id)
             self._ignore_job(job_id, entry.key, str(exc))
             return
         queue = self._current_queue(submission)
@@ -226,6 +229,7 @@
         except MessageError as exc:
             # What the job's tasks did is unknown, so none of them may start.
             del self.jobs[job_id]
+            self._unreadable_jobs.add(job_id)
             self._ignore_job(job_id, entry.key, str(exc))
             return
         tracked.version = Version(entry.version)
@@ -509,7 +513,9 @@
         """Apply the end of a run and call ``acknowledge`` once the result is written."""
         tracked = self.jobs.get(run.job)
         if tracked is None:
-            acknowledge()
+            # A later leader may be able to read the job's record.
+            if run.job not in self._unreadable_jobs:
+                acknowledge()
             return
         was_current = self.is_current_run(run)
         if tracked.job.end_run(run, kind, checkpoint, self.clock.now()):
