Record the ends of a report in the order of their sequence

A worker that lists a later end first, which the protocol does not exclude, would have lost the earlier one.

Cause: an end that needs no write was acknowledged at once, together with all ends of a lower sequence, before the rest of the report was read.

Evidence: test_ends_out_of_order had two starts of a task that was done.

Change: ends are sorted by sequence. With it the test has one start.

--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -485,7 +485,7 @@
             self._record_running(session, status.run)
             self._listener.run_progressed(status.run, status.checkpoint, status.progress)
         listed = {status.run for status in report.running}
-        for end in report.ends:
+        for end in sorted(report.ends, key=lambda end: end.sequence):
             listed.add(end.run)
             self._record_end(session, end)
         if report.is_complete:
--- a/tests/batch/test_acknowledgements.py
+++ b/tests/batch/test_acknowledgements.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import unittest
 from dataclasses import replace
 
@@ -361,6 +362,17 @@
         ended = [fields["run"] for fields in logged.of(LogEvent.RUN_ENDED)]
         self.assertEqual(ended, ["b2.0.0.0#1", "b2.0.0.0#2"])
 
+    def test_ends_out_of_order(self) -> None:
+        """Guards against acknowledging an end that a report lists behind a later one."""
+        client = self.sut.leader.client
+        client.unreachable.add("w0")
+        unknown = RunId(JobId("b1"), TaskKey(0, 0, 0), RunNumber(99))
+        self.sut.run(1.0)
+        self.worker._sequence = itertools.count(3)
+        self.worker.ends.insert(0, RunEnd(EndSequence(2), unknown, EndKind.STOPPED, NO_CHECKPOINT))
+        client.unreachable.clear()
+        self.check_completed()
+
     def hide_jobs(self) -> None:
         """Let the leader's lists of all jobs miss them."""
         store = self.sut.leader.store
