Drop the write of a job that was removed

Callers saw: jobs that stayed as they were; nothing started, and no end was acknowledged until the leadership changed.

Cause: a job is removed after its retention period. If the removal overtook a write of the job, or its response was lost and the job changed after that, the condition of the write could never hold again.

Change: a write of a job whose final state was stored, and whose record is gone, is dropped, and the ends that it held are acknowledged. With it the other job completes, under the same epoch.

--- a/chivefall/controllers/batch/_progress_writer.py
+++ b/chivefall/controllers/batch/_progress_writer.py
@@ -6,7 +6,16 @@
 
 from chivefall.batch import encode_progress
 from chivefall.runtime import sleep
-from chivefall.store import BatchPart, Mismatch, Put, Stored, Version, batch_key, waiting_key
+from chivefall.store import (
+    ABSENT,
+    BatchPart,
+    Mismatch,
+    Put,
+    Stored,
+    Version,
+    batch_key,
+    waiting_key,
+)
 from chivefall.telemetry import LogEvent, log_event
 
 if TYPE_CHECKING:
@@ -152,13 +161,28 @@
             return  # The leader controller detects this and steps down or renews the lease.
         for tracked in changed:
             entry = outcome.current.get(_key(tracked))
-            if entry is None or entry.version == tracked.version:
+            if entry is None:
+                if tracked.version != ABSENT and tracked.final_since is not None:
+                    self._drop_write_of_removed(tracked)
+                continue
+            if entry.version == tracked.version:
                 continue
             if entry.value not in tracked.unacknowledged_writes:
                 self._leader.step_down(f"another process wrote progress of {tracked.job.job_id}")
                 return
             tracked.version, tracked.unacknowledged_writes = Version(entry.version), [entry.value]
 
+    def _drop_write_of_removed(self, tracked: TrackedJob) -> None:
+        """Drop the write of a final job that was removed, as it would hold up other writes.
+
+        Nobody needs the ends of its runs, so they count as written.
+        """
+        del self._changed[tracked.job.job_id]
+        tracked.dirty, tracked.unacknowledged_writes = False, []
+        on_written, tracked.on_written = tracked.on_written, []
+        for action in on_written:
+            action()
+
 
 def _key(tracked: TrackedJob) -> str:
     return batch_key(tracked.job.job_id, BatchPart.PROGRESS)
--- a/tests/batch/test_progress_writer.py
+++ b/tests/batch/test_progress_writer.py
@@ -11,6 +11,7 @@
     BatchSpec,
     EndKind,
     Incarnation,
+    JobState,
     Resources,
     RunId,
     StepSpec,
@@ -25,7 +26,7 @@
 from chivefall.store import ABSENT, BatchPart, Version, batch_key, waiting_key
 from standins.memory_store import MemoryStore
 from standins.store import KeyValueState
-from tests.batch.deployment import ACCOUNT, NORMAL
+from tests.batch.deployment import ACCOUNT, NORMAL, Deployment
 
 LEADER_KEY = "leaders/region"
 SEEDS = 60
@@ -183,5 +184,46 @@
         self.assertGreater(acknowledged, SEEDS * STEPS / 20)
 
 
+class RemovedRecord(unittest.TestCase):
+    def setUp(self) -> None:
+        self.sut = Deployment(workers=1)
+        self.sut.submit("b1", StepSpec(1, Resources(1000, 1000, 1), 2.0))
+        self.sut.run(4.0)
+        self.assertIs(self.sut.state_of("b1"), JobState.COMPLETED)
+        self.scheduler = self.sut.leader.application.scheduler
+        self.epoch = self.sut.leader.application.leader.epoch
+        self.tracked = self.scheduler.jobs["b1"]
+        self.faults = self.sut.leader.store.faults
+
+    def check_other_job_runs(self) -> None:
+        self.sut.submit("b2", StepSpec(1, Resources(1000, 1000, 1), 2.0))
+        self.sut.run(6.0)
+        self.assertIs(self.sut.state_of("b2"), JobState.COMPLETED)
+        self.assertEqual(self.sut.leader.application.leader.epoch, self.epoch)
+        self.assertTrue(self.scheduler.is_idle)
+        self.assertIsNone(self.sut.state.get(batch_key(JobId("b1"), BatchPart.PROGRESS)))
+
+    def test_write_that_is_overtaken_by_the_removal(self) -> None:
+        """Guards against a write that can never succeed and holds up those of other jobs."""
+        acknowledged = []
+        self.faults.delay = 0.3
+        self.scheduler._writer.schedule_write(self.tracked, lambda: acknowledged.append(1))
+        self.sut.run(0.05)
+        self.faults.delay = 0.0
+        self.scheduler.run_task(self.scheduler._delete(self.epoch, [self.tracked]))
+        self.sut.run(0.5)
+        self.check_other_job_runs()
+        self.assertEqual(acknowledged, [1])
+        self.assertNotIn("b1", self.scheduler.jobs)
+
+    def test_change_after_a_removal_without_response(self) -> None:
+        """Guards against the same after a removal whose response was lost."""
+        self.faults.lose_replies = 1
+        self.scheduler.run_task(self.scheduler._delete(self.epoch, [self.tracked]))
+        self.sut.run(0.1)
+        self.scheduler._writer.schedule_write(self.tracked)
+        self.check_other_job_runs()
+
+
 if __name__ == "__main__":
     unittest.main()
