Write the waiting key again after a write without a response

Callers saw: a number of pending jobs that was too low.

Cause: the write of a job's first assignment removes its waiting key. If its response was lost and the job counted as pending again before the write was confirmed, the key was taken for present and not written.

Change: while a write is unconfirmed, the next one sets the key in any case.

--- a/chivefall/controllers/batch/_progress_writer.py
+++ b/chivefall/controllers/batch/_progress_writer.py
@@ -117,13 +117,16 @@
             key, value = _key(tracked), encode_progress(tracked.job)
             conditions[key] = tracked.version
             puts.append(Put(key, value))
+            # An earlier write may have changed the waiting key without a response.
+            is_uncertain = bool(tracked.unacknowledged_writes)
             if value not in tracked.unacknowledged_writes:
                 tracked.unacknowledged_writes.append(value)
             pending_key = waiting_key(tracked.job.submission.queue.name, tracked.job.job_id)
-            if tracked.has_waiting_key and not tracked.is_pending:
-                removes.append(pending_key)
-            elif tracked.is_pending and not tracked.has_waiting_key:
-                puts.append(Put(pending_key, b""))
+            if tracked.is_pending != tracked.has_waiting_key or is_uncertain:
+                if tracked.is_pending:
+                    puts.append(Put(pending_key, b""))
+                else:
+                    removes.append(pending_key)
             sent.append((tracked, tracked.job.state, tracked.is_pending, tracked.on_written))
             tracked.dirty, tracked.on_written = False, []
             del self._changed[tracked.job.job_id]
--- a/tests/batch/test_progress_writer.py
+++ b/tests/batch/test_progress_writer.py
@@ -68,6 +68,9 @@
         self.waiting: set[RunId] = set()
         self.acknowledged = 0
         self.failures: list[AssertionError] = []
+        self.job_ids = [JobId(f"{number:04x}") for number in range(JOBS)]
+        for job_id in self.job_ids:
+            self.state.write_all([(waiting_key(NORMAL.name, job_id), b"", None)], [])
         self.take_over()
 
     def take_over(self) -> None:
@@ -75,7 +78,7 @@
         self.writer.close()
         version = self.state.write_all([(LEADER_KEY, b"", None)], [])
         self.waiting.clear()
-        self.jobs = [self.read(JobId(f"{number:04x}")) for number in range(JOBS)]
+        self.jobs = [self.read(job_id) for job_id in self.job_ids]
         self.writer.open(Epoch(version))
 
     def read(self, job_id: JobId) -> TrackedJob:
@@ -90,8 +93,8 @@
         return TrackedJob(job, version, has_waiting_key=has_waiting_key)
 
     def step(self) -> None:
-        action = self.random.choice((self.assign, self.end, self.end, self.repeat, self.disturb))
-        action()
+        actions = (self.assign, self.end, self.end, self.repeat, self.count_pending, self.disturb)
+        self.random.choice(actions)()
         if self.random.random() < 0.02 or self.leader.steps_down:
             self.leader.steps_down.clear()
             self.take_over()
@@ -118,6 +121,12 @@
             self.ends[run] = self.random.choice((EndKind.DONE, EndKind.FAILED, EndKind.FAILED))
             self.report(run)
 
+    def count_pending(self) -> None:
+        """Count a job as pending again, or no longer."""
+        tracked = self.random.choice(self.jobs)
+        tracked.awaits_begin = not tracked.awaits_begin
+        self.writer.schedule_write(tracked)
+
     def repeat(self) -> None:
         """Report an earlier end again, as to a new session or to a next leader."""
         if self.ends:
@@ -168,6 +177,10 @@
         self.test.assertEqual(self.waiting, set())
         self.test.assertTrue(self.writer.is_idle)
         self.test.assertEqual(self.leader.steps_down, [])
+        for tracked in self.jobs:
+            key = waiting_key(NORMAL.name, tracked.job.job_id)
+            if tracked.is_pending:  # The scheduler removes keys of other jobs that are left.
+                self.test.assertIsNotNone(self.state.get(key), key)
 
 
 class ProgressWriterFuzz(unittest.TestCase):
