--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -296,7 +296,11 @@
             del self.fleet.workers[worker_id]
 
     def _end_incarnation(self, session: Session, reason: str) -> None:
-        """Release all runs of an incarnation that has ended, and remove its session."""
+        """Release all runs of an incarnation that has ended, and remove its session.
+
+        Another worker responds at its address, so unlike after a restart under its id no
+        process there can have accepted its starts.
+        """
         for run in list(session.worker.runs):
             self._release(session, run, reason)
         self._remove_session(session)
