--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -313,7 +313,11 @@
             }
 
     def _end_incarnation(self, session: Session, reason: str) -> None:
-        """Release all runs of an incarnation that has ended, and remove its session."""
+        """Release all runs of an incarnation that has ended, and remove its session.
+
+        Another worker responds at its address, so unlike after a restart under its id no
+        process there can have accepted its starts.
+        """
         for run in list(session.worker.runs):
             self._release(session, run, reason)
         self._remove_session(session)
@@ -510,7 +514,7 @@
             self._record_running(session, status.run)
             self._listener.run_progressed(status.run, status.checkpoint, status.progress)
         listed = {status.run for status in report.running}
-        for end in report.ends:
+        for end in sorted(report.ends, key=lambda end: end.sequence):
             listed.add(end.run)
             self._record_end(session, end)
         if report.is_complete:
