Do not repeat the start of a run that is being stopped

Callers saw: a run that began up to 2 s after its stop was decided, for a job that was shown as cancelled or completed, or for an urgent one that took its place.

Cause: a start without response is repeated twice, whatever has been decided about the run in between.

Change: a start is not repeated once its run must be stopped. Test: one start.

--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -672,7 +672,7 @@
                 reason = "worker became unresponsive" if permission else "leader lease ended"
                 self._release(session, run, f"{reason} before the start")
                 return False
-            if deadline is None:
+            if deadline is None or self._must_stop(session, run):
                 break
             order = RunOrder(run, payload, deadline, checkpoint)
             is_repeated = run in session.unanswered_starts
@@ -698,6 +698,10 @@
         self._stop_uncertain_run(session, run, "no response to a start")
         return False
 
+    def _must_stop(self, session: Session, run: RunId) -> bool:
+        """Return whether a stop of a run was decided, so that its start is not repeated."""
+        return run in session.stopping or self._listener.should_stop(run)
+
     def _stop_uncertain_run(self, session: Session, run: RunId, reason: str) -> None:
         """Stop a run that the worker may still start, so that it can be released."""
         worker_id = session.worker.worker_id
--- a/tests/batch/test_unanswered_starts.py
+++ b/tests/batch/test_unanswered_starts.py
@@ -110,6 +110,27 @@
         spans = run_spans(self.sut.workers.histories())
         self.assertEqual(list(late_starts(spans, {JobId("a1"): cancelled_at})), [])
 
+    def test_start_of_a_run_that_is_being_stopped(self) -> None:
+        """Guards against repeating a start after the decision to stop its run.
+
+        The repetition may reach the worker after the job is shown as cancelled or completed.
+        """
+        starts = []
+        start = self.client.start
+
+        async def count(worker, *args):
+            if worker.worker_id == "w0":
+                starts.append(self.sut.clock.now())
+            return await start(worker, *args)
+
+        self.client.start = count
+        self.client.delayed.add("w0")
+        self.submit()
+        self.sut.run(FIRST_ATTEMPT_SECONDS)
+        self.sut.call(BatchOperation.CANCEL, "/normal/a1")
+        self.sut.run(ALL_ATTEMPTS_SECONDS)
+        self.assertEqual(len(starts), 1)
+
     def test_worker_that_restarted_unnoticed_and_is_cut_off(self) -> None:
         """Guards against a second run after the lease end by the former incarnation's clock.
 
