--- a/tests/batch/test_acknowledgements.py
+++ b/tests/batch/test_acknowledgements.py
@@ -8,6 +8,7 @@
 from chivefall.batch import (
     NO_CHECKPOINT,
     BatchJob,
+    BatchOperation,
     BatchSpec,
     EndKind,
     Incarnation,
@@ -18,6 +19,7 @@
     TaskKey,
     TaskState,
 )
+from chivefall.config import PlatformBounds
 from chivefall.model import JobId, WorkerId
 from chivefall.store import BatchPart, batch_key
 from standins.run_history import repeated_runs, run_spans
@@ -29,6 +31,7 @@
 LONG_RUN_SECONDS = 2.0
 SHORT_RUN_SECONDS = 0.2
 SETTLE_SECONDS = 20.0
+RETENTION_SECONDS = 3.5  # until a job is removed, with a status retention of 2 s
 POLL_LATENCY_SECONDS = 0.5  # longer than a short run
 
 
@@ -123,6 +126,31 @@
         self.assertIs(sut.state_of("b1", instance=sut.leader), JobState.COMPLETED)
 
 
+class RemovedJob(unittest.TestCase):
+    def test_end_after_a_removal_whose_reply_was_lost(self) -> None:
+        """Guards against a write for a removed job that fails for good and blocks all others."""
+        sut = Deployment(workers=2, bounds=PlatformBounds(status_retention=2.0))
+        for worker in sut.workers.workers.values():
+            worker.run_seconds = LONG_RUN_SECONDS
+        sut.submit("b1", StepSpec(1, WHOLE_WORKER, LONG_RUN_SECONDS))
+        sut.run(0.5)
+        # Another worker responds at the address of w0, so that its run is released.
+        sut.leader.client.misdirected.add("w0")
+        sut.delete("servers/w0")
+        sut.run(1.0)
+        sut.call(BatchOperation.CANCEL, "/normal/b1")
+        sut.run(1.0)
+        sut.leader.store.lose_replies = 1
+        sut.run(RETENTION_SECONDS)
+        self.assertIsNone(sut.state.get(batch_key(JobId("b1"), BatchPart.PROGRESS)))
+        sut.leader.client.misdirected.clear()
+        sut.list_worker(sut.worker("w0"))
+        sut.run(1.0)
+        sut.submit("b2", StepSpec(1, RESOURCES, LONG_RUN_SECONDS))
+        sut.run(2 * LONG_RUN_SECONDS)
+        self.assertIs(sut.state_of("b2"), JobState.COMPLETED)
+
+
 class EndOfReleasedRun(unittest.TestCase):
     """A worker reports the end of a run that the leader had released."""
 
