Drop the writes of a job that has been removed

Callers saw: accepted jobs that never started, while one instance led.

Cause: if the end of a run changes a final job while its removal is under way, or after a removal whose reply was lost, the condition on the job's record no longer holds. The write was repeated for good, and failed all writes of other jobs that shared its transaction.

Change: the pending writes of a final job without a record are dropped, and its ends are acknowledged.

--- a/chivefall/controllers/batch/_progress_writer.py
+++ b/chivefall/controllers/batch/_progress_writer.py
@@ -6,7 +6,16 @@
 
 from chivefall.batch import encode_progress
 from chivefall.runtime import sleep
-from chivefall.store import BatchPart, Mismatch, Put, Stored, Version, batch_key, waiting_key
+from chivefall.store import (
+    ABSENT,
+    BatchPart,
+    Mismatch,
+    Put,
+    Stored,
+    Version,
+    batch_key,
+    waiting_key,
+)
 from chivefall.telemetry import LogEvent, log_event
 
 if TYPE_CHECKING:
@@ -152,6 +161,9 @@
             return  # The leader controller detects this and steps down or renews the lease.
         for tracked in changed:
             entry = outcome.current.get(_key(tracked))
+            if entry is None and tracked.version != ABSENT and tracked.final_since is not None:
+                self._drop(tracked)
+                continue
             if entry is None or entry.version == tracked.version:
                 continue
             if entry.value not in tracked.unacknowledged_writes:
@@ -159,6 +171,14 @@
                 return
             tracked.version, tracked.unacknowledged_writes = Version(entry.version), [entry.value]
 
+    def _drop(self, tracked: TrackedJob) -> None:
+        """Drop the pending writes of a final job whose record this leader has removed."""
+        self._changed.pop(tracked.job.job_id, None)
+        tracked.dirty, tracked.unacknowledged_writes = False, []
+        actions, tracked.on_written = tracked.on_written, []
+        for action in actions:
+            action()
+
 
 def _key(tracked: TrackedJob) -> str:
     return batch_key(tracked.job.job_id, BatchPart.PROGRESS)
