--- a/tests/batch/test_end_fuzz.py
+++ b/tests/batch/test_end_fuzz.py
@@ -48,7 +48,7 @@
     from chivefall.workers import RunEnd
     from standins.run_history import RunSpan
 
-SEEDS_IN_CI = 30
+SEEDS_IN_CI = 50
 MAX_RUN_LEASE_SECONDS = 3.0
 GANG_WAIT_SECONDS = 3.0
 STOP_GRACE_SECONDS = 0.4
