Log what is known of a worker when its runs are released

A report that arrives after the end of its session or of the leadership is logged with its ends (report_not_used).

--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -51,13 +51,20 @@
     from chivefall.runtime import Clock
     from chivefall.store import Entry, Store, Version
     from chivefall.telemetry import BatchMetrics
-    from chivefall.workers import Acknowledgement, OrderOutcome, RunClient, RunEnd
+    from chivefall.workers import (
+        Acknowledgement,
+        OrderOutcome,
+        RenewalOutcome,
+        RunClient,
+        RunEnd,
+    )
 
 __all__ = ["FleetController"]
 
 WATCH_INTERVAL_SECONDS = 0.4  # between watches of worker entries; every heartbeat changes one
 RETRY_DELAY_SECONDS = 0.4  # between calls to an unresponsive worker
 MAX_LOGGED_KEY_LENGTH = 200  # characters; other programs choose the keys of their entries
+MAX_LOGGED_ENDS = 10  # of a report that is not used
 MAX_PROBES_PER_SECOND = 150.0  # of idle workers; each call takes the leader 0.5 ms
 MAX_POLLS_PER_SECOND = 250.0  # of workers with runs, unless ends of runs are reported earlier
 MIN_PROBE_INTERVAL_SECONDS = 1.0  # between calls to an idle worker
@@ -332,6 +339,7 @@
             incarnation=session.worker.entry.incarnation,
             acknowledged=session.acknowledgement_sent,
             reason=reason,
+            **session.describe_contact(self.clock.now()),
             **inputs,
         )
         self._listener.run_released(run)
@@ -455,6 +463,7 @@
             )
             session.worker.accepts_starts = True
             if session.closed or not self._is_current(epoch):
+                self._log_unused_report(session, outcome, sent_at)
                 return
             acknowledges = not isinstance(outcome, NotSent)
             if not acknowledges:
@@ -501,6 +510,19 @@
         while session.unwritten_ends and not session.closed and self.clock.now() < limit:
             await sleep(self.clock, ACKNOWLEDGE_CHECK_INTERVAL_SECONDS)
 
+    def _log_unused_report(self, session: Session, outcome: RenewalOutcome, sent_at: float) -> None:
+        """Log a report that arrived after the end of its session or leadership."""
+        if isinstance(outcome, RunReport):
+            log_event(
+                LogEvent.REPORT_NOT_USED,
+                worker=session.worker.worker_id,
+                incarnation=outcome.incarnation,
+                reason="session closed" if session.closed else "leadership ended",
+                running=len(outcome.running),
+                ends=[str(end.run) for end in outcome.ends[:MAX_LOGGED_ENDS]],
+                age=round(self.clock.now() - sent_at, 3),
+            )
+
     def _record_report(self, session: Session, report: RunReport, sent_at: float) -> None:
         worker = session.worker
         if report.incarnation not in (worker.entry.incarnation, Incarnation(0)):
@@ -588,7 +610,7 @@
             worker.record_bad_run(FAILED_RUN_AVOID_SECONDS, self.clock.now())
 
     def _record_response(self, session: Session) -> None:
-        session.failures = 0
+        session.record_response(self.clock.now())
         if session.worker.suspect:
             session.worker.suspect = False
             log_event(LogEvent.WORKER_ANSWERS, worker=session.worker.worker_id)
@@ -606,7 +628,7 @@
 
     def _mark_suspect(self, session: Session, reason: str) -> None:
         """Exclude a worker from placement until it responds again."""
-        session.failures += 1
+        session.record_failure(reason)
         if not session.worker.suspect:
             session.worker.suspect = True
             log_event(
--- a/chivefall/controllers/batch/_session.py
+++ b/chivefall/controllers/batch/_session.py
@@ -82,6 +82,11 @@
         Latest entry of another incarnation that no report has shown yet.
     failures : int
         Consecutive calls without a response.
+    last_response_at : float
+        Time of the last response, in seconds since the Unix epoch.
+    last_outcome : str
+        How the last call that failed, or was refused, ended; empty if none did since the
+        last response.
     """
 
     worker: Worker
@@ -109,6 +114,8 @@
     closed: bool = False
     unconfirmed_entry: WorkerEntry | None = None
     failures: int = 0
+    last_response_at: float = float("-inf")
+    last_outcome: str = ""
     _clock_reading: tuple[float, float] | None = None
 
     def leaves_restart_to_reports(self, entry: WorkerEntry) -> bool:
@@ -199,6 +206,29 @@
         self.lease_deadline = max(self.lease_deadline, deadline)
         return deadline
 
+    def record_response(self, now: float) -> None:
+        """Record a response received at ``now``."""
+        self.failures, self.last_outcome = 0, ""
+        self.last_response_at = now
+
+    def record_failure(self, reason: str) -> None:
+        """Record a call without a response, or one whose response shows no contact."""
+        self.failures += 1
+        self.last_outcome = reason
+
+    def describe_contact(self, now: float) -> dict[str, float | str | None]:
+        """Return the log fields on what is known of the worker: ages and times in seconds."""
+        has_response = self.last_response_at > float("-inf")
+        has_clock = self._clock_reading is not None
+        return {
+            "response_age": round(now - self.last_response_at, 3) if has_response else None,
+            "lease_left": round(self.lease_deadline - self.worker_clock(now), 3)
+            if has_clock
+            else None,
+            "failures": self.failures,
+            "last_outcome": self.last_outcome,
+        }
+
     def worker_clock(self, now: float) -> float:
         """Return the worker's clock, overestimated by at most 2 % of the time since it was read."""
         if self._clock_reading is None:
--- a/chivefall/telemetry/_events.py
+++ b/chivefall/telemetry/_events.py
@@ -101,6 +101,10 @@
         7305,
         "A stored entry does not describe a usable worker; logged once for each revision.",
     )
+    REPORT_NOT_USED = (
+        7306,
+        "A worker's report arrived after the end of its session or of the leadership.",
+    )
     HISTORY_LOST = (7304, "The store no longer holds the changes to a prefix; it is listed again.")
 
     def __init__(self, number: int, meaning: str) -> None:
