Keep earlier log messages out of the test of the contact log

The test passed alone and failed in a whole run, on: eliot buffers the messages that are written before the first destination is added and passes them on, so the test took the release of another test's run for its own.

--- a/tests/batch/test_contact_log.py
+++ b/tests/batch/test_contact_log.py
@@ -19,6 +19,7 @@
     def setUp(self) -> None:
         self.lines: list[dict[str, Any]] = []
         add_destinations(self.lines.append)
+        self.lines.clear()  # eliot passes earlier messages to the first destination
         self.addCleanup(remove_destination, self.lines.append)
         self.sut = Deployment(workers=1)
         self.sut.submit("0a", StepSpec(1, Resources(1000, 1000, 1), 30.0))
