Use a response that has arrived when its timeout ends

Callers saw: a worker had sent its report of an end, the leader took the poll for unanswered and, if the next polls failed too, ran the task again. A write that the store had confirmed was taken for uncertain. Cause: timers run before the poller reads. While a handler was busy, or the process was stopped by a signal (the interrupted poller returns no events), the timeout of an exchange ended before the response in the receive buffer was read. A pause in a timer loses nothing: the timers that become due meanwhile run after the next read. Change: an exchange whose timeout ends reads what has arrived first, if its request was sent. Without a complete response it fails as before, and its connection is closed. The duration of such a response includes the pause, so it does not count for the adaptive timeouts (is_late).

--- a/chivefall/net/_http_client.py
+++ b/chivefall/net/_http_client.py
@@ -123,7 +123,8 @@
         Parameters
         ----------
         timeout : float
-            Seconds until the exchange fails and its connection is closed.
+            Seconds until the exchange fails and its connection is closed. A response that
+            has arrived by then is used, also if the process was paused and reads it late.
         idempotent : bool
             Whether the caller may repeat a failed exchange. Other requests use a new
             connection: a server may close an idle connection just as a request is
@@ -229,7 +230,32 @@
 
     def _start_timer(self, conn: Connection, seconds: float) -> None:
         reason = f"no response from {conn.address} within {seconds:.3g} s"
-        conn.timer = self.clock.call_later(seconds, lambda: self._fail(conn, reason))
+        conn.timer = self.clock.call_later(seconds, lambda: self._expire(conn, reason))
+
+    def _expire(self, conn: Connection, reason: str) -> None:
+        """Fail an exchange by its timeout, unless its response has arrived.
+
+        Timers run before the poller reads, so after a pause of the process, or while it is
+        busy, a timeout ends before a response is read that arrived in time.
+        """
+        if not conn.sent:
+            self._fail(conn, reason)  # What was received is no response to an unsent request.
+            return
+        received_before = self.bytes_received
+        try:
+            message = self._receive_arrived(conn)
+        except BlockingIOError:
+            if conn.read_timeout is not None and self.bytes_received > received_before:
+                self._start_timer(conn, conn.read_timeout)
+            else:
+                self._fail(conn, reason)
+        except (OSError, FramingError) as exc:
+            self._fail(conn, f"{reason}; {exc}")
+        else:
+            if message is not None:
+                self._complete(conn, message, is_late=True)
+            else:
+                self._fail(conn, reason)
 
     def close_all(self) -> None:
         """Close all connections; exchanges in progress fail."""
@@ -315,34 +341,54 @@
             self._close_idle_socket(sock)
             return
         try:
-            data = sock.recv(RECEIVE_SIZE_BYTES)
+            message = self._receive(conn)
         except BlockingIOError:
             return
         except OSError as exc:
             self._fail(conn, f"cannot receive from {conn.address}: {exc}")
-            return
-        self.bytes_received += len(data)
-        try:
-            message = self._frame(conn, data)
         except FramingError as exc:
             self._fail(conn, f"invalid response from {conn.address}: {exc}")
-            return
-        if message is not None:
-            self._complete(conn, message)
-        elif data and conn.read_timeout is not None:
-            conn.timer.cancel()
-            self._start_timer(conn, conn.read_timeout)
-        elif not data:
-            self._fail(
-                conn, f"{conn.address} closed the connection before its response was complete"
-            )
-
-    @staticmethod
-    def _frame(conn: Connection, data: bytes) -> Message | None:
-        if not data:
-            return conn.framer.end_of_stream()
-        conn.framer.feed(data)
-        return conn.framer.next_message()
+        else:
+            if message is not None:
+                self._complete(conn, message)
+            elif conn.read_timeout is not None:
+                conn.timer.cancel()
+                self._start_timer(conn, conn.read_timeout)
+
+    def _receive(self, conn: Connection) -> Message | None:
+        """Read once and return the response if it is complete.
+
+        Raises
+        ------
+        OSError
+            If nothing has arrived (BlockingIOError) or the connection ended too early.
+        FramingError
+            If the response is malformed or too large.
+        """
+        data = conn.sock.recv(RECEIVE_SIZE_BYTES)
+        self.bytes_received += len(data)
+        if data:
+            conn.framer.feed(data)
+            return conn.framer.next_message()
+        message = conn.framer.end_of_stream()
+        if message is None:
+            raise ConnectionAbortedError("the connection closed before the response was complete")
+        return message
+
+    def _receive_arrived(self, conn: Connection) -> Message | None:
+        """Read what has arrived and return the response if it is complete.
+
+        The amount is limited, so that a server that keeps sending does not hold the loop.
+
+        Raises
+        ------
+        OSError, FramingError
+            As :meth:`_receive`.
+        """
+        message, limit = None, self.bytes_received + MAX_RESPONSE_BYTES
+        while message is None and self.bytes_received < limit:
+            message = self._receive(conn)
+        return message
 
     @handler("_disconnect", "_error", priority=1)
     def _on_disconnect(self, sock: socket.socket, *_: object) -> None:
@@ -354,9 +400,9 @@
         name = errno.errorcode.get(code, "connection closed")
         self._fail(conn, f"connection to {conn.address} failed: {name}")
 
-    def _complete(self, conn: Connection, message: Message) -> None:
+    def _complete(self, conn: Connection, message: Message, *, is_late: bool = False) -> None:
         status = int(message.start_line.split(" ")[1])
-        response = HttpResponse(status, message.body, message.headers, conn.id)
+        response = HttpResponse(status, message.body, message.headers, conn.id, is_late)
         if conn.verify is not None and not conn.verify(response):
             self._fail(conn, f"{conn.address} sent the response to another request")
             return
--- a/chivefall/net/_http_connection.py
+++ b/chivefall/net/_http_connection.py
@@ -31,12 +31,16 @@
     ----------
     connection : ConnectionId or None
         The connection that it came over, which may still be open.
+    is_late : bool
+        Whether it was read after its timeout, because the process was paused or busy. The
+        time that it took then says nothing about the server.
     """
 
     status: int
     body: bytes
     headers: dict[str, str] = field(default_factory=dict)
     connection: ConnectionId | None = None
+    is_late: bool = False
 
 
 @dataclass(frozen=True)
--- a/chivefall/platform/_run_client.py
+++ b/chivefall/platform/_run_client.py
@@ -185,8 +185,10 @@
             connections=connections,
         )
         if "wait_ms" not in body and isinstance(response, HttpResponse):
-            self._adaptive_timeout.record_response(self._http.clock.now() - started_at)
-            self.observe(call, self._http.clock.now() - started_at)
+            seconds = self._http.clock.now() - started_at
+            if not response.is_late:
+                self._adaptive_timeout.record_response(seconds)
+            self.observe(call, seconds)
         return response
 
 
--- a/chivefall/platform/_store.py
+++ b/chivefall/platform/_store.py
@@ -245,10 +245,10 @@
     def _record_call(self, call: str, seconds: float, response: HttpResponse | HttpFailure) -> None:
         """Record the duration of a call that does not wait."""
         self.observe(call.partition("/")[0], seconds)
-        if isinstance(response, HttpResponse):
-            self._adaptive_timeout.record_response(seconds)
-        else:
+        if isinstance(response, HttpFailure):
             self._adaptive_timeout.record_timeout()
+        elif not response.is_late:
+            self._adaptive_timeout.record_response(seconds)
 
 
 def _put_body(put: Put) -> dict[str, Any]:
