Use a response that was delivered before a send fails

Cause: a connection that still sends checks for an error of the socket, and for one of the send, before it reads what was delivered earlier. Evidence: test_response_before_the_request_is_sent_completely; the response and the reset arrive between the poll and the event of the writable connection. With a reset, 2 of 2 cases failed (2 bytes and 100,000 bytes), with an orderly close none of 2. Requests that fit into the buffers of the kernel are not affected: responses of 2 and of 100,000 bytes before a close or a reset were used before, too (test_response_before_the_connection_ends). Change: an exchange that can send no more reads what has arrived before it fails. The reason says "send" instead of "connect" once a part of the request was sent. Result: both tests and the others of tests.net.test_http_client pass.

--- a/chivefall/net/_http_client.py
+++ b/chivefall/net/_http_client.py
@@ -310,7 +310,9 @@
             return
         code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if code:
-            self._fail(conn, f"cannot connect to {conn.address}: {errno.errorcode.get(code)}")
+            action = "send" if conn.sent else "connect"
+            name = errno.errorcode.get(code)
+            self._fail_sending(conn, f"cannot {action} to {conn.address}: {name}")
             return
         if not conn.sent and self.clock.now() >= conn.expires_at:
             self._fail(conn, "the request expired before it was sent")
@@ -320,7 +322,22 @@
         except BlockingIOError:
             return
         except OSError as exc:
-            self._fail(conn, f"cannot send to {conn.address}: {exc}")
+            self._fail_sending(conn, f"cannot send to {conn.address}: {exc}")
+
+    def _fail_sending(self, conn: Connection, reason: str) -> None:
+        """Fail an exchange whose connection sends no more, unless its response has arrived.
+
+        A server may respond before it has received the whole request, and the kernel hands
+        over what was delivered before a reset.
+        """
+        try:
+            message = self._receive_arrived(conn) if conn.sent else None
+        except (OSError, FramingError) as exc:
+            message, reason = None, f"{reason}; {exc}"
+        if message is not None:
+            self._complete(conn, message)
+        else:
+            self._fail(conn, reason)
 
     def _send_pending(self, conn: Connection) -> None:
         while conn.outgoing:
--- a/tests/net/test_http_client.py
+++ b/tests/net/test_http_client.py
@@ -3,18 +3,23 @@
 from __future__ import annotations
 
 import resource
+import select
 import socket
+import struct
+import time
 import unittest
 from typing import TYPE_CHECKING, Any
 
 from chivefall.config import Address
 from chivefall.net import ConnectionLimits, HttpClient, HttpFailure, HttpResponse
-from tests.net.loop import Loop, RawCaller
+from tests.net.loop import TIMEOUT_SECONDS, Loop, RawCaller
 
 if TYPE_CHECKING:
     from chivefall.runtime import Future
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+TICK_SECONDS = 0.05
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # value of SO_LINGER
 HEAD_END = b"\r\n\r\n"
 
 
@@ -210,6 +215,63 @@
         self.loop.run_until(fut.done)
         self.assertTrue(fut.result().sent)
 
+    def test_response_before_the_request_is_sent_completely(self) -> None:
+        """Guards against a refusal that is lost because the server then resets the connection.
+
+        A server may refuse a large request by its head and close the connection, which
+        resets it if a part of the request has not been read.
+        """
+        request = b"x" * 20_000_000  # more than the buffers of both sides hold
+        for size in (2, 100_000):
+            for is_reset in (False, True):
+                with self.subTest(size=size, is_reset=is_reset):
+                    fut = self.client.request(self.address, "POST", "/x", request, timeout=5)
+                    self.loop.process_events()
+                    peer = self.listener.accept()[0]
+                    peer.settimeout(TIMEOUT_SECONDS)
+                    self.loop.process_events()
+                    self.assertTrue(self.client._poller.isWriting(self.sock_of(fut)))
+                    time.sleep(TICK_SECONDS)
+                    # The connection becomes writable.
+                    while select.select([peer], [], [], 0)[0]:
+                        peer.recv(1_000_000)
+                        time.sleep(0.001)
+                    self.loop.tick(TICK_SECONDS)
+                    # The event of the writable connection waits in the queue of the loop.
+                    head = b"HTTP/1.1 429 Too Many Requests\r\nContent-Length: %d\r\n\r\n" % size
+                    peer.sendall(head + b"x" * size)
+                    if is_reset:
+                        time.sleep(TICK_SECONDS)
+                        peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+                        peer.close()
+                    self.loop.run_until(fut.done)
+                    peer.close()
+                    self.assertIsInstance(fut.result(), HttpResponse, fut.result())
+                    self.assertEqual((fut.result().status, len(fut.result().body)), (429, size))
+                    self.assertEqual(self.client.open_connections(self.address), 0)
+
+    def test_response_before_the_connection_ends(self) -> None:
+        """Guards against a delivered response that is lost because its connection then ends."""
+        for size in (2, 100_000):
+            for is_reset in (False, True):
+                with self.subTest(size=size, is_reset=is_reset):
+                    fut = self.send(idempotent=False)
+                    peer = self.accept().sock
+                    peer.settimeout(TIMEOUT_SECONDS)
+                    peer.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
+                    peer.sendall(b"x" * size)
+                    if is_reset:
+                        time.sleep(TICK_SECONDS)
+                        peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+                    peer.close()
+                    self.loop.run_until(fut.done)
+                    self.assertIsInstance(fut.result(), HttpResponse, fut.result())
+                    self.assertEqual(len(fut.result().body), size)
+
+    def sock_of(self, fut: Future[Any]) -> socket.socket:
+        """Return the socket of an exchange."""
+        return next(conn.sock for conn in self.client._active.values() if conn.fut is fut)
+
     def test_refused_connection_is_not_sent(self) -> None:
         """Guards against reporting a request as sent that was never sent (G5)."""
         self.listener.close()
