Replace a pooled connection that ends before its request is sent

Callers saw: a call to a worker that runs failed as not sent, so that the worker was suspected and polled again 0.4 s later; or they got, as the response to a request of which nothing was sent, what the server had sent on its own. Cause: whether a pooled connection is alive was checked only when it was taken from the pool, and its request is sent one pass of the loop later. Change: the check is repeated before the first byte is sent and when data is read before that. Nothing was sent, so the request goes over another connection, within its timeout and unless it has expired.

--- a/chivefall/net/_http_client.py
+++ b/chivefall/net/_http_client.py
@@ -157,19 +157,23 @@
             expires_at,
             connections,
         )
-        if connections is not None:
-            self._begin_on(req, connections)
-        elif self._waiting.get(address) or not self._begin(req):
-            self._wait(req)
+        self._start(req)
         return req.fut
 
+    def _start(self, req: _Request) -> None:
+        if req.connections is not None:
+            self._begin_on(req, req.connections)
+        elif self._waiting.get(req.address) or not self._begin(req):
+            self._wait(req)
+
     def _wait(self, req: _Request) -> None:
         if not self._limits.waits:
             reason = f"all {self._limits.per_server} connections to {req.address} are in use"
             req.fut.set_result(HttpFailure(reason, sent=False))
             return
         self._waiting.setdefault(req.address, deque()).append(req)
-        req.timer = self.clock.call_later(req.timeout, lambda: self._fail_waiting(req))
+        seconds = max(0.0, req.deadline - self.clock.now())
+        req.timer = self.clock.call_later(seconds, lambda: self._fail_waiting(req))
 
     def _begin(self, req: _Request) -> bool:
         """Start the exchange of a request; return False if it has to wait for a connection."""
@@ -178,11 +182,12 @@
             conn = self._take_idle(address, req.idempotent)
             if conn is None and self.open_connections(address) >= self._limits.per_server:
                 return False
+            is_reused = conn is not None
             conn = conn or self._connect(address)
         except OSError as exc:
             req.fut.set_result(HttpFailure(f"cannot connect to {address}: {exc}", sent=False))
             return True
-        self._exchange(conn, req)
+        self._exchange(conn, req, is_reused=is_reused)
         return True
 
     def _begin_on(self, req: _Request, connections: Collection[ConnectionId]) -> None:
@@ -192,13 +197,14 @@
                 continue
             if conn.is_alive():
                 self._remove_idle(conn)
-                self._exchange(conn, req)
+                self._exchange(conn, req, is_reused=True)
                 return
             self._drop_idle(conn)
         reason = f"no earlier connection to {req.address} is open and idle"
         req.fut.set_result(HttpFailure(reason, sent=False))
 
-    def _exchange(self, conn: Connection, req: _Request) -> None:
+    def _exchange(self, conn: Connection, req: _Request, *, is_reused: bool) -> None:
+        conn.send_elsewhere = (lambda: self._start(req)) if is_reused else None
         conn.fut, conn.verify, conn.sent = req.fut, req.verify, False
         conn.expires_at = req.expires_at
         limits = MessageLimits(max_body_bytes=req.max_body_bytes)
@@ -308,6 +314,9 @@
         conn = self._active.get(sock)
         if conn is None:
             return
+        if conn.ended_unused:
+            self._replace(conn)
+            return
         code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if code:
             action = "send" if conn.sent else "connect"
@@ -357,6 +366,9 @@
         if conn is None:
             self._close_idle_socket(sock)
             return
+        if conn.ended_unused:
+            self._replace(conn)
+            return
         try:
             message = self._receive(conn)
         except BlockingIOError:
@@ -441,10 +453,21 @@
         self._close(conn)
         fut.set_result(HttpFailure(reason, conn.sent, conn.id))
 
+    def _replace(self, conn: Connection) -> None:
+        """Close a reused connection and send the request of its exchange over another one.
+
+        A request for given connections fails unsent if none of the others can carry it.
+        """
+        send_elsewhere = conn.send_elsewhere
+        self._end_exchange(conn)
+        self._close(conn)
+        send_elsewhere()
+
     def _end_exchange(self, conn: Connection) -> Future[HttpResponse | HttpFailure]:
         del self._active[conn.sock]
         conn.timer.cancel()
         fut, conn.fut, conn.verify, conn.framer = conn.fut, None, None, None
+        conn.send_elsewhere = None
         return fut
 
     def _close(self, conn: Connection) -> None:
--- a/chivefall/net/_http_connection.py
+++ b/chivefall/net/_http_connection.py
@@ -61,7 +61,14 @@
 
 
 class Connection:
-    """A socket and the exchange in progress on it."""
+    """A socket and the exchange in progress on it.
+
+    Attributes
+    ----------
+    send_elsewhere : callable or None
+        Sends the request of the exchange over another connection; None if this connection
+        was opened for it.
+    """
 
     __slots__ = (
         "address",
@@ -71,6 +78,7 @@
         "id",
         "outgoing",
         "read_timeout",
+        "send_elsewhere",
         "sent",
         "sock",
         "timer",
@@ -89,6 +97,15 @@
         self.sent = False
         self.expires_at = math.inf
         self.read_timeout: float | None = None
+        self.send_elsewhere: Callable[[], None] | None = None
+
+    @property
+    def ended_unused(self) -> bool:
+        """Return whether a reused connection ended before any part of the request was sent.
+
+        What the server sent belongs to no request then.
+        """
+        return not self.sent and self.send_elsewhere is not None and not self.is_alive()
 
     def is_alive(self) -> bool:
         """Return whether an idle connection is open and no unexpected data was received."""
--- a/tests/net/test_http_client.py
+++ b/tests/net/test_http_client.py
@@ -94,6 +94,46 @@
         self.assertEqual(self.respond(fut, self.accept()).status, 200)
         self.assertEqual(self.client.open_connections(self.address), 1)
 
+    def test_pooled_connection_that_ends_before_the_request_is_sent(self) -> None:
+        """Guards against failures, and responses to nobody, from a connection that was reused.
+
+        The server closes it, resets it or sends surplus data after it was taken from the pool.
+        """
+        for end in ("closed", "reset", "surplus"):
+            for is_writable in (False, True):
+                with self.subTest(end=end, is_writable=is_writable):
+                    first = self.send(idempotent=False)
+                    peer = self.accept()
+                    self.respond(first, peer)
+                    fut = self.send()
+                    if is_writable:
+                        self.loop.tick(TICK_SECONDS)
+                        # The event of the writable connection waits in the queue of the loop.
+                    if end == "surplus":
+                        peer.sock.send(OK.replace(b"ok", b"no"))
+                    else:
+                        if end == "reset":
+                            peer.sock.setsockopt(
+                                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+                            )
+                        peer.sock.close()
+                    result = self.respond(fut, self.accept())
+                    self.assertIsInstance(result, HttpResponse, result)
+                    self.assertEqual(result.body, b"ok")
+                    self.assertEqual(self.client.open_connections(self.address), 1)
+
+    def test_bound_request_on_a_connection_that_ends(self) -> None:
+        """Guards against a bound request that a connection to another process carries."""
+        first = self.send()
+        peer = self.accept()
+        response = self.respond(first, peer)
+        fut = self.send(connections={response.connection})
+        peer.sock.close()
+        self.loop.run_until(fut.done)
+        self.assertEqual((type(fut.result()), fut.result().sent), (HttpFailure, False))
+        self.loop.process_events()
+        self.assertEqual(self.client.open_connections(self.address), 0)
+
     def test_request_for_given_connections(self) -> None:
         """Guards against an acknowledgement that reaches the next process of a worker."""
         first = self.send()
