Log each report of a worker that cannot be used

Operators saw: when a worker's response to a poll could not be decoded, the log had one worker_suspected with the reason of the first failed call. Later responses of that kind left no line, and in run_released they look like responses that never came. Cause: such a response is a NoResponse like a lost one. Evidence: of 39 contents of a report, 25 make the whole report unusable (an unknown kind of end, a row that is too short or has a null, numbers beyond 2**53, born as text). None of them is allowed by the platform's protocol, so decoding stays as strict as it is. Change: NoResponse says whether a response arrived (is_invalid), and each such response to a poll is logged as report_invalid with its reason. Result: tests/batch/test_contact_log.py has 8 or more lines in 4 s and at most one in 0.4 s; it and tests/platform/test_run_client.py failed before for lack of both names.

--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -462,6 +462,14 @@
                 self._poll_wait(session, acknowledgement),
             )
             session.worker.accepts_starts = True
+            if isinstance(outcome, NoResponse) and outcome.is_invalid:
+                log_event(
+                    LogEvent.REPORT_INVALID,
+                    worker=session.worker.worker_id,
+                    incarnation=session.worker.entry.incarnation,
+                    reason=outcome.reason,
+                    runs=len(session.worker.runs),
+                )
             if session.closed or not self._is_current(epoch):
                 self._log_unused_report(session, outcome, sent_at)
                 return
--- a/chivefall/platform/_run_client.py
+++ b/chivefall/platform/_run_client.py
@@ -149,14 +149,14 @@
         if not isinstance(response, HttpResponse) or response.status != HTTPStatus.OK:
             outcome = _order_outcome(response)
             return (
-                NoResponse("the response cannot be decoded")
+                NoResponse("the response cannot be decoded", is_invalid=True)
                 if isinstance(outcome, OrderAccepted)
                 else outcome
             )
         try:
             return replace(_run_report(response.body), connection=response.connection)
         except MessageError as exc:
-            return NoResponse(str(exc))
+            return NoResponse(str(exc), is_invalid=True)
 
     async def _call(
         self,
@@ -221,12 +221,12 @@
     try:
         body: _OrderResponseBody = _decode(response.body, _OrderResponseBody)
     except MessageError as exc:
-        return NoResponse(f"status {response.status}: {exc}")
+        return NoResponse(f"status {response.status}: {exc}", is_invalid=True)
     if response.status == HTTPStatus.OK:
         return OrderAccepted(body.clock_ms / 1000)
     if response.status == HTTPStatus.CONFLICT and body.reason in _REFUSAL_REASONS:
         return OrderRefused(_REFUSAL_REASONS[body.reason])
-    return NoResponse(f"unexpected status {response.status}")
+    return NoResponse(f"unexpected status {response.status}", is_invalid=True)
 
 
 def _run_report(data: bytes) -> RunReport:
--- a/chivefall/telemetry/_events.py
+++ b/chivefall/telemetry/_events.py
@@ -105,6 +105,10 @@
         7306,
         "A worker's report arrived after the end of its session or of the leadership.",
     )
+    REPORT_INVALID = (
+        7307,
+        "A worker's response to a poll cannot be used; it may list ends of runs.",
+    )
     HISTORY_LOST = (7304, "The store no longer holds the changes to a prefix; it is listed again.")
 
     def __init__(self, number: int, meaning: str) -> None:
--- a/chivefall/workers/_runs.py
+++ b/chivefall/workers/_runs.py
@@ -180,11 +180,14 @@
         Whether any part of the call may have been sent; otherwise it is never executed.
     connection : ConnectionId or None
         The connection over which it was sent, if that is known.
+    is_invalid : bool
+        Whether a response arrived that cannot be used.
     """
 
     reason: str
     sent: bool = True
     connection: ConnectionId | None = None
+    is_invalid: bool = False
 
 
 @dataclass(frozen=True)
--- a/tests/batch/test_contact_log.py
+++ b/tests/batch/test_contact_log.py
@@ -4,12 +4,15 @@
 
 import unittest
 from typing import Any
+from unittest import mock
 
 from eliot import add_destinations, remove_destination
 
 from chivefall.batch import Resources, StepSpec
+from chivefall.controllers.batch._fleet import RETRY_DELAY_SECONDS
 from chivefall.model import WorkerId
 from chivefall.telemetry import LogEvent
+from chivefall.workers import NoResponse
 from tests.batch.deployment import Deployment
 
 LEASES_EXPIRE_SECONDS = 10.0
@@ -54,6 +57,20 @@
         self.assertEqual(unused[0]["reason"], "session closed")
         self.assertEqual(len(unused[0]["ends"]), 1)
 
+    def test_report_that_cannot_be_decoded(self) -> None:
+        """Guards against ends in reports that are never used, with a log line at the first only."""
+
+        async def respond(*_: object) -> NoResponse:
+            return NoResponse("an odd row", is_invalid=True)
+
+        with mock.patch.object(self.sut.leader.client, "renew_leases", respond):
+            self.sut.run(4.0)
+        invalid = self.messages(LogEvent.REPORT_INVALID)
+        self.assertEqual({line["worker"] for line in invalid}, {"w0"})
+        self.assertEqual({line["reason"] for line in invalid}, {"an odd row"})
+        self.assertGreaterEqual(len(invalid), 8)
+        self.assertLessEqual(len(invalid), 4.0 / RETRY_DELAY_SECONDS + 1)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/test_run_client.py
+++ b/tests/platform/test_run_client.py
@@ -35,6 +35,7 @@
     def setUp(self) -> None:
         self.loop = Loop()
         self.responds = True
+        self.report: dict[str, Any] = {"clock_ms": 1, "born": 1, "running": [], "finished": []}
         self.bodies: list[dict[str, Any]] = []
         self.connections: list[ConnectionId] = []
         self.server = HttpServer(Address("127.0.0.1", 0), self.serve, self.loop.clock)
@@ -51,9 +52,8 @@
         self.bodies.append(msgspec.json.decode(req.body))
         self.connections.append(req.connection)
         fut: Future[HttpReply] = Future()
-        report = {"clock_ms": 1, "born": 1, "running": [], "finished": []}
         if self.responds:
-            fut.set_result(json_reply(200, report))
+            fut.set_result(json_reply(200, self.report))
         return fut
 
     def renew(self, connections: Iterable[ConnectionId] | None = None) -> RenewalOutcome:
@@ -97,6 +97,16 @@
         self.loop.advance(TIMEOUT_SECONDS)
         self.assertIsInstance(fut.result(), NoResponse)
         self.assertTrue(fut.result().sent)
+        self.assertFalse(fut.result().is_invalid)
+
+    def test_report_that_cannot_be_decoded(self) -> None:
+        """Guards against a report with an odd row that passes for a lost response."""
+        for row in ([1, "0a.0.0.0", 1, "evicted", ""], [1, "0a.0.0.0", 1, "done"], {}):
+            with self.subTest(row):
+                self.report["finished"] = [row]
+                outcome = self.renew()
+                self.assertIsInstance(outcome, NoResponse)
+                self.assertTrue(outcome.sent and outcome.is_invalid)
 
 
 if __name__ == "__main__":
