--- a/tests/net/test_http_client.py
+++ b/tests/net/test_http_client.py
@@ -193,6 +193,18 @@
         self.assertFalse(self.send_after_a_pause().sent)
         self.assertEqual(peer.wait_closed().count(b"body"), 1)
 
+    def test_expired_request_is_not_sent_over_another_connection(self) -> None:
+        """Guards against the same on the replacement of a connection that the server closed."""
+        first = self.send()
+        peer = self.accept()
+        self.respond(first, peer)
+        fut = self.send(expires_at=self.loop.clock.now() + 0.5)
+        peer.sock.close()
+        self.loop.clock.advance(0.6)
+        self.loop.run_until(fut.done)
+        self.assertEqual((type(fut.result()), fut.result().sent), (HttpFailure, False))
+        self.assertEqual(fut.result().reason, "the request expired before it was sent")
+
     def test_connection_is_not_reused_after_a_timeout(self) -> None:
         """Guards against a late response that is taken for that of the next request (G4)."""
         first = self.send(timeout=1)
--- a/tests/platform/test_late_responses.py
+++ b/tests/platform/test_late_responses.py
@@ -6,14 +6,14 @@
 import unittest
 from typing import TYPE_CHECKING, Any
 
-from chivefall.batch import Checkpoint, RunId, RunNumber, TaskKey
+from chivefall.batch import Checkpoint, EndKind, RunId, RunNumber, TaskKey
 from chivefall.config import Address
 from chivefall.model import Epoch, JobId
 from chivefall.net import HttpClient
 from chivefall.platform import HttpRunClient, PlatformStore
 from chivefall.runtime import spawn
 from chivefall.store import ABSENT, Stored
-from chivefall.workers import OrderAccepted, OrderPermission, RunOrder
+from chivefall.workers import OrderAccepted, OrderPermission, RunOrder, RunReport
 from standins.run_workers import make_worker_entry
 from tests.net.loop import Loop, RawCaller
 
@@ -62,6 +62,21 @@
         self.assertIsInstance(outcome, OrderAccepted)
         self.assertEqual(client._adaptive_timeout.next_timeout(), before)
 
+    def test_report_of_an_end(self) -> None:
+        """Guards against an end that a worker reported and that the leader does not know.
+
+        Its task runs again once the run's lease has expired.
+        """
+        client = HttpRunClient(self.http, MAX_TIMEOUT_SECONDS)
+        worker = make_worker_entry("w0", address=str(self.address))
+        permission = OrderPermission(Epoch(1), float("inf"))
+        report = self.call(
+            client.renew_leases(worker, permission, 5.0, None, 0.0),
+            b'{"clock_ms":1,"born":1,"running":[],"finished":[[1,"0a.0.0.0",1,"done",""]]}',
+        )
+        self.assertIsInstance(report, RunReport, report)
+        self.assertEqual([end.kind for end in report.ends], [EndKind.DONE])
+
     def test_write_to_the_store(self) -> None:
         """Guards against a write that is taken for uncertain although its response arrived."""
         store = PlatformStore(self.http, self.address, MAX_TIMEOUT_SECONDS)
