--- a/chivefall/net/_http_client.py
+++ b/chivefall/net/_http_client.py
@@ -123,7 +123,8 @@
         Parameters
         ----------
         timeout : float
-            Seconds until the exchange fails and its connection is closed.
+            Seconds until the exchange fails and its connection is closed. A response that
+            has arrived by then is used, also if the process was paused and reads it late.
         idempotent : bool
             Whether the caller may repeat a failed exchange. Other requests use a new
             connection: a server may close an idle connection just as a request is
@@ -156,19 +157,23 @@
             expires_at,
             connections,
         )
-        if connections is not None:
-            self._begin_on(req, connections)
-        elif self._waiting.get(address) or not self._begin(req):
-            self._wait(req)
+        self._start(req)
         return req.fut
 
+    def _start(self, req: _Request) -> None:
+        if req.connections is not None:
+            self._begin_on(req, req.connections)
+        elif self._waiting.get(req.address) or not self._begin(req):
+            self._wait(req)
+
     def _wait(self, req: _Request) -> None:
         if not self._limits.waits:
             reason = f"all {self._limits.per_server} connections to {req.address} are in use"
             req.fut.set_result(HttpFailure(reason, sent=False))
             return
         self._waiting.setdefault(req.address, deque()).append(req)
-        req.timer = self.clock.call_later(req.timeout, lambda: self._fail_waiting(req))
+        seconds = max(0.0, req.deadline - self.clock.now())
+        req.timer = self.clock.call_later(seconds, lambda: self._fail_waiting(req))
 
     def _begin(self, req: _Request) -> bool:
         """Start the exchange of a request; return False if it has to wait for a connection."""
@@ -177,11 +182,12 @@
             conn = self._take_idle(address, req.idempotent)
             if conn is None and self.open_connections(address) >= self._limits.per_server:
                 return False
+            is_reused = conn is not None
             conn = conn or self._connect(address)
         except OSError as exc:
             req.fut.set_result(HttpFailure(f"cannot connect to {address}: {exc}", sent=False))
             return True
-        self._exchange(conn, req)
+        self._exchange(conn, req, is_reused=is_reused)
         return True
 
     def _begin_on(self, req: _Request, connections: Collection[ConnectionId]) -> None:
@@ -191,13 +197,14 @@
                 continue
             if conn.is_alive():
                 self._remove_idle(conn)
-                self._exchange(conn, req)
+                self._exchange(conn, req, is_reused=True)
                 return
             self._drop_idle(conn)
         reason = f"no earlier connection to {req.address} is open and idle"
         req.fut.set_result(HttpFailure(reason, sent=False))
 
-    def _exchange(self, conn: Connection, req: _Request) -> None:
+    def _exchange(self, conn: Connection, req: _Request, *, is_reused: bool) -> None:
+        conn.send_elsewhere = (lambda: self._start(req)) if is_reused else None
         conn.fut, conn.verify, conn.sent = req.fut, req.verify, False
         conn.expires_at = req.expires_at
         limits = MessageLimits(max_body_bytes=req.max_body_bytes)
@@ -229,7 +236,32 @@
 
     def _start_timer(self, conn: Connection, seconds: float) -> None:
         reason = f"no response from {conn.address} within {seconds:.3g} s"
-        conn.timer = self.clock.call_later(seconds, lambda: self._fail(conn, reason))
+        conn.timer = self.clock.call_later(seconds, lambda: self._expire(conn, reason))
+
+    def _expire(self, conn: Connection, reason: str) -> None:
+        """Fail an exchange by its timeout, unless its response has arrived.
+
+        Timers run before the poller reads, so after a pause of the process, or while it is
+        busy, a timeout ends before a response is read that arrived in time.
+        """
+        if not conn.sent:
+            self._fail(conn, reason)  # What was received is no response to an unsent request.
+            return
+        received_before = self.bytes_received
+        try:
+            message = self._receive_arrived(conn)
+        except BlockingIOError:
+            if conn.read_timeout is not None and self.bytes_received > received_before:
+                self._start_timer(conn, conn.read_timeout)
+            else:
+                self._fail(conn, reason)
+        except (OSError, FramingError) as exc:
+            self._fail(conn, f"{reason}; {exc}")
+        else:
+            if message is not None:
+                self._complete(conn, message, is_late=True)
+            else:
+                self._fail(conn, reason)
 
     def close_all(self) -> None:
         """Close all connections; exchanges in progress fail."""
@@ -282,9 +314,14 @@
         conn = self._active.get(sock)
         if conn is None:
             return
+        if conn.ended_unused:
+            self._replace(conn)
+            return
         code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if code:
-            self._fail(conn, f"cannot connect to {conn.address}: {errno.errorcode.get(code)}")
+            action = "send" if conn.sent else "connect"
+            name = errno.errorcode.get(code)
+            self._fail_sending(conn, f"cannot {action} to {conn.address}: {name}")
             return
         if not conn.sent and self.clock.now() >= conn.expires_at:
             self._fail(conn, "the request expired before it was sent")
@@ -294,7 +331,22 @@
         except BlockingIOError:
             return
         except OSError as exc:
-            self._fail(conn, f"cannot send to {conn.address}: {exc}")
+            self._fail_sending(conn, f"cannot send to {conn.address}: {exc}")
+
+    def _fail_sending(self, conn: Connection, reason: str) -> None:
+        """Fail an exchange whose connection sends no more, unless its response has arrived.
+
+        A server may respond before it has received the whole request, and the kernel hands
+        over what was delivered before a reset.
+        """
+        try:
+            message = self._receive_arrived(conn) if conn.sent else None
+        except (OSError, FramingError) as exc:
+            message, reason = None, f"{reason}; {exc}"
+        if message is not None:
+            self._complete(conn, message)
+        else:
+            self._fail(conn, reason)
 
     def _send_pending(self, conn: Connection) -> None:
         while conn.outgoing:
@@ -314,35 +366,58 @@
         if conn is None:
             self._close_idle_socket(sock)
             return
+        if conn.ended_unused:
+            self._replace(conn)
+            return
         try:
-            data = sock.recv(RECEIVE_SIZE_BYTES)
+            message = self._receive(conn)
         except BlockingIOError:
             return
         except OSError as exc:
             self._fail(conn, f"cannot receive from {conn.address}: {exc}")
-            return
-        self.bytes_received += len(data)
-        try:
-            message = self._frame(conn, data)
         except FramingError as exc:
             self._fail(conn, f"invalid response from {conn.address}: {exc}")
-            return
-        if message is not None:
-            self._complete(conn, message)
-        elif data and conn.read_timeout is not None:
-            conn.timer.cancel()
-            self._start_timer(conn, conn.read_timeout)
-        elif not data:
-            self._fail(
-                conn, f"{conn.address} closed the connection before its response was complete"
-            )
-
-    @staticmethod
-    def _frame(conn: Connection, data: bytes) -> Message | None:
-        if not data:
-            return conn.framer.end_of_stream()
-        conn.framer.feed(data)
-        return conn.framer.next_message()
+        else:
+            if message is not None:
+                self._complete(conn, message)
+            elif conn.read_timeout is not None:
+                conn.timer.cancel()
+                self._start_timer(conn, conn.read_timeout)
+
+    def _receive(self, conn: Connection) -> Message | None:
+        """Read once and return the response if it is complete.
+
+        Raises
+        ------
+        OSError
+            If nothing has arrived (BlockingIOError) or the connection ended too early.
+        FramingError
+            If the response is malformed or too large.
+        """
+        data = conn.sock.recv(RECEIVE_SIZE_BYTES)
+        self.bytes_received += len(data)
+        if data:
+            conn.framer.feed(data)
+            return conn.framer.next_message()
+        message = conn.framer.end_of_stream()
+        if message is None:
+            raise ConnectionAbortedError("the connection closed before the response was complete")
+        return message
+
+    def _receive_arrived(self, conn: Connection) -> Message | None:
+        """Read what has arrived and return the response if it is complete.
+
+        The amount is limited, so that a server that keeps sending does not hold the loop.
+
+        Raises
+        ------
+        OSError, FramingError
+            As :meth:`_receive`.
+        """
+        message, limit = None, self.bytes_received + MAX_RESPONSE_BYTES
+        while message is None and self.bytes_received < limit:
+            message = self._receive(conn)
+        return message
 
     @handler("_disconnect", "_error", priority=1)
     def _on_disconnect(self, sock: socket.socket, *_: object) -> None:
@@ -354,9 +429,9 @@
         name = errno.errorcode.get(code, "connection closed")
         self._fail(conn, f"connection to {conn.address} failed: {name}")
 
-    def _complete(self, conn: Connection, message: Message) -> None:
+    def _complete(self, conn: Connection, message: Message, *, is_late: bool = False) -> None:
         status = int(message.start_line.split(" ")[1])
-        response = HttpResponse(status, message.body, message.headers, conn.id)
+        response = HttpResponse(status, message.body, message.headers, conn.id, is_late)
         if conn.verify is not None and not conn.verify(response):
             self._fail(conn, f"{conn.address} sent the response to another request")
             return
@@ -378,10 +453,21 @@
         self._close(conn)
         fut.set_result(HttpFailure(reason, conn.sent, conn.id))
 
+    def _replace(self, conn: Connection) -> None:
+        """Close a reused connection and send the request of its exchange over another one.
+
+        A request for given connections fails unsent if none of the others can carry it.
+        """
+        send_elsewhere = conn.send_elsewhere
+        self._end_exchange(conn)
+        self._close(conn)
+        send_elsewhere()
+
     def _end_exchange(self, conn: Connection) -> Future[HttpResponse | HttpFailure]:
         del self._active[conn.sock]
         conn.timer.cancel()
         fut, conn.fut, conn.verify, conn.framer = conn.fut, None, None, None
+        conn.send_elsewhere = None
         return fut
 
     def _close(self, conn: Connection) -> None:
