Log the manual clock and the instance in the random test of ends

Who reads the log of a seed saw the wall clock of the machine and no instance, so that lines of several instances could not be put on a timeline.

The log now has the time of the manual clock, the seed and the instance. Timers and callbacks of futures run for the instance that registered them, so the next leader's line on a run is in its own name although the former leader's call set the timer that ended the run. Lines of the deployment itself have no instance. The product's log format is unchanged.

--- a/tests/batch/deployment.py
+++ b/tests/batch/deployment.py
@@ -26,10 +26,11 @@
 from chivefall.decoding import decode_json
 from chivefall.errors import MessageError
 from chivefall.model import AccountId, DomainId, InstanceId, JobId, ServiceId, WorkerId
-from chivefall.runtime import ManualClock, spawn
+from chivefall.runtime import Future, ManualClock, spawn
 from standins.memory_store import MemoryStore
 from standins.run_workers import MemoryRunClient, RunWorker, RunWorkers, make_worker_entry
 from standins.store import KeyValueState
+from tests.batch.instance_log import running
 
 CATALOG_KEY = "op/config"
 WORKER_PREFIX = "servers/"
@@ -72,12 +73,13 @@
     """One instance with its own connections to the store and the workers."""
 
     def __init__(self, deployment: Deployment, name: str, cores: float) -> None:
+        self.name = InstanceId(name)
         self.store = MemoryStore(deployment.state, deployment.clock, timeout=1.0)
         self.store.faults.delay = 0.002
         self.client = deployment.make_client()
         addresses = [f"127.0.0.1:{port}" for port in (1, 2, 3)]
         cfg = Settings(
-            InstanceId(name),
+            self.name,
             "region",
             DomainId("zarcero"),
             *addresses,
@@ -85,8 +87,9 @@
             batch=BatchSettings("127.0.0.1:4", "127.0.0.1:5", cores, bounds=deployment.bounds),
         )
         connections = BatchConnections(deployment.clock, self.store, self.client, deployment.codec)
-        self.application = BatchApplication(cfg, connections)
-        self.application.start_controllers()
+        with running(self.name):
+            self.application = BatchApplication(cfg, connections)
+            self.application.start_controllers()
 
     @property
     def leads(self) -> bool:
@@ -98,7 +101,19 @@
         self.client.isolated = True
         for controller in self.application.registry:
             controller._stopped = True
-        self.application.scheduler._close()
+        with running(self.name):
+            self.application.scheduler._close()
+
+    def flush(self) -> None:
+        """Process the events of this instance."""
+        with running(self.name):
+            while len(self.application):
+                self.application.flush()
+
+    def request(self, req: BatchRequest) -> Future[BatchOutcome]:
+        """Handle a request of a caller."""
+        with running(self.name):
+            return spawn(self.application.chain.run(req))
 
 
 class Deployment:
@@ -111,9 +126,10 @@
         capacity: Resources | None = None,
         timing: Timing = TIMING,
         bounds: PlatformBounds | None = None,
+        clock: ManualClock | None = None,
     ) -> None:
         self.timing, self.bounds = timing, bounds or PlatformBounds()
-        self.clock = ManualClock()
+        self.clock = clock or ManualClock()
         self.state = KeyValueState(self.clock)
         self.codec = self.make_codec()
         self.workers = RunWorkers(self.clock)
@@ -173,15 +189,14 @@
         for _ in range(steps):
             self.clock.advance(CLOCK_STEP_SECONDS)
             for item in self.instances:
-                while len(item.application):
-                    item.application.flush()
+                item.flush()
 
     def call(self, operation: BatchOperation, path: str, spec=None, **fields) -> BatchOutcome:
         """Send a request to an instance and return its outcome."""
         instance = fields.pop("instance", None) or self.instances[0]
         now = self.clock.now()
         ctx = BatchRequest(operation, "host", path, now, now + 3.0, fields.pop("key", KEY), spec)
-        fut = spawn(instance.application.chain.run(ctx))
+        fut = instance.request(ctx)
         for _ in range(400):
             if fut.done():
                 break
--- a/tests/batch/test_end_fuzz.py
+++ b/tests/batch/test_end_fuzz.py
@@ -10,10 +10,14 @@
 import sys
 import unittest
 from collections import defaultdict
+from contextlib import nullcontext
 from dataclasses import replace
+from pathlib import Path
 from random import Random
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from chivefall.batch import (
     BatchJob,
     BatchOperation,
@@ -32,16 +36,17 @@
 )
 from chivefall.config import PlatformBounds
 from chivefall.model import Accepted, Epoch, JobId, WorkerId
-from chivefall.runtime import sleep, spawn
+from chivefall.runtime import ManualClock, sleep
 from chivefall.store import BatchPart, batch_key
-from chivefall.telemetry import open_log
 from chivefall.workers import NoResponse, RunReport
 from standins.run_history import repeated_runs, run_spans
 from standins.run_workers import Gangs, MemoryRunClient, RunWorker
 from tests.batch.deployment import ACCOUNT, KEY, NORMAL, Deployment, Instance
+from tests.batch.instance_log import instance_log
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
+    from typing import Any, TextIO
 
     from chivefall.batch import BatchOutcome, EndSequence
     from chivefall.runtime import Future
@@ -120,7 +125,7 @@
     def __init__(self, play: Play, instances: int, workers: int) -> None:
         self._play = play
         play.sut = self
-        super().__init__(instances, workers, bounds=BOUNDS)
+        super().__init__(instances, workers, bounds=BOUNDS, clock=play.clock)
 
     def make_client(self) -> MemoryRunClient:
         """Return the run client of a new instance."""
@@ -140,8 +145,9 @@
 
     sut: EndDeployment
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, clock: ManualClock) -> None:
         self.random = Random(seed)
+        self.clock = clock
         self.violations: list[str] = []
         self.ordered_at: dict[RunId, float] = {}
         self._pending: dict[int, Callable[[], None]] = {}
@@ -221,7 +227,7 @@
             operation, "host", NORMAL.prefix + name, now, now + CALLER_SECONDS, KEY, spec
         )
         instance = self.random.choice(self._running())
-        return spawn(instance.application.chain.run(req))
+        return instance.request(req)
 
     # Faults of workers
 
@@ -500,9 +506,18 @@
             self.sut.list_worker(self.sut.worker(name))
 
 
-def play(seed: int) -> list[str]:
-    """Return the violations that a seed shows."""
-    return Play(seed).play()
+def play(seed: int, log: TextIO | None = None) -> list[str]:
+    """Return the violations that a seed shows, and write the log of the instances to ``log``."""
+    clock = ManualClock()
+    if log is None:
+        return Play(seed, clock).play()
+
+    def write(message: dict[str, Any]) -> None:
+        line = msgspec.json.encode({**message, "seed": seed}, enc_hook=repr)
+        log.write(line.decode() + "\n")
+
+    with instance_log(write, clock):
+        return Play(seed, clock).play()
 
 
 class EndFuzz(unittest.TestCase):
@@ -521,18 +536,23 @@
     parser.add_argument("--stop", action="store_true", help="stop at the first seed that fails")
     parser.add_argument("--log", help="file for the log of the instances")
     args = parser.parse_args()
-    if args.log is not None:
-        open_log(args.log)
+    with nullcontext() if args.log is None else Path(args.log).open("a", encoding="utf-8") as log:
+        failed = _play_seeds(args, log)
+    return 1 if failed else 0
+
+
+def _play_seeds(args: argparse.Namespace, log: TextIO | None) -> int:
+    """Play the seeds, print what they show and return the number of those that failed."""
     failed = 0
     for seed in range(args.first, args.first + args.seeds):
-        violations = play(seed)
+        violations = play(seed, log)
         failed += bool(violations)
         for text in violations:
             print(f"seed {seed}: {text}", flush=True)
         if violations and args.stop:
             break
     print(f"{failed} seeds failed of {seed - args.first + 1}")
-    return 1 if failed else 0
+    return failed
 
 
 if __name__ == "__main__":
