Apply a held-back entry of a worker when its session is removed

Callers saw jobs that were accepted and never completed.

While runs are held on a worker, an entry of another incarnation waits for a report. If it does not change again, the worker stays unknown.

The entry is now applied when the session is removed, also after a refusal by another worker at the former address; when a listed worker's runs were released by an expired lease; and it is passed on when a late report shows an incarnation in between. It is dropped when the worker's entry is deleted, or when a report of the former incarnation was requested after it was read.

--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -206,7 +206,7 @@
     def _record_entry(self, entry: WorkerEntry) -> None:
         session = self._sessions.get(entry.worker_id)
         if session is not None and session.leaves_restart_to_reports(entry):
-            session.unconfirmed_entry = entry
+            session.hold_entry(entry, self.clock.now())
             return
         self._accept_entry(session, entry)
 
@@ -256,7 +256,7 @@
         exist; the others ended with the previous incarnation.
         """
         now = self.clock.now()
-        self._remove_session(previous)
+        self._close_session(previous)
         session = self._add_session(entry)
         session.record_restart(now)
         session.carry_over(previous, now)
@@ -293,7 +293,10 @@
 
     def _record_unlisted(self, worker_id: WorkerId) -> None:
         session = self._sessions.get(worker_id)
-        if session is None or not session.worker.listed:
+        if session is None:
+            return
+        session.unconfirmed_entry = None
+        if not session.worker.listed:
             return
         session.worker.listed = False
         log_event(
@@ -308,6 +311,17 @@
             self._remove_session(session)
 
     def _remove_session(self, session: Session) -> None:
+        """Remove a session without runs, and apply the entry that waited for its reports.
+
+        The entry may not change again for long, so without it the worker would stay unknown.
+        """
+        worker_id, entry = session.worker.worker_id, session.unconfirmed_entry
+        is_current = self._sessions.get(worker_id) is session
+        self._close_session(session)
+        if is_current and entry is not None:
+            self._record_entry(entry)
+
+    def _close_session(self, session: Session) -> None:
         session.closed = True
         worker_id = session.worker.worker_id
         if self._sessions.get(worker_id) is session:
@@ -529,6 +543,8 @@
             self._record_restart(session, report.incarnation)
             return
         session.record_report(report.connection, sent_at)
+        if report.incarnation == worker.entry.incarnation:
+            session.refute_entry(sent_at)
         session.record_clock(report.clock, self.clock.now())
         self._record_response(session)
         was_synced, worker.synced = worker.synced, True
@@ -640,7 +656,7 @@
 
     def _release_expired(self, session: Session) -> None:
         """Release the runs of a worker if all their leases have certainly expired."""
-        if not session.worker.listed and not session.worker.runs:
+        if session.is_over:
             self._remove_session(session)
             return
         now, leases_expired_at = self.clock.now(), session.leases_expired_at()
@@ -650,7 +666,7 @@
         for run in list(session.worker.runs):
             if starts_expired or run not in session.unbound_starts:
                 self._release(session, run, "lease expired while the worker was unreachable")
-        if not session.worker.listed and not session.worker.runs:
+        if session.is_over:
             self._remove_session(session)
         self._listener.fleet_changed()
 
--- a/chivefall/controllers/batch/_session.py
+++ b/chivefall/controllers/batch/_session.py
@@ -80,6 +80,8 @@
         Whether the incarnation or this leadership has ended.
     unconfirmed_entry : WorkerEntry or None
         Latest entry of another incarnation that no report has shown yet.
+    unconfirmed_entry_at : float
+        Time at which it was read, in seconds since the Unix epoch.
     failures : int
         Consecutive calls without a response.
     last_response_at : float
@@ -113,6 +115,7 @@
     probe_due: bool = False
     closed: bool = False
     unconfirmed_entry: WorkerEntry | None = None
+    unconfirmed_entry_at: float = float("-inf")
     failures: int = 0
     last_response_at: float = float("-inf")
     last_outcome: str = ""
@@ -128,6 +131,15 @@
         may_be_delayed = self.worker.synced or entry.incarnation < current
         return bool(self.worker.runs) and entry.incarnation != current and may_be_delayed
 
+    def hold_entry(self, entry: WorkerEntry, now: float) -> None:
+        """Keep an entry until a report confirms or refutes it or the session is removed."""
+        self.unconfirmed_entry, self.unconfirmed_entry_at = entry, now
+
+    def refute_entry(self, requested_at: float) -> None:
+        """Drop an entry that was read before a report of this incarnation was requested."""
+        if requested_at > self.unconfirmed_entry_at:
+            self.unconfirmed_entry = None
+
     def forget(self, run: RunId) -> None:
         """Release the resources of a run that has ended or does not exist."""
         self.worker.release(run)
@@ -162,7 +174,13 @@
         ]
 
     def carry_over(self, previous: Session, now: float) -> None:
-        """Take over the runs that the previous incarnation may have left to this one."""
+        """Take over the runs that the previous incarnation may have left to this one.
+
+        So is an entry of a third incarnation, which may be a later one.
+        """
+        entry = previous.unconfirmed_entry
+        if entry is not None and entry.incarnation != self.worker.entry.incarnation:
+            self.hold_entry(entry, previous.unconfirmed_entry_at)
         for run in previous.runs_to_carry_over():
             self.worker.allocate(run, previous.worker.runs[run])
             if run in previous.unanswered_starts:
@@ -338,6 +356,12 @@
             for run in self.worker.runs
         )
 
+    @property
+    def is_over(self) -> bool:
+        """Return whether an unresponsive worker has no runs and is unlisted or listed anew."""
+        is_listed = self.worker.listed and self.unconfirmed_entry is None
+        return not is_listed and not self.worker.runs
+
     @property
     def needs_poll(self) -> bool:
         """Return whether the worker must be polled again now."""
