Let the stand-in refuse calls to a worker's former address

Seed 2489 of the random test of ends showed tasks that started again after an acknowledged success. Those still under way arrived after w1 had started elsewhere at 8.16 s, and the stand-in executed them there: calls named the worker by its id alone. By the protocol the worker at the former address refuses them, so the fault is the stand-in's.

--- a/standins/run_workers.py
+++ b/standins/run_workers.py
@@ -358,7 +358,8 @@
     refusals : dict
         By worker, the reason with which it refuses starts and stops.
     misdirected : set of WorkerId
-        Workers whose calls another worker refuses.
+        Workers whose calls another worker refuses. It also refuses the calls to the former address
+        of a worker whose next incarnation has another one.
     isolated : bool
         Whether calls reach no worker at all.
     latency : float
@@ -543,7 +544,7 @@
         if state is None or worker.worker_id in self.unreachable or self.isolated:
             await sleep(self._clock, RESPONSE_TIMEOUT_SECONDS)
             return NoResponse("the worker is unreachable", sent=False)
-        if worker.worker_id in self.misdirected:
+        if worker.worker_id in self.misdirected or worker.address != state.entry.address:
             return IncarnationMismatch()
         # Orders name the worker by its id, which its next incarnation may have, too.
         return state
--- a/tests/batch/test_end_fuzz.py
+++ b/tests/batch/test_end_fuzz.py
@@ -54,6 +54,9 @@
     from standins.run_history import RunSpan
 
 SEEDS_IN_CI = 50
+# 2489: the stand-in passed a start on that was sent while another worker had the address.
+# 3474: an entry that waited for a report was lost with the worker's session.
+REGRESSION_SEEDS = (2489, 3474)
 MAX_RUN_LEASE_SECONDS = 3.0
 GANG_WAIT_SECONDS = 3.0
 STOP_GRACE_SECONDS = 0.4
@@ -155,6 +158,8 @@
         self._completed: set[JobId] = set()
         self._cancelled: set[JobId] = set()
         self._incarnation = 1
+        self._moving: set[WorkerId] = set()
+        self._moves = 0
         self._listed_ends = self.random.choice(LISTED_ENDS)
         EndDeployment(self, self.random.randint(2, MAX_INSTANCES), self.random.randint(1, 4))
         for worker in self.sut.workers.workers.values():
@@ -253,22 +258,25 @@
         self._later(self.random.uniform(0.1, 4.0), restart)
 
     def replace_worker(self) -> None:
-        """Let another worker answer at the address of one that ended, until its entry follows."""
+        """Let another worker answer at the address of one that ended and starts elsewhere."""
         worker = self._any_worker()
         name = worker.entry.worker_id
-        if worker.crashed or any(name in item.client.misdirected for item in self._running()):
+        if worker.crashed or name in self._moving:
             return
         worker.crash()
+        self._moving.add(name)
         for item in self._running():
             item.client.misdirected.add(name)
 
         def list_at_new_address() -> None:
-            for item in self.sut.instances:
-                item.client.misdirected.discard(name)
+            self._moving.discard(name)
             self.sut.list_worker(self.sut.worker(name))
 
         def restart() -> None:
-            self._start_incarnation(name)
+            for item in self.sut.instances:
+                item.client.misdirected.discard(name)
+            self._moves += 1
+            self._start_incarnation(name, f"127.0.0.2:{self._moves}")
             self._later(self.random.choice((0.0, 0.5, 2.0)), list_at_new_address)
 
         self._later(self.random.uniform(0.1, 2.0), restart)
@@ -481,10 +489,12 @@
     def _any_worker(self) -> RunWorker:
         return self.sut.worker(self.random.choice(self.names))
 
-    def _start_incarnation(self, name: WorkerId) -> None:
+    def _start_incarnation(self, name: WorkerId, address: str | None = None) -> None:
         self._incarnation += 1
         entry = self.sut.worker(name).entry
-        worker = self.sut.workers.add(replace(entry, incarnation=Incarnation(self._incarnation)))
+        incarnation = Incarnation(self._incarnation)
+        entry = replace(entry, incarnation=incarnation, address=address or entry.address)
+        worker = self.sut.workers.add(entry)
         self._set_up(worker)
 
     def _set_up(self, worker: RunWorker) -> None:
@@ -523,7 +533,7 @@
 class EndFuzz(unittest.TestCase):
     def test_seeds(self) -> None:
         """Guards against a task that runs again after its end was acknowledged."""
-        for seed in range(1, SEEDS_IN_CI + 1):
+        for seed in (*range(1, SEEDS_IN_CI + 1), *REGRESSION_SEEDS):
             with self.subTest(seed=seed):
                 self.assertEqual(play(seed), [])
 
