Call workers that do not respond often and over new connections

A leader polled a worker that had been silenced by a cut every 1.95 s, and each poll waited on its connection even though the path was back. Such a worker is now called over new connections at a fixed interval, and released only once a call sent after the end of its leases has failed, or 0.3 s after that end.

--- /dev/null
+++ b/chivefall/controllers/batch/_contact.py
@@ -0,0 +1,126 @@
+"""Decisions on calls to workers that do not respond, and on the release of their runs."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from chivefall.workers import PollMode
+
+__all__ = [
+    "ContactAttempt",
+    "ContactState",
+    "may_release",
+    "next_attempt",
+    "release_due_at",
+]
+
+# Together with a round trip, a path that is back is used within 0.3 s.
+BUSY_INTERVAL_SECONDS = 0.25  # between calls to a worker with runs
+IDLE_INTERVAL_SECONDS = 1.0  # between calls to a worker without runs
+MAX_CONTACT_CALLS_PER_SECOND = 250.0  # to all workers; each call takes the leader 0.5 ms
+MAX_CALLS_UNDER_WAY = 2  # to one worker: a patient one and a quick one
+PATIENT_CALL_PERIOD = 4  # calls, of which one reaches a worker that has become slow
+RELEASE_DELAY_SECONDS = 0.3  # after the end of the leases, for calls that are under way
+# Multiples of it modulo 1 are spread evenly, also those of every second or third number.
+PHASE_STEP = (math.sqrt(5.0) - 1.0) / 2.0
+
+
+@dataclass
+class ContactState:
+    """Calls to a worker that does not respond.
+
+    Attributes
+    ----------
+    number : int
+        Number of the session, which decides the phase of the calls.
+    attempts : int
+        Calls that were due since the last response.
+    last_attempt_at : float
+        Time at which the last one was due, in seconds since the Unix epoch.
+    calls_under_way : int
+        Calls that have not ended yet.
+    last_failed_call_sent_at : float
+        Time at which the latest poll that failed was sent, in seconds since the Unix epoch.
+    """
+
+    number: int
+    attempts: int = 0
+    last_attempt_at: float = float("-inf")
+    calls_under_way: int = 0
+    last_failed_call_sent_at: float = float("-inf")
+
+    def record_attempt(self, now: float) -> None:
+        """Record that a call was due."""
+        self.attempts += 1
+        self.last_attempt_at = now
+
+    def record_failure(self, sent_at: float) -> None:
+        """Record that a poll sent at ``sent_at`` has failed."""
+        self.last_failed_call_sent_at = max(self.last_failed_call_sent_at, sent_at)
+
+    @property
+    def may_call(self) -> bool:
+        """Return whether few enough calls are under way for another one."""
+        return self.calls_under_way < MAX_CALLS_UNDER_WAY
+
+
+@dataclass(frozen=True)
+class ContactAttempt:
+    """A call to a worker that does not respond.
+
+    Attributes
+    ----------
+    at : float
+        Time of the call, in seconds since the Unix epoch.
+    mode : PollMode
+        Connection and timeout of the call.
+    wait : float
+        Seconds for which the call requests the worker to wait for an end.
+    """
+
+    at: float
+    mode: PollMode
+    wait: float = 0.0
+
+
+def next_attempt(
+    state: ContactState, suspects: int, now: float, *, is_busy: bool
+) -> ContactAttempt:
+    """Return the next call to a worker that does not respond.
+
+    The calls to one worker follow at a fixed interval and a phase of its own, so that workers
+    that were lost together are not called together.
+
+    Parameters
+    ----------
+    suspects : int
+        Number of workers that do not respond.
+    is_busy : bool
+        Whether the worker may have runs or ends that matter; others are called less often.
+    """
+    interval = BUSY_INTERVAL_SECONDS if is_busy else IDLE_INTERVAL_SECONDS
+    interval = max(interval, suspects / MAX_CONTACT_CALLS_PER_SECOND)
+    # The times of the calls shift while the number of suspects changes.
+    earliest = max(now, state.last_attempt_at + interval / 2)
+    phase = state.number * PHASE_STEP % 1.0
+    at = (math.ceil(earliest / interval - phase) + phase) * interval
+    is_patient = not is_busy or state.attempts % PATIENT_CALL_PERIOD == 0
+    return ContactAttempt(at, PollMode.PATIENT if is_patient else PollMode.QUICK)
+
+
+def release_due_at(leases_expired_at: float) -> float:
+    """Return the time until which calls that are under way may delay a release."""
+    return leases_expired_at + RELEASE_DELAY_SECONDS
+
+
+def may_release(state: ContactState, leases_expired_at: float | None, now: float) -> bool:
+    """Return whether the leases have certainly expired and no call can settle what became of runs.
+
+    A call that was sent after the leases expired has to fail first, but calls are waited for
+    until ``release_due_at`` only. None means that the end of the leases is unknown.
+    """
+    if leases_expired_at is None or now <= leases_expired_at:
+        return False
+    has_failed_since = state.last_failed_call_sent_at > leases_expired_at
+    return has_failed_since or now >= release_due_at(leases_expired_at)
--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -19,10 +20,16 @@
     WorkerStatus,
 )
 from chivefall.controllers._base import Controller
+from chivefall.controllers.batch._contact import (
+    ContactState,
+    may_release,
+    next_attempt,
+    release_due_at,
+)
 from chivefall.controllers.batch._mirror import PrefixMirror
 from chivefall.controllers.batch._session import MAX_CALL_DELAY_SECONDS, Session
 from chivefall.errors import MessageError
-from chivefall.runtime import sleep
+from chivefall.runtime import sleep, wait_for
 from chivefall.telemetry import LogEvent, log_event
 from chivefall.workers import (
     IncarnationMismatch,
@@ -46,6 +53,7 @@
         WorkerEntry,
     )
     from chivefall.controllers._leader import LeaderController
+    from chivefall.controllers.batch._contact import ContactAttempt
     from chivefall.controllers.batch._run_listener import RunListener
     from chivefall.model import Epoch, WorkerId
     from chivefall.runtime import Clock
@@ -62,7 +70,7 @@
 __all__ = ["FleetController"]
 
 WATCH_INTERVAL_SECONDS = 0.4  # between watches of worker entries; every heartbeat changes one
-RETRY_DELAY_SECONDS = 0.4  # between calls to an unresponsive worker
+RETRY_DELAY_SECONDS = 0.4  # between stops that were not confirmed
 MAX_LOGGED_KEY_LENGTH = 200  # characters; other programs choose the keys of their entries
 MAX_LOGGED_ENDS = 10  # of a report that is not used
 MAX_PROBES_PER_SECOND = 150.0  # of idle workers; each call takes the leader 0.5 ms
@@ -111,6 +119,7 @@
         self._leader = leader
         self._listener: RunListener | None = None
         self._sessions: dict[WorkerId, Session] = {}
+        self._session_numbers = itertools.count()
         self._removed_at: dict[WorkerId, float] = {}
         self._orphans: dict[WorkerId, list[tuple[RunId, StepSpec, Incarnation]]] = {}
         self._invalid_entries: dict[str, Version] = {}
@@ -231,7 +240,9 @@
         self._ensure_polling(session)
 
     def _add_session(self, entry: WorkerEntry) -> Session:
-        session = Session(Worker(entry), self._timing.max_lease, self._timing.longest_lease)
+        contact = ContactState(next(self._session_numbers))
+        longest_lease = self._timing.longest_lease
+        session = Session(Worker(entry), self._timing.max_lease, longest_lease, contact)
         now = self.clock.now()
         if now - self._removed_at.pop(entry.worker_id, float("-inf")) < MAX_CALL_DELAY_SECONDS:
             # Calls of the earlier session may still be under way.
@@ -444,25 +455,29 @@
 
     async def _poll_while_busy(self, session: Session) -> None:
         epoch, acknowledges = self._epoch, True
-        while not session.closed and session.needs_poll and self._is_current(epoch):
+        while session.needs_poll and self._is_managed(session, epoch):
             if not self._may_extend_leases(self.clock.now()):
                 await sleep(self.clock, RETRY_DELAY_SECONDS)
-                if not session.closed and self._is_current(epoch):
+                if self._is_managed(session, epoch):
                     self._release_expired(session)
                 continue
+            if session.failures:
+                await self._regain_contact(session, epoch)
+                continue
             sent_at = self.clock.now()
             acknowledgement = session.next_acknowledgement() if acknowledges else None
             is_bound = acknowledgement is None or acknowledgement.connections is not None
             session.worker.accepts_starts = is_bound
+            deadline = session.extend_leases(self._timing.run_lease, sent_at)
             outcome = await self._client.renew_leases(
                 session.worker.entry,
                 OrderPermission(epoch, self._lease_extensions_end()),
-                session.extend_leases(self._timing.run_lease, sent_at),
+                deadline,
                 acknowledgement,
                 self._poll_wait(session, acknowledgement),
             )
             session.worker.accepts_starts = True
-            if session.closed or not self._is_current(epoch):
+            if not self._is_managed(session, epoch):
                 self._log_unused_report(session, outcome, sent_at)
                 return
             acknowledges = not isinstance(outcome, NotSent)
@@ -471,17 +486,93 @@
                 session.unsent_acknowledgements += 1
                 await sleep(self.clock, _acknowledgement_delay(session))
                 continue
-            session.probe_due = False
-            if isinstance(outcome, RunReport):
-                if acknowledgement is not None:
-                    self._record_acknowledged(session, acknowledgement.sequence)
-                self._record_report(session, outcome, sent_at)
+            if isinstance(outcome, RunReport) and acknowledgement is not None:
+                self._record_acknowledged(session, acknowledgement.sequence)
+            self._record_outcome(session, outcome, sent_at, deadline)
+            if isinstance(outcome, RunReport) and deadline is not None:
                 await self._wait_for_end_writes(session)
-            else:
-                if isinstance(outcome, NoResponse):
-                    session.record_unanswered_call(outcome, sent_at)
-                self._record_failure(session, outcome)
-                await sleep(self.clock, RETRY_DELAY_SECONDS)
+
+    def _is_managed(self, session: Session, epoch: Epoch | None) -> bool:
+        """Return whether this instance still leads under ``epoch`` and the session is open."""
+        return not session.closed and self._is_current(epoch)
+
+    def _record_outcome(
+        self, session: Session, outcome: RenewalOutcome, sent_at: float, deadline: float | None
+    ) -> None:
+        """Record the outcome of a poll that sent ``deadline`` as the end of the leases."""
+        session.probe_due = False
+        if isinstance(outcome, RunReport):
+            self._record_report(session, outcome, sent_at)
+            return
+        if isinstance(outcome, NoResponse) and deadline is not None:
+            session.record_unanswered_call(outcome, sent_at)
+        self._record_failure(session, outcome, sent_at)
+
+    # Contact with workers that do not respond
+
+    async def _regain_contact(self, session: Session, epoch: Epoch | None) -> None:
+        """Send the next call to an unresponsive worker once it is due.
+
+        Its response is not waited for, as the call after it may be the first over a path that
+        is back. A response ends the wait, so that the leases are extended at once.
+        """
+        now, expired_at = self.clock.now(), session.leases_expired_at()
+        suspects = sum(1 for item in self._sessions.values() if item.failures)
+        attempt = next_attempt(session.contact, suspects, now, is_busy=session.is_busy)
+        wake_at = attempt.at
+        if session.worker.runs and expired_at is not None and now < release_due_at(expired_at):
+            wake_at = min(wake_at, release_due_at(expired_at))
+        await wait_for(self.clock, session.next_contact(), wake_at - now, None)
+        if not self._is_managed(session, epoch) or not session.failures:
+            return
+        self._release_expired(session)
+        now = self.clock.now()
+        if now < attempt.at or not self._is_managed(session, epoch):
+            return
+        if session.contact.may_call:
+            self.run_task(self._call_suspect(session, epoch, attempt))
+        session.contact.record_attempt(now)
+
+    async def _call_suspect(
+        self, session: Session, epoch: Epoch | None, attempt: ContactAttempt
+    ) -> None:
+        """Poll an unresponsive worker over a new connection."""
+        sent_at = self.clock.now()
+        deadline = session.extend_leases(self._timing.run_lease, sent_at)
+        session.contact.calls_under_way += 1
+        try:
+            outcome = await self._client.renew_leases(
+                session.worker.entry,
+                OrderPermission(epoch, self._lease_extensions_end()),
+                deadline,
+                None,
+                attempt.wait,
+                attempt.mode,
+            )
+        finally:
+            session.contact.calls_under_way -= 1
+        if not self._is_managed(session, epoch):
+            self._log_unused_report(session, outcome, sent_at)
+            return
+        if self._is_outdated(session, outcome, sent_at):
+            if isinstance(outcome, RunReport):
+                self._log_unused_report(session, outcome, sent_at)
+            elif isinstance(outcome, NoResponse) and deadline is not None:
+                session.record_unanswered_call(outcome, sent_at)
+            return
+        self._record_outcome(session, outcome, sent_at, deadline)
+        if not session.failures:
+            session.announce_contact()
+
+    @staticmethod
+    def _is_outdated(session: Session, outcome: RenewalOutcome, sent_at: float) -> bool:
+        """Return whether a response that came before shows a later state of the worker."""
+        if isinstance(outcome, NoResponse):
+            return sent_at <= session.last_response_at
+        is_fenced = (
+            isinstance(outcome, OrderRefused) and outcome.reason is OrderRefusalReason.FENCED
+        )
+        return not is_fenced and sent_at < session.report_requested_at
 
     @staticmethod
     def _record_acknowledged(session: Session, sequence: EndSequence) -> None:
@@ -511,18 +602,25 @@
             await sleep(self.clock, ACKNOWLEDGE_CHECK_INTERVAL_SECONDS)
 
     def _log_unused_report(self, session: Session, outcome: RenewalOutcome, sent_at: float) -> None:
-        """Log a report that arrived after the end of its session or leadership."""
+        """Log a report that arrived after the end of its session or leadership, or too late."""
         if isinstance(outcome, RunReport):
             log_event(
                 LogEvent.REPORT_NOT_USED,
                 worker=session.worker.worker_id,
                 incarnation=outcome.incarnation,
-                reason="session closed" if session.closed else "leadership ended",
+                reason=self._unused_reason(session),
                 running=len(outcome.running),
                 ends=[str(end.run) for end in outcome.ends[:MAX_LOGGED_ENDS]],
                 age=round(self.clock.now() - sent_at, 3),
             )
 
+    def _unused_reason(self, session: Session) -> str:
+        if session.closed:
+            return "session closed"
+        if self._epoch is None or self.is_stopped:
+            return "leadership ended"
+        return "a report requested later was recorded"
+
     def _record_report(self, session: Session, report: RunReport, sent_at: float) -> None:
         worker = session.worker
         if report.incarnation not in (worker.entry.incarnation, Incarnation(0)):
@@ -616,7 +714,7 @@
             log_event(LogEvent.WORKER_ANSWERS, worker=session.worker.worker_id)
             self._listener.fleet_changed()
 
-    def _record_failure(self, session: Session, outcome) -> None:
+    def _record_failure(self, session: Session, outcome: RenewalOutcome, sent_at: float) -> None:
         if isinstance(outcome, IncarnationMismatch):
             self._end_incarnation(session, "another incarnation of the worker responded")
             return
@@ -624,6 +722,7 @@
             self._leader.step_down("a worker has seen a higher epoch")
             return
         self._mark_suspect(session, str(getattr(outcome, "reason", "")))
+        session.contact.record_failure(sent_at)
         self._release_expired(session)
 
     def _mark_suspect(self, session: Session, reason: str) -> None:
@@ -643,16 +742,21 @@
         if not session.worker.listed and not session.worker.runs:
             self._remove_session(session)
             return
-        now, leases_expired_at = self.clock.now(), session.leases_expired_at()
-        if leases_expired_at is None or now <= leases_expired_at:
+        now = self.clock.now()
+        if not may_release(session.contact, session.leases_expired_at(), now):
             return
         starts_expired = now > session.unbound_starts_expired_at()
-        for run in list(session.worker.runs):
-            if starts_expired or run not in session.unbound_starts:
-                self._release(session, run, "lease expired while the worker was unreachable")
+        expired = [
+            run
+            for run in session.worker.runs
+            if starts_expired or run not in session.unbound_starts
+        ]
+        for run in expired:
+            self._release(session, run, "lease expired while the worker was unreachable")
         if not session.worker.listed and not session.worker.runs:
             self._remove_session(session)
-        self._listener.fleet_changed()
+        if expired:
+            self._listener.fleet_changed()
 
     def avoid(self, worker_id: WorkerId, reason: DisplacementReason, now: float) -> None:
         """Exclude a worker from placement for a while after a stalled or slow run."""
@@ -737,6 +841,7 @@
         log_event(LogEvent.RUN_STARTED, run=str(run), worker=session.worker.worker_id)
         self._listener.run_confirmed(run)
         self._ensure_polling(session)
+        session.announce_contact()
 
     def _record_refusal(
         self, session: Session, run: RunId, outcome: OrderOutcome, *, is_first: bool
--- a/chivefall/controllers/batch/_session.py
+++ b/chivefall/controllers/batch/_session.py
@@ -6,7 +6,9 @@
 from dataclasses import dataclass, field
 
 from chivefall.batch import MIN_CLOCK_RATE, EndSequence, RunId, Worker, WorkerEntry
+from chivefall.controllers.batch._contact import ContactState
 from chivefall.model import ConnectionId
+from chivefall.runtime import Future
 from chivefall.workers import (
     Acknowledgement,
     NoResponse,
@@ -87,11 +89,14 @@
     last_outcome : str
         How the last call that failed, or was refused, ended; empty if none did since the
         last response.
+    contact : ContactState
+        Calls to the worker while it does not respond.
     """
 
     worker: Worker
     max_lease: float
     longest_lease: float
+    contact: ContactState
     unread_leases_end: float | None = None
     expected_since: dict[RunId, float] = field(default_factory=dict)
     unanswered_starts: set[RunId] = field(default_factory=set)
@@ -117,6 +122,7 @@
     last_response_at: float = float("-inf")
     last_outcome: str = ""
     _clock_reading: tuple[float, float] | None = None
+    _contact_regained: Future[None] | None = None
 
     def leaves_restart_to_reports(self, entry: WorkerEntry) -> bool:
         """Return whether an entry of another incarnation does not prove a restart.
@@ -210,6 +216,17 @@
         """Record a response received at ``now``."""
         self.failures, self.last_outcome = 0, ""
         self.last_response_at = now
+        self.contact.attempts = 0
+
+    def next_contact(self) -> Future[None]:
+        """Return a future that is done once a response has been recorded in full."""
+        self._contact_regained = Future()
+        return self._contact_regained
+
+    def announce_contact(self) -> None:
+        """Complete the future of ``next_contact``."""
+        if self._contact_regained is not None:
+            self._contact_regained.set_result(None)
 
     def record_failure(self, reason: str) -> None:
         """Record a call without a response, or one whose response shows no contact."""
@@ -338,14 +355,12 @@
             for run in self.worker.runs
         )
 
+    @property
+    def is_busy(self) -> bool:
+        """Return whether the worker may have runs or ends that matter."""
+        return bool(self.worker.runs or self.unwritten_ends or self.awaits_acknowledgement)
+
     @property
     def needs_poll(self) -> bool:
         """Return whether the worker must be polled again now."""
-        return bool(
-            not self.worker.synced
-            or self.probe_due
-            or self.worker.suspect
-            or self.worker.runs
-            or self.unwritten_ends
-            or self.awaits_acknowledgement
-        )
+        return bool(not self.worker.synced or self.probe_due or self.worker.suspect or self.is_busy)
--- a/chivefall/net/_http_client.py
+++ b/chivefall/net/_http_client.py
@@ -25,6 +25,7 @@
 RECEIVE_SIZE_BYTES = 65536
 MAX_RESPONSE_BYTES = 16_000_000
 MAX_IDLE_CONNECTIONS_PER_SERVER = 4
+EXTRA_NEW_CONNECTIONS = 2  # to one server, above its limit
 # Shorter than the idle timeouts of common servers, so that this side closes most connections.
 IDLE_TIMEOUT_SECONDS = 15.0
 _channel_numbers = itertools.count()
@@ -65,6 +66,7 @@
     restart_timeout_on_data: bool
     expires_at: float
     connections: Collection[ConnectionId] | None = None
+    new_connection: bool = False
     timer: TimerHandle | None = None
 
 
@@ -117,6 +119,7 @@
         restart_timeout_on_data: bool = False,
         expires_at: float = math.inf,
         connections: Collection[ConnectionId] | None = None,
+        new_connection: bool = False,
     ) -> Future[HttpResponse | HttpFailure]:
         """Send a request and return a future of its response.
 
@@ -142,6 +145,11 @@
         connections : collection of ConnectionId, optional
             The connections that may carry the request, which fails unsent if all of them
             are closed or in use. They lead to the process that sent the earlier responses.
+        new_connection : bool
+            Whether the request opens a connection, because open ones may lead nowhere. It
+            does not wait: one connection more than the limit for the server is allowed for
+            each of ``EXTRA_NEW_CONNECTIONS`` such requests, as the others may be in use by
+            requests that wait for their timeouts.
         """
         req = _Request(
             address,
@@ -155,10 +163,11 @@
             restart_timeout_on_data,
             expires_at,
             connections,
+            new_connection,
         )
         if connections is not None:
             self._begin_on(req, connections)
-        elif self._waiting.get(address) or not self._begin(req):
+        elif (self._waiting.get(address) and not new_connection) or not self._begin(req):
             self._wait(req)
         return req.fut
 
@@ -174,8 +183,11 @@
         """Start the exchange of a request; return False if it has to wait for a connection."""
         address = req.address
         try:
-            conn = self._take_idle(address, req.idempotent)
-            if conn is None and self.open_connections(address) >= self._limits.per_server:
+            conn = self._take_idle(address, req.idempotent and not req.new_connection)
+            limit = self._limits.per_server
+            if req.new_connection:
+                limit += EXTRA_NEW_CONNECTIONS
+            if conn is None and self.open_connections(address) >= limit:
                 return False
             conn = conn or self._connect(address)
         except OSError as exc:
--- a/chivefall/platform/_run_client.py
+++ b/chivefall/platform/_run_client.py
@@ -35,6 +35,7 @@
     OrderPermission,
     OrderRefusalReason,
     OrderRefused,
+    PollMode,
     RenewalOutcome,
     RunClient,
     RunEnd,
@@ -54,6 +55,7 @@
 
 NO_END = EndSequence(0)
 MIN_TIMEOUT_SECONDS = 0.4  # a start without response is repeated well before its gang stops waiting
+MIN_QUICK_TIMEOUT_SECONDS = 0.1  # of a poll that others follow soon
 _REFUSAL_REASONS = {
     "fence": OrderRefusalReason.FENCED,
     "old": OrderRefusalReason.OUTDATED,
@@ -89,6 +91,7 @@
     def __init__(self, http: HttpClient, timeout: float) -> None:
         self._http = http
         self._adaptive_timeout = AdaptiveTimeout(MIN_TIMEOUT_SECONDS, timeout)
+        self._quick_timeout = AdaptiveTimeout(MIN_QUICK_TIMEOUT_SECONDS, timeout)
         self.calls = 0
         self.observe: Callable[[str, float], None] = lambda _call, _seconds: None
 
@@ -99,7 +102,7 @@
 
     @timeout.setter
     def timeout(self, seconds: float) -> None:
-        self._adaptive_timeout.max_seconds = seconds
+        self._adaptive_timeout.max_seconds = self._quick_timeout.max_seconds = seconds
 
     async def start(
         self, worker: WorkerEntry, order: RunOrder, permission: OrderPermission
@@ -130,6 +133,7 @@
         deadline: float | None,
         acknowledgement: Acknowledgement | None,
         wait: float,
+        mode: PollMode = PollMode.ROUTINE,
     ) -> RenewalOutcome:
         """Extend all leases, acknowledge ends and return the worker's report."""
         body: dict[str, Any] = {"fence_token": permission.epoch, "last_seen": NO_END}
@@ -141,8 +145,16 @@
             body["deadline_ms"] = round(deadline * 1000)
         if wait > 0:
             body["wait_ms"] = round(wait * 1000)
+        is_quick = mode is PollMode.QUICK
+        timeout = self._quick_timeout.next_timeout() if is_quick else self.timeout
         response = await self._call(
-            worker, "hold", body, permission, self.timeout + wait, connections
+            worker,
+            "hold",
+            body,
+            permission,
+            timeout + wait,
+            connections,
+            new_connection=mode is not PollMode.ROUTINE,
         )
         if connections is not None and isinstance(response, HttpFailure) and not response.sent:
             return NotSent(response.reason)
@@ -166,6 +178,8 @@
         permission: OrderPermission,
         timeout: float,
         connections: frozenset[ConnectionId] | None = None,
+        *,
+        new_connection: bool = False,
     ) -> HttpResponse | HttpFailure:
         self.calls += 1
         headers = {
@@ -183,10 +197,13 @@
             timeout,
             expires_at=permission.valid_until,
             connections=connections,
+            new_connection=new_connection,
         )
         if "wait_ms" not in body and isinstance(response, HttpResponse):
-            self._adaptive_timeout.record_response(self._http.clock.now() - started_at)
-            self.observe(call, self._http.clock.now() - started_at)
+            seconds = self._http.clock.now() - started_at
+            self._adaptive_timeout.record_response(seconds)
+            self._quick_timeout.record_response(seconds)
+            self.observe(call, seconds)
         return response
 
 
--- a/chivefall/workers/_runs.py
+++ b/chivefall/workers/_runs.py
@@ -23,6 +23,7 @@
     "OrderPermission",
     "OrderRefusalReason",
     "OrderRefused",
+    "PollMode",
     "RenewalOutcome",
     "RunClient",
     "RunEnd",
@@ -198,6 +199,14 @@
 RenewalOutcome = Union[RunReport, OrderRefused, IncarnationMismatch, NoResponse, NotSent]
 
 
+class PollMode(Enum):
+    """Connection and timeout of a poll."""
+
+    ROUTINE = "routine"  # any open connection, and the full timeout
+    QUICK = "quick"  # a new connection, and a timeout by the round trips of other calls
+    PATIENT = "patient"  # a new connection, and the full timeout
+
+
 class RunClient(ABC):
     """Sends orders for runs of batch jobs to workers, unless their permission has expired."""
 
@@ -221,6 +230,7 @@
         deadline: float | None,
         acknowledgement: Acknowledgement | None,
         wait: float,
+        mode: PollMode = PollMode.ROUTINE,
     ) -> RenewalOutcome:
         """Extend all leases, acknowledge ends and return the worker's report.
 
@@ -232,4 +242,7 @@
             The ends that the worker may forget; None lets it forget nothing.
         wait : float
             Seconds after which the worker reports, unless a run ends before.
+        mode : PollMode
+            Connection and timeout. A cut may have silenced the open connections to a worker
+            that does not respond, so it is polled over new ones.
         """
--- a/standins/run_workers.py
+++ b/standins/run_workers.py
@@ -34,6 +34,7 @@
     OrderPermission,
     OrderRefusalReason,
     OrderRefused,
+    PollMode,
     RenewalOutcome,
     RunClient,
     RunEnd,
@@ -53,6 +54,7 @@
 MAX_LISTED_ENDS = 500
 START_DELAY_SECONDS = 3.0
 RESPONSE_TIMEOUT_SECONDS = 0.8
+QUICK_TIMEOUT_SECONDS = 0.1
 _connection_numbers = itertools.count(1)
 _RUN_TIME = re.compile(r"run ([0-9]+) ms")  # payload of tasks that state their run time
 
@@ -370,6 +372,8 @@
         requests; it may still be executed later.
     connections : dict
         By worker, the incarnation and the number of the open connection to it.
+    silenced : set of WorkerId
+        Workers whose open connection carries nothing anymore, until a new one is opened.
     """
 
     def __init__(self, workers: RunWorkers) -> None:
@@ -386,18 +390,19 @@
         self.reply_latency = 0.0
         self.timeout = math.inf
         self.connections: dict[WorkerId, tuple[RunWorker, ConnectionId]] = {}
+        self.silenced: set[WorkerId] = set()
 
     async def start(
         self, worker: WorkerEntry, order: RunOrder, permission: OrderPermission
     ) -> OrderOutcome:
         """Start a run."""
-        return await self._in_time(self._start(worker, order, permission), 0.0)
+        return await self._in_time(self._start(worker, order, permission), self.timeout)
 
     async def stop(
         self, worker: WorkerEntry, run: RunId, permission: OrderPermission
     ) -> OrderOutcome:
         """Stop a run."""
-        return await self._in_time(self._stop(worker, run, permission), 0.0)
+        return await self._in_time(self._stop(worker, run, permission), self.timeout)
 
     async def renew_leases(
         self,
@@ -406,9 +411,13 @@
         deadline: float | None,
         acknowledgement: Acknowledgement | None,
         wait: float,
+        mode: PollMode = PollMode.ROUTINE,
     ) -> RenewalOutcome:
         """Extend all leases and return the report."""
         name, sequence, peer = worker.worker_id, EndSequence(0), None
+        if mode is not PollMode.ROUTINE:
+            self.connections.pop(name, None)
+            self.silenced.discard(name)
         if acknowledgement is not None:
             sequence = acknowledgement.sequence
         if acknowledgement is not None and acknowledgement.connections is not None:
@@ -417,7 +426,10 @@
                 self.connections.pop(name, None)
                 return NotSent("no connection that brought a report is open")
         call = self._renew_leases(worker, permission, deadline, sequence, peer, wait)
-        outcome = await self._in_time(call, wait)
+        timeout = self.timeout
+        if mode is PollMode.QUICK:
+            timeout = min(timeout, QUICK_TIMEOUT_SECONDS)
+        outcome = await self._in_time(call, timeout + wait)
         if isinstance(outcome, tuple):
             state, outcome = outcome
             if isinstance(outcome, RunReport):
@@ -426,12 +438,11 @@
             self.connections.pop(name, None)
         return outcome
 
-    async def _in_time(self, call: Coroutine[Any, Any, Any], wait: float) -> Any:
+    async def _in_time(self, call: Coroutine[Any, Any, Any], timeout: float) -> Any:
         """Return the outcome of a call, or NoResponse after its timeout."""
         fut = spawn(call)
-        if not fut.done() and self.timeout != math.inf:
-            limit = self.timeout + wait
-            fut = wait_for(self._clock, fut, limit, NoResponse("no response in time"))
+        if not fut.done() and timeout != math.inf:
+            fut = wait_for(self._clock, fut, timeout, NoResponse("no response in time"))
         return await fut
 
     async def _start(
@@ -540,7 +551,8 @@
         if worker.worker_id in self.refusing:
             return NoResponse("connection refused", sent=False)
         state = self._workers.workers.get(worker.worker_id)
-        if state is None or worker.worker_id in self.unreachable or self.isolated:
+        is_cut_off = worker.worker_id in self.unreachable | self.silenced or self.isolated
+        if state is None or is_cut_off:
             await sleep(self._clock, RESPONSE_TIMEOUT_SECONDS)
             return NoResponse("the worker is unreachable", sent=False)
         if worker.worker_id in self.misdirected:
--- a/tests/batch/test_end_fuzz.py
+++ b/tests/batch/test_end_fuzz.py
@@ -35,7 +35,7 @@
 from chivefall.runtime import sleep, spawn
 from chivefall.store import BatchPart, batch_key
 from chivefall.telemetry import open_log
-from chivefall.workers import NoResponse, RunReport
+from chivefall.workers import NoResponse, PollMode, RunReport
 from standins.run_history import repeated_runs, run_spans
 from standins.run_workers import Gangs, MemoryRunClient, RunWorker
 from tests.batch.deployment import ACCOUNT, KEY, NORMAL, Deployment, Instance
@@ -89,9 +89,13 @@
         self._play.ordered_at.setdefault(order.run, self._clock.now())
         return await super().start(worker, order, permission)
 
-    async def renew_leases(self, worker, permission, deadline, acknowledgement, wait):
+    async def renew_leases(
+        self, worker, permission, deadline, acknowledgement, wait, mode=PollMode.ROUTINE
+    ):
         """Extend all leases and return the report."""
-        outcome = await super().renew_leases(worker, permission, deadline, acknowledgement, wait)
+        outcome = await super().renew_leases(
+            worker, permission, deadline, acknowledgement, wait, mode
+        )
         if isinstance(outcome, RunReport):
             shown = self._shown[permission.epoch, worker.worker_id, outcome.incarnation]
             shown.update(end.sequence for end in outcome.ends)
--- a/tests/batch/test_permission.py
+++ b/tests/batch/test_permission.py
@@ -18,6 +18,7 @@
     NoResponse,
     OrderOutcome,
     OrderPermission,
+    PollMode,
     RenewalOutcome,
     RunClient,
     RunOrder,
@@ -83,9 +84,12 @@
         deadline: float | None,
         acknowledgement: Acknowledgement | None,
         wait: float,
+        mode: PollMode = PollMode.ROUTINE,
     ) -> RenewalOutcome:
         self._record("renew", permission)
-        return await self._inner.renew_leases(worker, permission, deadline, acknowledgement, wait)
+        return await self._inner.renew_leases(
+            worker, permission, deadline, acknowledgement, wait, mode
+        )
 
 
 class Permission(unittest.TestCase):
