Test contact with workers that do not respond, and pace polls that a worker refused

A poll refused as fenced repeated without a pause once the pause after failed polls was gone: tests.batch.test_permission did not end.

--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -70,7 +70,7 @@
 __all__ = ["FleetController"]
 
 WATCH_INTERVAL_SECONDS = 0.4  # between watches of worker entries; every heartbeat changes one
-RETRY_DELAY_SECONDS = 0.4  # between stops that were not confirmed
+RETRY_DELAY_SECONDS = 0.4  # between orders or polls that were refused or got no response
 MAX_LOGGED_KEY_LENGTH = 200  # characters; other programs choose the keys of their entries
 MAX_LOGGED_ENDS = 10  # of a report that is not used
 MAX_PROBES_PER_SECOND = 150.0  # of idle workers; each call takes the leader 0.5 ms
@@ -489,7 +489,11 @@
             if isinstance(outcome, RunReport) and acknowledgement is not None:
                 self._record_acknowledged(session, acknowledgement.sequence)
             self._record_outcome(session, outcome, sent_at, deadline)
-            if isinstance(outcome, RunReport) and deadline is not None:
+            if not isinstance(outcome, RunReport):
+                if not session.failures:
+                    await sleep(self.clock, RETRY_DELAY_SECONDS)
+            elif deadline is not None:
+                # Without a lease end in this poll the leases may end before the next one.
                 await self._wait_for_end_writes(session)
 
     def _is_managed(self, session: Session, epoch: Epoch | None) -> bool:
--- a/standins/run_workers.py
+++ b/standins/run_workers.py
@@ -425,10 +425,10 @@
             if number not in acknowledgement.connections or self._is_gone(name, peer):
                 self.connections.pop(name, None)
                 return NotSent("no connection that brought a report is open")
-        call = self._renew_leases(worker, permission, deadline, sequence, peer, wait)
-        timeout = self.timeout
+        timeout, silence = self.timeout, RESPONSE_TIMEOUT_SECONDS
         if mode is PollMode.QUICK:
-            timeout = min(timeout, QUICK_TIMEOUT_SECONDS)
+            timeout, silence = min(timeout, QUICK_TIMEOUT_SECONDS), QUICK_TIMEOUT_SECONDS
+        call = self._renew_leases(worker, permission, deadline, sequence, peer, wait, silence)
         outcome = await self._in_time(call, timeout + wait)
         if isinstance(outcome, tuple):
             state, outcome = outcome
@@ -479,9 +479,10 @@
         sequence: EndSequence,
         peer: RunWorker | None,
         wait: float,
+        silence: float,
     ) -> RenewalOutcome | tuple[RunWorker, RenewalOutcome]:
         """Return the outcome of a poll and, if one responded, the process that did."""
-        state = await self._reach(worker, permission)
+        state = await self._reach(worker, permission, silence)
         if not isinstance(state, RunWorker):
             return state
         if peer not in (None, state):
@@ -535,8 +536,12 @@
         return self.connections[name][1]
 
     async def _reach(
-        self, worker: WorkerEntry, permission: OrderPermission
+        self,
+        worker: WorkerEntry,
+        permission: OrderPermission,
+        silence: float = RESPONSE_TIMEOUT_SECONDS,
     ) -> RunWorker | OrderOutcome:
+        """Return the worker's process, or NoResponse ``silence`` seconds after a call is lost."""
         if self._clock.now() >= permission.valid_until:
             return NoResponse("the request expired before it was sent", sent=False)
         if (latency := self.latency) > 0:
@@ -553,7 +558,7 @@
         state = self._workers.workers.get(worker.worker_id)
         is_cut_off = worker.worker_id in self.unreachable | self.silenced or self.isolated
         if state is None or is_cut_off:
-            await sleep(self._clock, RESPONSE_TIMEOUT_SECONDS)
+            await sleep(self._clock, silence)
             return NoResponse("the worker is unreachable", sent=False)
         if worker.worker_id in self.misdirected:
             return IncarnationMismatch()
