Send only quick calls shortly before a release, and test the connections of such calls

Calls in the last second before a release are now quick ones. A call over a new connection may exceed the limit of connections to the worker by two, as stops and starts without a response may hold all others.

--- a/chivefall/controllers/batch/_contact.py
+++ b/chivefall/controllers/batch/_contact.py
@@ -21,6 +21,7 @@
 MAX_CONTACT_CALLS_PER_SECOND = 250.0  # to all workers; each call takes the leader 0.5 ms
 MAX_CALLS_UNDER_WAY = 2  # to one worker: a patient one and a quick one
 PATIENT_CALL_PERIOD = 4  # calls, of which one reaches a worker that has become slow
+PATIENT_CALL_LEAD_SECONDS = 1.0  # before a release; patient calls end within it
 RELEASE_DELAY_SECONDS = 0.3  # after the end of the leases, for calls that are under way
 # Multiples of it modulo 1 are spread evenly, also those of every second or third number.
 PHASE_STEP = (math.sqrt(5.0) - 1.0) / 2.0
@@ -85,7 +86,12 @@
 
 
 def next_attempt(
-    state: ContactState, suspects: int, now: float, *, is_busy: bool
+    state: ContactState,
+    suspects: int,
+    leases_expired_at: float | None,
+    now: float,
+    *,
+    is_busy: bool,
 ) -> ContactAttempt:
     """Return the next call to a worker that does not respond.
 
@@ -96,6 +102,9 @@
     ----------
     suspects : int
         Number of workers that do not respond.
+    leases_expired_at : float or None
+        Time by which all leases of the worker have expired, in seconds since the Unix epoch;
+        None if it is unknown.
     is_busy : bool
         Whether the worker may have runs or ends that matter; others are called less often.
     """
@@ -105,8 +114,17 @@
     earliest = max(now, state.last_attempt_at + interval / 2)
     phase = state.number * PHASE_STEP % 1.0
     at = (math.ceil(earliest / interval - phase) + phase) * interval
-    is_patient = not is_busy or state.attempts % PATIENT_CALL_PERIOD == 0
-    return ContactAttempt(at, PollMode.PATIENT if is_patient else PollMode.QUICK)
+    is_patient = state.attempts % PATIENT_CALL_PERIOD == 0 and not _precedes_release(
+        at, leases_expired_at
+    )
+    return ContactAttempt(at, PollMode.PATIENT if is_patient or not is_busy else PollMode.QUICK)
+
+
+def _precedes_release(at: float, leases_expired_at: float | None) -> bool:
+    """Return whether runs are about to be released, so that only a quick call can settle it."""
+    if leases_expired_at is None:
+        return False
+    return 0.0 <= release_due_at(leases_expired_at) - at < PATIENT_CALL_LEAD_SECONDS
 
 
 def release_due_at(leases_expired_at: float) -> float:
--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -522,7 +522,7 @@
         """
         now, expired_at = self.clock.now(), session.leases_expired_at()
         suspects = sum(1 for item in self._sessions.values() if item.failures)
-        attempt = next_attempt(session.contact, suspects, now, is_busy=session.is_busy)
+        attempt = next_attempt(session.contact, suspects, expired_at, now, is_busy=session.is_busy)
         wake_at = attempt.at
         if session.worker.runs and expired_at is not None and now < release_due_at(expired_at):
             wake_at = min(wake_at, release_due_at(expired_at))
--- a/tests/batch/test_contact.py
+++ b/tests/batch/test_contact.py
@@ -41,12 +41,17 @@
 
 
 def call_times(
-    state: ContactState, suspects: int, seconds: float, *, is_busy: bool = True
+    state: ContactState,
+    suspects: int,
+    seconds: float,
+    *,
+    is_busy: bool = True,
+    leases_expired_at: float | None = None,
 ) -> Iterator[tuple[float, PollMode]]:
     """Return the calls to a worker that was lost at ``NOW``."""
     now = NOW
     while True:
-        attempt = next_attempt(state, suspects, now, is_busy=is_busy)
+        attempt = next_attempt(state, suspects, leases_expired_at, now, is_busy=is_busy)
         if attempt.at > NOW + seconds:
             return
         now = max(now, attempt.at)
@@ -69,6 +74,19 @@
         self.assertEqual(modes[:5], [PollMode.PATIENT, *[PollMode.QUICK] * 3, PollMode.PATIENT])
         self.assertNotIn(PollMode.ROUTINE, modes)
 
+    def test_calls_shortly_before_a_release(self) -> None:
+        """Guards against a release for which only a call that is still under way was sent."""
+        for number in range(100):
+            for expired_at in (NOW + 4.0, NOW + 4.2, NOW + 4.6):
+                calls = call_times(ContactState(number), 1, 6.0, leases_expired_at=expired_at)
+                last = [
+                    mode
+                    for at, mode in calls
+                    if expired_at - 0.25 <= at <= release_due_at(expired_at)
+                ]
+                self.assertGreaterEqual(len(last), 2)
+                self.assertEqual(set(last), {PollMode.QUICK})
+
     def test_idle_workers(self) -> None:
         """Guards against many calls to workers that have nothing to lose."""
         calls = list(call_times(ContactState(3), 1, 10.0, is_busy=False))
@@ -104,7 +122,7 @@
             now, suspects = NOW + step * 0.01, min(SUSPECTS, step + 1)
             for state in states[:suspects]:
                 # The call that was due at the last look is sent if its time has come.
-                attempt = next_attempt(state, suspects, now - 0.01, is_busy=True)
+                attempt = next_attempt(state, suspects, None, now - 0.01, is_busy=True)
                 if attempt.at <= now:
                     state.record_attempt(now)
                     calls.append(now)
@@ -272,6 +290,8 @@
         late = self.sut.clock.now() - expired_at
         self.assertGreater(late, 0.0)
         self.assertLessEqual(late, 0.3 + 2 * CLOCK_STEP_SECONDS)
+        last_call_at = self.session().contact.last_failed_call_sent_at
+        self.assertGreaterEqual(last_call_at, self.sut.clock.now() - 0.4)
 
     def test_lease_of_an_unresponsive_worker(self) -> None:
         """Guards against calls that move the time from which a run may start elsewhere."""
--- a/tests/net/test_http_client.py
+++ b/tests/net/test_http_client.py
@@ -128,6 +128,38 @@
         self.assertEqual(old.wait_closed().count(b"body"), 1)
         self.assertEqual(self.client.open_connections(self.address), 1)
 
+    def test_new_connection_beside_idle_ones(self) -> None:
+        """Guards against a call over an idle connection that a cut has silenced."""
+        first, second = self.send(), self.send()
+        peers = [self.accept(), self.accept()]
+        self.respond(first, peers[0])
+        self.respond(second, peers[1])
+        fut = self.send(new_connection=True)
+        fresh = self.accept()
+        self.assertEqual(self.respond(fut, fresh).status, 200)
+        self.assertEqual([peer.received.count(b"body") for peer in peers], [1, 1])
+
+    def test_new_connection_while_all_are_in_use(self) -> None:
+        """Guards against a call to a silent worker that waits for orders without a response."""
+        self.client = self.limited_client(per_server=2)
+        for _ in range(2):
+            self.send()
+            self.accept()
+        waiting = self.send()
+        fut = self.send(new_connection=True)
+        fresh = self.accept()
+        self.assertEqual(self.respond(fut, fresh).status, 200)
+        fresh.wait_for(lambda data: data.count(b"body") == 2)
+        self.assertEqual(self.respond(waiting, fresh).status, 200)
+
+    def test_limit_of_new_connections(self) -> None:
+        """Guards against connections to a silent worker that grow without a limit."""
+        self.client = self.limited_client(per_server=2)
+        for _ in range(6):
+            self.send(new_connection=True)
+        self.loop.process_events()
+        self.assertEqual(self.client.open_connections(self.address), 4)
+
     def send_after_a_pause(self) -> HttpFailure:
         """Send a request that expires before the loop runs again."""
         fut = self.send(expires_at=self.loop.clock.now() + 0.5)
--- a/tests/platform/test_run_client.py
+++ b/tests/platform/test_run_client.py
@@ -18,6 +18,7 @@
     NoResponse,
     NotSent,
     OrderPermission,
+    PollMode,
     RenewalOutcome,
     RunReport,
 )
@@ -98,6 +99,40 @@
         self.assertIsInstance(fut.result(), NoResponse)
         self.assertTrue(fut.result().sent)
 
+    def time_without_response(self, mode: PollMode) -> float:
+        """Return the seconds until a poll fails that gets no response."""
+        self.responds = False
+        began_at, requests = self.loop.clock.now(), len(self.bodies)
+        fut = spawn(self.client.renew_leases(self.worker, PERMISSION, None, None, 0.0, mode))
+        self.loop.run_until(lambda: len(self.bodies) > requests)
+        while not fut.done():
+            self.loop.advance(0.01)
+        self.assertIsInstance(fut.result(), NoResponse)
+        return self.loop.clock.now() - began_at
+
+    def test_timeouts_of_polls(self) -> None:
+        """Guards against calls that wait on a path that is lost, or give up on a slow worker."""
+        self.assertIsInstance(self.renew(), RunReport)
+        self.assertLess(self.time_without_response(PollMode.QUICK), 0.25)
+        for mode in (PollMode.PATIENT, PollMode.ROUTINE):
+            self.assertGreater(self.time_without_response(mode), TIMEOUT_SECONDS - 0.02)
+
+    def test_quick_timeout_over_a_slow_network(self) -> None:
+        """Guards against quick calls that all fail where round trips are long."""
+        for _ in range(100):
+            self.client._quick_timeout.record_response(0.02)
+        self.assertGreater(self.time_without_response(PollMode.QUICK), 0.35)
+
+    def test_connection_of_a_call_to_a_suspect(self) -> None:
+        """Guards against calls over an open connection that a cut has silenced."""
+        self.renew()
+        for mode in (PollMode.QUICK, PollMode.PATIENT):
+            before = self.connections[-1]
+            fut = spawn(self.client.renew_leases(self.worker, PERMISSION, None, None, 0.0, mode))
+            self.loop.run_until(fut.done)
+            self.assertIsInstance(fut.result(), RunReport)
+            self.assertNotEqual(self.connections[-1], before)
+
 
 if __name__ == "__main__":
     unittest.main()
