--- a/tests/batch/test_end_fuzz.py
+++ b/tests/batch/test_end_fuzz.py
@@ -37,7 +37,12 @@
 from chivefall.telemetry import open_log
 from chivefall.workers import NoResponse, PollMode, RunReport
 from standins.run_history import repeated_runs, run_spans
-from standins.run_workers import Gangs, MemoryRunClient, RunWorker
+from standins.run_workers import (
+    RESPONSE_TIMEOUT_SECONDS,
+    Gangs,
+    MemoryRunClient,
+    RunWorker,
+)
 from tests.batch.deployment import ACCOUNT, KEY, NORMAL, Deployment, Instance
 
 if TYPE_CHECKING:
@@ -110,8 +115,8 @@
                     self._play.check_acknowledged(state, end, is_shown=end.sequence in shown)
         return super()._execute_renewal(state, permission, deadline, sequence)
 
-    async def _reach(self, worker, permission):
-        state = await super()._reach(worker, permission)
+    async def _reach(self, worker, permission, silence=RESPONSE_TIMEOUT_SECONDS):
+        state = await super()._reach(worker, permission, silence)
         if isinstance(state, RunWorker) and state.crashed:
             await sleep(self._clock, CONNECT_SECONDS)
             return NoResponse("connection refused", sent=False)
