--- a/tests/batch/test_end_fuzz.py
+++ b/tests/batch/test_end_fuzz.py
@@ -40,7 +40,12 @@
 from chivefall.store import BatchPart, batch_key
 from chivefall.workers import NoResponse, PollMode, RunReport
 from standins.run_history import repeated_runs, run_spans
-from standins.run_workers import Gangs, MemoryRunClient, RunWorker
+from standins.run_workers import (
+    RESPONSE_TIMEOUT_SECONDS,
+    Gangs,
+    MemoryRunClient,
+    RunWorker,
+)
 from tests.batch.deployment import ACCOUNT, KEY, NORMAL, Deployment, Instance
 from tests.batch.instance_log import instance_log
 
@@ -118,8 +123,8 @@
                     self._play.check_acknowledged(state, end, is_shown=end.sequence in shown)
         return super()._execute_renewal(state, permission, deadline, sequence)
 
-    async def _reach(self, worker, permission, *args):
-        state = await super()._reach(worker, permission, *args)
+    async def _reach(self, worker, permission, silence=RESPONSE_TIMEOUT_SECONDS):
+        state = await super()._reach(worker, permission, silence)
         if isinstance(state, RunWorker) and state.crashed:
             await sleep(self._clock, CONNECT_SECONDS)
             return NoResponse("connection refused", sent=False)
