Hold a stopped run while the next incarnation may execute its start

Two runs of a task overlapped on a worker that confirmed the stop of an unanswered start, restarted under its id and then executed that start: the stop fences the run in the incarnation that confirmed it, not in the next one. The run was released once a report did not list it; in the test 0.5 s before the start could no longer be executed.

Such a run now waits until 4 s after its last start that may reach the next incarnation, unless that was sent over a connection known to belong to this one. The next session takes over these starts with their times, stops them again, and keeps the time of unbound calls, from which the lease end of an unreachable worker is counted.

The new test fails before the change with two overlapping runs. Not measured: the cost for tasks of workers that hold starts, which begin again up to 4 s after the last start.

--- a/chivefall/controllers/batch/_session.py
+++ b/chivefall/controllers/batch/_session.py
@@ -46,9 +46,10 @@
     unanswered_starts : set of RunId
         Runs with a start order that got no response so far. The worker may execute it until
         it has confirmed a stop of the run.
-    unbound_starts : set of RunId
-        Those of them that may have reached the next incarnation, as they were not sent over a
-        connection that brought a report of this one.
+    unbound_starts : dict
+        By run, the time in seconds since the Unix epoch of the latest start without response that
+        may reach the next incarnation, as it was not sent over a connection that brought a report
+        of this one.
     reported : set of RunId
         Runs that a report of this incarnation has listed.
     acknowledged : EndSequence
@@ -97,7 +98,7 @@
     unread_leases_end: float | None = None
     expected_since: dict[RunId, float] = field(default_factory=dict)
     unanswered_starts: set[RunId] = field(default_factory=set)
-    unbound_starts: set[RunId] = field(default_factory=set)
+    unbound_starts: dict[RunId, float] = field(default_factory=dict)
     reported: set[RunId] = field(default_factory=set)
     acknowledged: EndSequence = NO_END
     acknowledgement_sent: EndSequence = NO_END
@@ -146,19 +147,21 @@
         self.expected_since.pop(run, None)
         self.stop_accepted.pop(run, None)
         self.unanswered_starts.discard(run)
-        self.unbound_starts.discard(run)
+        self.unbound_starts.pop(run, None)
         self.reported.discard(run)
 
     def record_stop(self, run: RunId, stop_ends: float) -> None:
         """Record that the worker accepted a stop, which takes until ``stop_ends`` at most.
 
-        From then on the worker refuses every start of the run.
+        From then on this incarnation refuses every start of the run, but the next one does not
+        know of the stop.
         """
         self.stop_accepted[run] = stop_ends
         if run in self.unanswered_starts:
             # A start may have been executed between an earlier report and the stop.
             self.unanswered_starts.discard(run)
-            self.expected_since[run] = stop_ends
+            last_start = self.unbound_starts.get(run, float("-inf")) + MAX_CALL_DELAY_SECONDS
+            self.expected_since[run] = max(stop_ends, last_start)
 
     def runs_to_carry_over(self) -> list[RunId]:
         """Return the runs that may be at work in the next incarnation after a restart.
@@ -170,6 +173,7 @@
             run
             for run in self.worker.runs
             if run in self.unanswered_starts
+            or run in self.unbound_starts
             or (run in self.expected_since and run not in self.reported)
         ]
 
@@ -181,10 +185,13 @@
         entry = previous.unconfirmed_entry
         if entry is not None and entry.incarnation != self.worker.entry.incarnation:
             self.hold_entry(entry, previous.unconfirmed_entry_at)
+        self.unbound_call_sent_at = previous.unbound_call_sent_at
         for run in previous.runs_to_carry_over():
             self.worker.allocate(run, previous.worker.runs[run])
-            if run in previous.unanswered_starts:
+            if run in previous.unanswered_starts or run in previous.unbound_starts:
                 self.unanswered_starts.add(run)
+            if run in previous.unbound_starts:
+                self.unbound_starts[run] = previous.unbound_starts[run]
             if run in previous.expected_since or run in previous.stopping:
                 self.expected_since[run] = now
 
@@ -275,7 +282,7 @@
         """Record the outcome of a start; an earlier one that it repeats stays unanswered."""
         if isinstance(outcome, NoResponse) and outcome.sent:
             if self.record_unanswered_call(outcome, sent_at):
-                self.unbound_starts.add(run)
+                self.unbound_starts[run] = sent_at
         elif isinstance(outcome, NoResponse | OrderAccepted) and not is_repeated:
             self.unanswered_starts.discard(run)
 
--- a/tests/batch/test_unanswered_starts.py
+++ b/tests/batch/test_unanswered_starts.py
@@ -5,9 +5,18 @@
 import unittest
 from dataclasses import replace
 
-from chivefall.batch import BatchOperation, Incarnation, JobState, JobStatus, Resources, StepSpec
+from chivefall.batch import (
+    START_ATTEMPTS,
+    BatchOperation,
+    Incarnation,
+    JobState,
+    JobStatus,
+    Resources,
+    StepSpec,
+)
 from chivefall.model import JobId
-from chivefall.workers import OrderRefusalReason
+from chivefall.runtime import sleep
+from chivefall.workers import NoResponse, OrderRefusalReason
 from standins.run_history import late_starts, repeated_runs, run_spans
 from tests.batch.deployment import Deployment
 
@@ -16,6 +25,8 @@
 FIRST_ATTEMPT_SECONDS = 0.4  # within which the first attempt of a start was sent, and no other
 FIRST_TWO_ATTEMPTS_SECONDS = 1.4
 ALL_ATTEMPTS_SECONDS = 2.3
+RESPONSE_TIMEOUT_SECONDS = 0.8
+CONFIRMED_STOP_SECONDS = 3.0  # until a stop is confirmed and a report does not list the run
 LEASE_END_SECONDS = 7.0  # by which leases that the leader granted have ended
 LONGEST_LEASE_SECONDS = 10.0  # that workers grant
 SETTLE_SECONDS = 30.0
@@ -131,6 +142,35 @@
         self.sut.run(ALL_ATTEMPTS_SECONDS)
         self.assertEqual(len(starts), 1)
 
+    def test_stop_that_is_confirmed_before_a_restart(self) -> None:
+        """Guards against a second run beside a start that the next incarnation executes.
+
+        The worker confirms a stop of the unanswered start, restarts and forgets it.
+        """
+        late, start = [], self.client.start
+
+        async def lose_starts(worker, order, permission):
+            if worker.worker_id != "w0":
+                return await start(worker, order, permission)
+            late.append((order, permission))
+            await sleep(self.sut.clock, RESPONSE_TIMEOUT_SECONDS)
+            return NoResponse("no response in time")
+
+        self.client.start = lose_starts
+        self.submit()
+        self.sut.run(ALL_ATTEMPTS_SECONDS)
+        self.client.start = start
+        self.assertEqual(len(late), START_ATTEMPTS)
+        self.sut.leader.application.fleet.fleet.workers["w0"].avoided_until = float("inf")
+        self.sut.run(CONFIRMED_STOP_SECONDS)
+        entry = self.sut.worker("w0").entry
+        self.sut.workers.add(replace(entry, incarnation=Incarnation(entry.incarnation + 1)))
+        worker, (order, permission) = self.sut.worker("w0"), late[-1]
+        worker.run_seconds = RUN_SECONDS
+        worker.start(order, permission.epoch, WHOLE_WORKER)
+        self.sut.list_worker(worker)
+        self.check_settled()
+
     def test_worker_that_restarted_unnoticed_and_is_cut_off(self) -> None:
         """Guards against a second run after the lease end by the former incarnation's clock.
 
