Check ends that were listed undisturbed, and that each end is acknowledged

The operators count an end as acknowledged once a worker has listed it in a response and nothing disturbed it, even if the acknowledgement never comes. The random test of ends counted acknowledgements only, so a leader that loses the first report of an end passed it.

A success that was listed with no fault active for 3 s before and 0.1 s after must not be followed by a start of another run of its task. At the end, each listed end has to be acknowledged within 60 s.

--- a/tests/batch/test_end_fuzz.py
+++ b/tests/batch/test_end_fuzz.py
@@ -54,6 +54,7 @@
     from standins.run_history import RunSpan
 
 SEEDS_IN_CI = 50
+CALM_SEEDS_IN_CI = 10
 # 2489: the stand-in passed a start on that was sent while another worker had the address.
 # 3474: an entry that waited for a report was lost with the worker's session.
 REGRESSION_SEEDS = (2489, 3474)
@@ -74,6 +75,12 @@
 RECOVERY_SECONDS = 60.0  # time without faults after which all jobs have to be completed
 RUN_SECONDS = (0.05, 0.4)  # shortest and longest run of a task
 ORDER_SLACK_SECONDS = 1.0  # after the acknowledgement of a success, for orders under way
+CONTACT_SECONDS = 3.0  # without faults before a listed end counts as acknowledged
+LISTED_SECONDS = 0.1  # without faults after it
+CALM_SECONDS = (3.2, 5.0)  # shortest and longest time between times with faults
+STORM_SECONDS = (0.1, 1.5)  # shortest and longest time in which faults begin
+CALM_PLAY_SECONDS = 25.0  # until the faults end
+MAX_DELAY_SECONDS = 4.0  # of a call or a write by any of the faults
 MAX_INSTANCES = 3
 LISTED_ENDS = (2, 3, 5, 500)
 ACCELERATORS = (1, 4, 8)
@@ -112,7 +119,10 @@
             for end in state.ends:
                 if end.sequence <= sequence:
                     self._play.check_acknowledged(state, end, is_shown=end.sequence in shown)
-        return super()._execute_renewal(state, permission, deadline, sequence)
+        outcome = super()._execute_renewal(state, permission, deadline, sequence)
+        if isinstance(outcome, RunReport):
+            self._play.record_listed(outcome.ends)
+        return outcome
 
     async def _reach(self, worker, permission):
         state = await super()._reach(worker, permission)
@@ -158,6 +168,8 @@
         self._completed: set[JobId] = set()
         self._cancelled: set[JobId] = set()
         self._incarnation = 1
+        self._disturbed_until = clock.now()
+        self._listed_at: dict[RunId, float] = {}
         self._moving: set[WorkerId] = set()
         self._moves = 0
         self._listed_ends = self.random.choice(LISTED_ENDS)
@@ -168,16 +180,39 @@
 
     def play(self) -> list[str]:
         """Play faults, let them end, wait for the jobs and return the violations."""
+        self._play_faults()
+        self._end_faults()
+        self._wait_for_jobs()
+        self._wait_for_acknowledgements()
+        spans = run_spans(self.sut.workers.histories())
+        return [
+            *self.violations,
+            *sorted(set(repeated_runs(spans))),
+            *self._late_orders(spans),
+            *self._starts_after_listed_ends(spans),
+        ]
+
+    def _play_faults(self) -> None:
         actions = [action for action, weight in self._actions() for _ in range(weight)]
         end = self.sut.clock.now() + self.random.uniform(*FAULT_SECONDS)
         while self.sut.clock.now() < end:
-            self.random.choice(actions)()
+            self._act(self.random.choice(actions))
             self.sut.run(self.random.uniform(0.02, 0.4))
             self._record_completed()
-        self._end_faults()
-        self._wait_for_jobs()
-        spans = run_spans(self.sut.workers.histories())
-        return [*self.violations, *sorted(set(repeated_runs(spans))), *self._late_orders(spans)]
+
+    def _act(self, action: Callable[[], None]) -> None:
+        """Perform an action, and record that it disturbs unless it is a request of a caller."""
+        action()
+        if action not in (self.submit, self.cancel):
+            self._record_disturbance(0.0)
+
+    def _record_disturbance(self, seconds: float) -> None:
+        """Record that a fault has an effect for some seconds from now."""
+        self._disturbed_until = max(self._disturbed_until, self.sut.clock.now() + seconds)
+
+    def _is_disturbed(self) -> bool:
+        """Return whether a fault has an effect on any instance now."""
+        return bool(self._pending) or any(item.store.lose_replies for item in self._running())
 
     def _actions(self) -> list[tuple[Callable[[], None], int]]:
         return [
@@ -388,6 +423,7 @@
     def _end_faults(self) -> None:
         while self._pending:
             self._pending.pop(min(self._pending))()
+        self._record_disturbance(MAX_DELAY_SECONDS)
         for item in self._running():
             item.store.lose_replies = 0
         for name in self.names:
@@ -409,6 +445,16 @@
             self.sut.run(1.0)
         self.violations += [f"{name} was accepted and does not complete" for name in accepted]
 
+    def _wait_for_acknowledgements(self) -> None:
+        """Wait until the workers list no ends, which the leader would else be told of for ever."""
+        workers = self.sut.workers.workers.values()
+        end = self.sut.clock.now() + RECOVERY_SECONDS
+        while any(worker.ends for worker in workers) and self.sut.clock.now() < end:
+            self.sut.run(0.5)
+        for worker in workers:
+            for item in worker.ends:
+                self._report(f"the end of {item.run} ({item.kind.value}) is never acknowledged")
+
     def _record_completed(self) -> None:
         """Record the jobs that are completed, whose records are removed after a while."""
         for name in self._submitted:
@@ -466,6 +512,36 @@
             if ordered_at > limit:
                 yield f"{run} was ordered after a success of its task was acknowledged"
 
+    def record_listed(self, ends: tuple[RunEnd, ...]) -> None:
+        """Record ends that a worker lists in a response, if nothing disturbs it."""
+        sent_at = self.sut.clock.now()
+        if self._is_disturbed():
+            self._record_disturbance(0.0)
+        done = [end.run for end in ends if end.kind is EndKind.DONE]
+        if not done or self._disturbed_until > sent_at - CONTACT_SECONDS:
+            return
+
+        def record() -> None:
+            if self._disturbed_until <= sent_at - CONTACT_SECONDS and not self._is_disturbed():
+                for run in done:
+                    self._listed_at.setdefault(run, sent_at)
+
+        self.sut.clock.call_later(LISTED_SECONDS, record)
+
+    def _starts_after_listed_ends(self, spans: list[RunSpan]) -> Iterator[str]:
+        """Yield a message for each run that starts after the success of another was listed.
+
+        In undisturbed time the response reaches the leader, so such an end counts as
+        acknowledged even if the worker never gets the acknowledgement.
+        """
+        listed_at: dict[tuple, float] = {}
+        for run, time in self._listed_at.items():
+            key = (run.job, run.task)
+            listed_at[key] = min(time, listed_at.get(key, time))
+        for span in spans:
+            if span.begin > listed_at.get((span.run.job, span.run.task), float("inf")):
+                yield f"{span.run} started after a success of its task was listed undisturbed"
+
     def _report(self, text: str) -> None:
         self.violations.append(f"{self.sut.clock.now():.2f}: {text}")
 
@@ -480,6 +556,8 @@
             if self._pending.get(number) is action:
                 del self._pending[number]
                 action()
+                # Calls and writes that were delayed meanwhile may still be under way.
+                self._record_disturbance(MAX_DELAY_SECONDS)
 
         self.sut.clock.call_later(seconds, act)
 
@@ -516,18 +594,47 @@
             self.sut.list_worker(self.sut.worker(name))
 
 
-def play(seed: int, log: TextIO | None = None) -> list[str]:
+class CalmPlay(Play):
+    """A run of a seed with undisturbed times, in which jobs run, between short times with faults.
+
+    The faults of :class:`Play` follow each other so closely that no time is undisturbed.
+    """
+
+    def _play_faults(self) -> None:
+        faults = [action for action, weight in self._actions() for _ in range(weight)]
+        end = self.sut.clock.now() + CALM_PLAY_SECONDS
+        while self.sut.clock.now() < end:
+            self._play_for(self.random.uniform(*CALM_SECONDS), [self.submit], 0.4)
+            # Faults may last, and the next undisturbed time begins after the last of them.
+            self._play_for(self.random.uniform(*STORM_SECONDS), faults, 0.2)
+            for item in self._running():
+                item.store.lose_replies = 0  # An instance that does not write would keep it.
+            while self._is_disturbed() or self.sut.clock.now() < self._disturbed_until:
+                self.sut.run(0.2)
+                self._record_completed()
+
+    def _play_for(
+        self, seconds: float, actions: list[Callable[[], None]], longest_pause: float
+    ) -> None:
+        end = self.sut.clock.now() + seconds
+        while self.sut.clock.now() < end:
+            self._act(self.random.choice(actions))
+            self.sut.run(self.random.uniform(0.02, longest_pause))
+            self._record_completed()
+
+
+def play(seed: int, log: TextIO | None = None, kind: type[Play] = Play) -> list[str]:
     """Return the violations that a seed shows, and write the log of the instances to ``log``."""
     clock = ManualClock()
     if log is None:
-        return Play(seed, clock).play()
+        return kind(seed, clock).play()
 
     def write(message: dict[str, Any]) -> None:
         line = msgspec.json.encode({**message, "seed": seed}, enc_hook=repr)
         log.write(line.decode() + "\n")
 
     with instance_log(write, clock):
-        return Play(seed, clock).play()
+        return kind(seed, clock).play()
 
 
 class EndFuzz(unittest.TestCase):
@@ -537,6 +644,12 @@
             with self.subTest(seed=seed):
                 self.assertEqual(play(seed), [])
 
+    def test_calm_seeds(self) -> None:
+        """Guards against a task that runs again after the leader was told of its success."""
+        for seed in range(1, CALM_SEEDS_IN_CI + 1):
+            with self.subTest(seed=seed):
+                self.assertEqual(play(seed, kind=CalmPlay), [])
+
 
 def main() -> int:
     """Play seeds, print the violations and return 1 if there are any."""
@@ -544,6 +657,7 @@
     parser.add_argument("--first", type=int, default=1, help="first seed")
     parser.add_argument("--seeds", type=int, default=2000, help="number of seeds")
     parser.add_argument("--stop", action="store_true", help="stop at the first seed that fails")
+    parser.add_argument("--calm", action="store_true", help="play with undisturbed times")
     parser.add_argument("--log", help="file for the log of the instances")
     args = parser.parse_args()
     with nullcontext() if args.log is None else Path(args.log).open("a", encoding="utf-8") as log:
@@ -555,7 +669,7 @@
     """Play the seeds, print what they show and return the number of those that failed."""
     failed = 0
     for seed in range(args.first, args.first + args.seeds):
-        violations = play(seed, log)
+        violations = play(seed, log, CalmPlay if args.calm else Play)
         failed += bool(violations)
         for text in violations:
             print(f"seed {seed}: {text}", flush=True)
