Keep ends that were reported and not written over a change of leadership

Callers may see a task run again although its leader was told of its success: the leader loses the lease before the end is written, leads again, and cannot reach the worker that would report the end once more. Cause: what a session had heard was dropped with the leadership, on the assumption that the worker is there to repeat it. Change: an end is kept until it is written, for 60 s at most, and applied when this instance leads again. An end of a run is true under every leader; a run number is never used twice.

--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -72,6 +72,7 @@
 WATCH_INTERVAL_SECONDS = 0.4  # between watches of worker entries; every heartbeat changes one
 RETRY_DELAY_SECONDS = 0.4  # between orders or polls that were refused or got no response
 MAX_LOGGED_KEY_LENGTH = 200  # characters; other programs choose the keys of their entries
+MAX_PENDING_END_AGE_SECONDS = 60.0  # shorter than jobs are kept, as a job's id may be used again
 MAX_LOGGED_ENDS = 10  # of a report that is not used
 MAX_PROBES_PER_SECOND = 150.0  # of idle workers; each call takes the leader 0.5 ms
 MAX_POLLS_PER_SECOND = 250.0  # of workers with runs, unless ends of runs are reported earlier
@@ -123,6 +124,7 @@
         self._removed_at: dict[WorkerId, float] = {}
         self._orphans: dict[WorkerId, list[tuple[RunId, StepSpec, Incarnation]]] = {}
         self._invalid_entries: dict[str, Version] = {}
+        self._pending_ends: dict[RunId, tuple[float, RunEnd]] = {}
         self._epoch: Epoch | None = None
         self.is_loaded = False
         self.fleet = Fleet()
@@ -143,8 +145,29 @@
             self._timing.watch_wait,
             WATCH_INTERVAL_SECONDS,
         )
+        self._apply_pending_ends()
         self.run_task(mirror.run())
 
+    def _apply_pending_ends(self) -> None:
+        """Apply the ends that were reported to this instance earlier and are not written.
+
+        The ends of runs stay true under every leader, and their workers may be out of reach.
+        """
+        oldest = self.clock.now() - MAX_PENDING_END_AGE_SECONDS
+        self._pending_ends = {
+            run: item for run, item in self._pending_ends.items() if item[0] > oldest
+        }
+        for run, (reported_at, end) in list(self._pending_ends.items()):
+            log_event(
+                LogEvent.PENDING_END_APPLIED,
+                run=str(run),
+                kind=end.kind.value,
+                age=round(self.clock.now() - reported_at, 3),
+            )
+            self._listener.run_ended(
+                run, end.kind, end.checkpoint, lambda run=run: self._pending_ends.pop(run, None)
+            )
+
     def close(self) -> None:
         """Stop managing runs and remove all workers."""
         self._epoch = None
@@ -728,9 +751,13 @@
         )
         self._metrics.run_ends.inc({"kind": end.kind.value})
         self._record_result(session, end)
-        self._listener.run_ended(
-            end.run, end.kind, end.checkpoint, lambda: session.acknowledge(end.sequence)
-        )
+        self._pending_ends[end.run] = (self.clock.now(), end)
+
+        def record_written() -> None:
+            self._pending_ends.pop(end.run, None)
+            session.acknowledge(end.sequence)
+
+        self._listener.run_ended(end.run, end.kind, end.checkpoint, record_written)
         self._listener.fleet_changed()
 
     def _record_result(self, session: Session, end: RunEnd) -> None:
--- a/chivefall/telemetry/_events.py
+++ b/chivefall/telemetry/_events.py
@@ -92,6 +92,10 @@
         7213,
         "A run of a job with an invalid record ended; the end is stored until it can be read.",
     )
+    PENDING_END_APPLIED = (
+        7214,
+        "A new leader applies an end that was reported to it before it led again.",
+    )
     RETRY_DELAYED = (7211, "A long-running task that fails repeatedly starts again after a delay.")
     UNKNOWN_RUN_STOPPED = (7207, "A run without a record was stopped.")
     FLEET_CHANGED = (7301, "A worker's entry was added, changed or removed.")
