Read what has arrived before timers that a pause has delayed

Callers saw an answer that was ready refused as late, or a call to the store or a worker taken for lost, after the process had been paused or busy. Cause: the loop runs timers before the poller reads, so after a pause all timeouts that ended meanwhile fire first. Change: timers that are more than 50 ms late run after one pass of the poller.

--- a/chivefall/runtime/_clock.py
+++ b/chivefall/runtime/_clock.py
@@ -15,6 +15,8 @@
 
 __all__ = ["Clock", "LoopClock", "ManualClock", "TimerHandle"]
 
+MAX_TIMER_DELAY_SECONDS = 0.05  # of timers that run before the data that has arrived is read
+
 
 class TimerHandle:
     """A scheduled call."""
@@ -71,17 +73,28 @@
 
 
 class _TimerComponent(BaseComponent):
-    """Runs the timers of a clock on the circuits event loop."""
+    """Runs the timers of a clock on the circuits event loop.
+
+    The loop runs it before the poller. After a pause of the process, or while it is busy, what
+    arrived meanwhile is read first, so that no timeout ends before a response that is there.
+    """
 
     channel = "timers"
 
     def __init__(self, clock: LoopClock) -> None:
         super().__init__()
         self._clock = clock
+        self._has_deferred = False
 
     @handler("generate_events", channel="*")
     def _on_generate_events(self, event):
         now = self._clock.now()
+        due = self._clock.next_due()
+        if due is not None and now - due > MAX_TIMER_DELAY_SECONDS and not self._has_deferred:
+            self._has_deferred = True
+            event.reduce_time_left(0)
+            return
+        self._has_deferred = False
         if self._clock.run_due(now):
             event.reduce_time_left(0)
         elif (due := self._clock.next_due()) is not None:
