Release runs only after a call sent at the end of their leases has failed

Change: the first call after that end is sent at once, spread over the rate for all suspects, and its response is waited for; the release follows its failure, or 0.3 s after it was sent. A failure for reasons of this instance (is_local) does not count, for 3 s at most. A new leader takes the same path. Without permission nothing is released. Patient calls of a whole fleet no longer coincide, and a start accepted in an earlier session is no contact of the next one. A success in a report that arrives after its session is applied.

--- a/chivefall/controllers/batch/_contact.py
+++ b/chivefall/controllers/batch/_contact.py
@@ -22,7 +22,9 @@
 MAX_CALLS_UNDER_WAY = 2  # to one worker: a patient one and a quick one
 PATIENT_CALL_PERIOD = 4  # calls, of which one reaches a worker that has become slow
 PATIENT_CALL_LEAD_SECONDS = 1.0  # before a release; patient calls end within it
-RELEASE_DELAY_SECONDS = 0.3  # after the end of the leases, for calls that are under way
+RELEASE_DELAY_SECONDS = 0.3  # from the first call after the end of the leases, for its response
+# Calls of this instance may fail for reasons of its own, and runs are not held for ever.
+MAX_RELEASE_DELAY_SECONDS = 3.0  # from the end of the leases
 # Multiples of it modulo 1 are spread evenly, also those of every second or third number.
 PHASE_STEP = (math.sqrt(5.0) - 1.0) / 2.0
 
@@ -43,6 +45,9 @@
         Calls that have not ended yet.
     last_failed_call_sent_at : float
         Time at which the latest poll that failed was sent, in seconds since the Unix epoch.
+    settling_call_sent_at : float
+        Time at which the first poll after the end of the leases was sent, in seconds since the
+        Unix epoch; in the past of that end if there was none.
     """
 
     number: int
@@ -50,15 +55,27 @@
     last_attempt_at: float = float("-inf")
     calls_under_way: int = 0
     last_failed_call_sent_at: float = float("-inf")
+    settling_call_sent_at: float = float("-inf")
 
     def record_attempt(self, now: float) -> None:
         """Record that a call was due."""
         self.attempts += 1
         self.last_attempt_at = now
 
-    def record_failure(self, sent_at: float) -> None:
-        """Record that a poll sent at ``sent_at`` has failed."""
-        self.last_failed_call_sent_at = max(self.last_failed_call_sent_at, sent_at)
+    def record_call(self, leases_expired_at: float | None, now: float) -> None:
+        """Record that a poll is sent."""
+        if leases_expired_at is not None and self.settling_call_sent_at < leases_expired_at <= now:
+            self.settling_call_sent_at = now
+
+    def record_failure(self, sent_at: float, *, is_local: bool) -> None:
+        """Record that a poll sent at ``sent_at`` has failed.
+
+        If that was for reasons of this instance, another one has to settle what became of runs.
+        """
+        if not is_local:
+            self.last_failed_call_sent_at = max(self.last_failed_call_sent_at, sent_at)
+        elif sent_at <= self.settling_call_sent_at:
+            self.settling_call_sent_at = float("-inf")
 
     @property
     def may_call(self) -> bool:
@@ -114,31 +131,32 @@
     earliest = max(now, state.last_attempt_at + interval / 2)
     phase = state.number * PHASE_STEP % 1.0
     at = (math.ceil(earliest / interval - phase) + phase) * interval
-    is_patient = state.attempts % PATIENT_CALL_PERIOD == 0 and not _precedes_release(
-        at, leases_expired_at
-    )
-    return ContactAttempt(at, PollMode.PATIENT if is_patient or not is_busy else PollMode.QUICK)
-
-
-def _precedes_release(at: float, leases_expired_at: float | None) -> bool:
-    """Return whether runs are about to be released, so that only a quick call can settle it."""
-    if leases_expired_at is None:
-        return False
-    return 0.0 <= release_due_at(leases_expired_at) - at < PATIENT_CALL_LEAD_SECONDS
-
-
-def release_due_at(leases_expired_at: float) -> float:
+    # Every fourth number has a patient call in the same turn.
+    is_patient = (state.number + state.attempts) % PATIENT_CALL_PERIOD == 0
+    if is_busy and leases_expired_at is not None:
+        if state.last_attempt_at < leases_expired_at <= at:
+            spread = phase * suspects / MAX_CONTACT_CALLS_PER_SECOND
+            at, is_patient = min(at, max(now, leases_expired_at + spread)), True
+        elif 0.0 <= leases_expired_at - at < PATIENT_CALL_LEAD_SECONDS:
+            is_patient = False  # The call that settles what became of runs is next.
+    return ContactAttempt(at, PollMode.PATIENT if is_patient else PollMode.QUICK)
+
+
+def release_due_at(state: ContactState, leases_expired_at: float) -> float:
     """Return the time until which calls that are under way may delay a release."""
-    return leases_expired_at + RELEASE_DELAY_SECONDS
+    limit = leases_expired_at + MAX_RELEASE_DELAY_SECONDS
+    if state.settling_call_sent_at < leases_expired_at:
+        return limit
+    return min(limit, state.settling_call_sent_at + RELEASE_DELAY_SECONDS)
 
 
 def may_release(state: ContactState, leases_expired_at: float | None, now: float) -> bool:
     """Return whether the leases have certainly expired and no call can settle what became of runs.
 
-    A call that was sent after the leases expired has to fail first, but calls are waited for
-    until ``release_due_at`` only. None means that the end of the leases is unknown.
+    A call that was sent after the leases expired has to fail first, but its response is waited
+    for until ``release_due_at`` only. None means that the end of the leases is unknown.
     """
     if leases_expired_at is None or now <= leases_expired_at:
         return False
-    has_failed_since = state.last_failed_call_sent_at > leases_expired_at
-    return has_failed_since or now >= release_due_at(leases_expired_at)
+    has_failed_since = state.last_failed_call_sent_at >= leases_expired_at
+    return has_failed_since or now >= release_due_at(state, leases_expired_at)
--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -149,24 +149,38 @@
         self.run_task(mirror.run())
 
     def _apply_pending_ends(self) -> None:
-        """Apply the ends that were reported to this instance earlier and are not written.
+        """Apply the successes that were reported to this instance earlier and are not written.
 
-        The ends of runs stay true under every leader, and their workers may be out of reach.
+        They stay true under every leader, and their workers may be out of reach.
         """
         oldest = self.clock.now() - MAX_PENDING_END_AGE_SECONDS
         self._pending_ends = {
             run: item for run, item in self._pending_ends.items() if item[0] > oldest
         }
-        for run, (reported_at, end) in list(self._pending_ends.items()):
-            log_event(
-                LogEvent.PENDING_END_APPLIED,
-                run=str(run),
-                kind=end.kind.value,
-                age=round(self.clock.now() - reported_at, 3),
-            )
-            self._listener.run_ended(
-                run, end.kind, end.checkpoint, lambda run=run: self._pending_ends.pop(run, None)
-            )
+        for end in [end for _, end in self._pending_ends.values()]:
+            self._apply_pending_end(end)
+
+    def _apply_pending_end(self, end: RunEnd) -> None:
+        reported_at, _ = self._pending_ends[end.run]
+        log_event(
+            LogEvent.PENDING_END_APPLIED,
+            run=str(end.run),
+            kind=end.kind.value,
+            age=round(self.clock.now() - reported_at, 3),
+        )
+        self._listener.run_ended(
+            end.run, end.kind, end.checkpoint, lambda: self._pending_ends.pop(end.run, None)
+        )
+
+    def _keep_success(self, end: RunEnd) -> None:
+        """Apply a success that was reported outside a session of the present leadership.
+
+        Without a leadership it waits for the next one. Other ends only free a worker.
+        """
+        if end.kind is EndKind.DONE and end.run not in self._pending_ends:
+            self._pending_ends[end.run] = (self.clock.now(), end)
+            if self._epoch is not None and not self.is_stopped:
+                self._apply_pending_end(end)
 
     def close(self) -> None:
         """Stop managing runs and remove all workers."""
@@ -436,8 +450,7 @@
             for session in list(self._sessions.values()):
                 # The leases of a restarted worker have an end of their own.
                 if not session.worker.synced and session.unread_leases_end is None:
-                    for run in list(session.worker.runs):
-                        self._release(session, run, "worker not reached since the takeover")
+                    session.unread_leases_end = self.clock.now()
 
         self.clock.call_later(self._timing.orphan_timeout, release)
 
@@ -494,9 +507,10 @@
         epoch, acknowledges = self._epoch, True
         while session.needs_poll and self._is_managed(session, epoch):
             if not self._may_extend_leases(self.clock.now()):
+                # Runs are not released unasked, and none can start while the store is away.
                 await sleep(self.clock, RETRY_DELAY_SECONDS)
-                if self._is_managed(session, epoch):
-                    self._release_expired(session)
+                if self._is_managed(session, epoch) and session.is_over:
+                    self._remove_session(session)
                 continue
             if session.failures:
                 await self._regain_contact(session, epoch)
@@ -562,8 +576,9 @@
         suspects = sum(1 for item in self._sessions.values() if item.failures)
         attempt = next_attempt(session.contact, suspects, expired_at, now, is_busy=session.is_busy)
         wake_at = attempt.at
-        if session.worker.runs and expired_at is not None and now < release_due_at(expired_at):
-            wake_at = min(wake_at, release_due_at(expired_at))
+        if session.worker.runs and expired_at is not None:
+            release_at = release_due_at(session.contact, expired_at)
+            wake_at = min(wake_at, release_at) if now < release_at else wake_at
         await wait_for(self.clock, session.next_contact(), wake_at - now, None)
         if not self._is_managed(session, epoch) or not session.failures:
             return
@@ -572,6 +587,7 @@
         if now < attempt.at or not self._is_managed(session, epoch):
             return
         if session.contact.may_call:
+            session.contact.record_call(session.leases_expired_at(), now)
             self.run_task(self._call_suspect(session, epoch, attempt))
         session.contact.record_attempt(now)
 
@@ -598,9 +614,8 @@
             self._log_unused_report(session, outcome, sent_at)
             return
         if self._is_outdated(session, outcome, sent_at):
-            if isinstance(outcome, RunReport):
-                self._log_unused_report(session, outcome, sent_at)
-            elif isinstance(outcome, NoResponse) and deadline is not None:
+            self._log_unused_report(session, outcome, sent_at)
+            if isinstance(outcome, NoResponse) and deadline is not None:
                 session.record_unanswered_call(outcome, sent_at)
             return
         self._record_outcome(session, outcome, sent_at, deadline)
@@ -657,8 +672,13 @@
             )
 
     def _log_unused_report(self, session: Session, outcome: RenewalOutcome, sent_at: float) -> None:
-        """Log a report that arrived after the end of its session or leadership, or too late."""
+        """Log a report that arrived after the end of its session or leadership, or too late.
+
+        Its successes count all the same.
+        """
         if isinstance(outcome, RunReport):
+            for end in outcome.ends:
+                self._keep_success(end)
             log_event(
                 LogEvent.REPORT_NOT_USED,
                 worker=session.worker.worker_id,
@@ -751,7 +771,8 @@
         )
         self._metrics.run_ends.inc({"kind": end.kind.value})
         self._record_result(session, end)
-        self._pending_ends[end.run] = (self.clock.now(), end)
+        if end.kind is EndKind.DONE:
+            self._pending_ends[end.run] = (self.clock.now(), end)
 
         def record_written() -> None:
             self._pending_ends.pop(end.run, None)
@@ -783,7 +804,8 @@
             self._leader.step_down("a worker has seen a higher epoch")
             return
         self._mark_suspect(session, str(getattr(outcome, "reason", "")))
-        session.contact.record_failure(sent_at)
+        is_local = isinstance(outcome, NoResponse) and outcome.is_local
+        session.contact.record_failure(sent_at, is_local=is_local)
         self._release_expired(session)
 
     def _mark_suspect(self, session: Session, reason: str) -> None:
@@ -812,8 +834,11 @@
             for run in session.worker.runs
             if starts_expired or run not in session.unbound_starts
         ]
+        reason = "lease expired while the worker was unreachable"
+        if not session.worker.synced:
+            reason = "worker not reached since the takeover"
         for run in expired:
-            self._release(session, run, "lease expired while the worker was unreachable")
+            self._release(session, run, reason)
         if session.is_over:
             self._remove_session(session)
         if expired:
@@ -874,6 +899,7 @@
             if isinstance(outcome, OrderAccepted):
                 if session is addressed:
                     session.record_clock(outcome.clock, self.clock.now())
+                    self._record_response(session)
                 self._record_started(session, run)
                 return True
             if session is not addressed:
@@ -898,7 +924,6 @@
 
     def _record_started(self, session: Session, run: RunId) -> None:
         session.expected_since[run] = self.clock.now()
-        self._record_response(session)
         log_event(LogEvent.RUN_STARTED, run=str(run), worker=session.worker.worker_id)
         self._listener.run_confirmed(run)
         self._ensure_polling(session)
--- a/chivefall/controllers/batch/_session.py
+++ b/chivefall/controllers/batch/_session.py
@@ -242,6 +242,7 @@
         self.failures, self.last_outcome = 0, ""
         self.last_response_at = now
         self.contact.attempts = 0
+        self.contact.settling_call_sent_at = float("-inf")
 
     def next_contact(self) -> Future[None]:
         """Return a future that is done once a response has been recorded in full."""
--- a/chivefall/net/_http_client.py
+++ b/chivefall/net/_http_client.py
@@ -178,7 +178,7 @@
     def _wait(self, req: _Request) -> None:
         if not self._limits.waits:
             reason = f"all {self._limits.per_server} connections to {req.address} are in use"
-            req.fut.set_result(HttpFailure(reason, sent=False))
+            req.fut.set_result(HttpFailure(reason, sent=False, is_local=True))
             return
         self._waiting.setdefault(req.address, deque()).append(req)
         seconds = max(0.0, req.deadline - self.clock.now())
@@ -197,7 +197,8 @@
             is_reused = conn is not None
             conn = conn or self._connect(address)
         except OSError as exc:
-            req.fut.set_result(HttpFailure(f"cannot connect to {address}: {exc}", sent=False))
+            reason = f"cannot connect to {address}: {exc}"
+            req.fut.set_result(HttpFailure(reason, sent=False, is_local=True))
             return True
         self._exchange(conn, req, is_reused=is_reused)
         return True
@@ -232,7 +233,7 @@
         if req in queue:
             queue.remove(req)
             reason = f"no free connection to {req.address} within {req.timeout:.3g} s"
-            req.fut.set_result(HttpFailure(reason, sent=False))
+            req.fut.set_result(HttpFailure(reason, sent=False, is_local=True))
 
     def _serve_waiting(self, address: Address) -> None:
         """Start the exchanges of waiting requests for which there are connections."""
@@ -248,17 +249,20 @@
 
     def _start_timer(self, conn: Connection, seconds: float) -> None:
         reason = f"no response from {conn.address} within {seconds:.3g} s"
-        conn.timer = self.clock.call_later(seconds, lambda: self._expire(conn, reason))
+        conn.timer = self.clock.call_later(seconds, lambda: self._expire(conn, reason, seconds))
 
-    def _expire(self, conn: Connection, reason: str) -> None:
-        """Fail an exchange by its timeout, unless its response has arrived.
+    def _expire(self, conn: Connection, reason: str, seconds: float) -> None:
+        """Fail an exchange by its timeout of ``seconds``, unless its response has arrived.
 
         Timers run before the poller reads, so after a pause of the process, or while it is
         busy, a timeout ends before a response is read that arrived in time.
         """
         if not conn.sent:
-            self._fail(conn, reason)  # What was received is no response to an unsent request.
+            # What was received is no response to an unsent request.
+            self._fail(conn, reason, is_local=conn.is_established())
             return
+        # After a pause the server had less than the timeout to respond.
+        is_local = self.clock.now() - conn.sent_at < seconds / 2
         received_before = self.bytes_received
         try:
             message = self._receive_arrived(conn)
@@ -266,14 +270,14 @@
             if conn.read_timeout is not None and self.bytes_received > received_before:
                 self._start_timer(conn, conn.read_timeout)
             else:
-                self._fail(conn, reason)
+                self._fail(conn, reason, is_local=is_local)
         except (OSError, FramingError) as exc:
             self._fail(conn, f"{reason}; {exc}")
         else:
             if message is not None:
                 self._complete(conn, message, is_late=True)
             else:
-                self._fail(conn, reason)
+                self._fail(conn, reason, is_local=is_local)
 
     def close_all(self) -> None:
         """Close all connections; exchanges in progress fail."""
@@ -336,7 +340,7 @@
             self._fail_sending(conn, f"cannot {action} to {conn.address}: {name}")
             return
         if not conn.sent and self.clock.now() >= conn.expires_at:
-            self._fail(conn, "the request expired before it was sent")
+            self._fail(conn, "the request expired before it was sent", is_local=True)
             return
         try:
             self._send_pending(conn)
@@ -363,7 +367,8 @@
     def _send_pending(self, conn: Connection) -> None:
         while conn.outgoing:
             # Some bytes may have been sent even if the call fails.
-            conn.sent = True
+            if not conn.sent:
+                conn.sent, conn.sent_at = True, self.clock.now()
             count = conn.sock.send(conn.outgoing[0])
             self.bytes_sent += count
             conn.outgoing[0] = conn.outgoing[0][count:]
@@ -458,12 +463,12 @@
             self._close(conn)
         fut.set_result(response)
 
-    def _fail(self, conn: Connection, reason: str) -> None:
+    def _fail(self, conn: Connection, reason: str, *, is_local: bool = False) -> None:
         if conn.sock not in self._active:
             return
         fut = self._end_exchange(conn)
         self._close(conn)
-        fut.set_result(HttpFailure(reason, conn.sent, conn.id))
+        fut.set_result(HttpFailure(reason, conn.sent, conn.id, is_local))
 
     def _replace(self, conn: Connection) -> None:
         """Close a reused connection and send the request of its exchange over another one.
--- a/chivefall/net/_http_connection.py
+++ b/chivefall/net/_http_connection.py
@@ -53,11 +53,15 @@
         Whether any part of the request may have reached the server.
     connection : ConnectionId or None
         The connection that was used, if any; it is closed.
+    is_local : bool
+        Whether it failed for reasons of this process, such as its limits or a pause, so that it
+        says nothing about the server.
     """
 
     reason: str
     sent: bool
     connection: ConnectionId | None = None
+    is_local: bool = False
 
 
 class Connection:
@@ -68,6 +72,8 @@
     send_elsewhere : callable or None
         Sends the request of the exchange over another connection; None if this connection
         was opened for it.
+    sent_at : float
+        Time at which the first part of the request was sent, in seconds since the Unix epoch.
     """
 
     __slots__ = (
@@ -80,6 +86,7 @@
         "read_timeout",
         "send_elsewhere",
         "sent",
+        "sent_at",
         "sock",
         "timer",
         "verify",
@@ -95,6 +102,7 @@
         self.timer: TimerHandle | None = None
         self.verify: Callable[[HttpResponse], bool] | None = None
         self.sent = False
+        self.sent_at = math.inf
         self.expires_at = math.inf
         self.read_timeout: float | None = None
         self.send_elsewhere: Callable[[], None] | None = None
@@ -107,6 +115,14 @@
         """
         return not self.sent and self.send_elsewhere is not None and not self.is_alive()
 
+    def is_established(self) -> bool:
+        """Return whether the server has accepted the connection."""
+        try:
+            self.sock.getpeername()
+        except OSError:
+            return False
+        return True
+
     def is_alive(self) -> bool:
         """Return whether an idle connection is open and no unexpected data was received."""
         try:
--- a/chivefall/platform/_run_client.py
+++ b/chivefall/platform/_run_client.py
@@ -227,7 +227,9 @@
 
 def _order_outcome(response: HttpResponse | HttpFailure) -> OrderOutcome:
     if isinstance(response, HttpFailure):
-        return NoResponse(response.reason, response.sent, response.connection)
+        return NoResponse(
+            response.reason, response.sent, response.connection, is_local=response.is_local
+        )
     if response.status == HTTPStatus.MISDIRECTED_REQUEST:
         return IncarnationMismatch()
     if response.status in _UNHEALTHY_STATUSES:
--- a/chivefall/workers/_runs.py
+++ b/chivefall/workers/_runs.py
@@ -183,12 +183,16 @@
         The connection over which it was sent, if that is known.
     is_invalid : bool
         Whether a response arrived that cannot be used.
+    is_local : bool
+        Whether the call failed for reasons of this instance, so that it says nothing about
+        the worker.
     """
 
     reason: str
     sent: bool = True
     connection: ConnectionId | None = None
     is_invalid: bool = False
+    is_local: bool = False
 
 
 @dataclass(frozen=True)
--- a/tests/batch/test_contact.py
+++ b/tests/batch/test_contact.py
@@ -15,6 +15,7 @@
 from chivefall.batch import JobState, Resources, StepSpec
 from chivefall.controllers.batch._contact import (
     MAX_CONTACT_CALLS_PER_SECOND,
+    MAX_RELEASE_DELAY_SECONDS,
     ContactState,
     may_release,
     next_attempt,
@@ -70,28 +71,46 @@
 
     def test_patient_calls(self) -> None:
         """Guards against a slow worker that no call reaches, and cut ones that all wait for."""
-        modes = [mode for _, mode in call_times(ContactState(3), 1, 6.0)]
-        self.assertEqual(modes[:5], [PollMode.PATIENT, *[PollMode.QUICK] * 3, PollMode.PATIENT])
-        self.assertNotIn(PollMode.ROUTINE, modes)
+        for number in range(8):
+            modes = [mode for _, mode in call_times(ContactState(number), 1, 6.0)]
+            for first in range(len(modes) - 3):
+                self.assertEqual(modes[first : first + 4].count(PollMode.PATIENT), 1)
+            self.assertNotIn(PollMode.ROUTINE, modes)
+        # Workers that are lost together are not all called patiently at first.
+        first = [next(call_times(ContactState(number), 1, 6.0))[1] for number in range(40)]
+        self.assertEqual(first.count(PollMode.PATIENT), 10)
 
     def test_calls_shortly_before_a_release(self) -> None:
-        """Guards against a release for which only a call that is still under way was sent."""
-        for number in range(100):
-            for expired_at in (NOW + 4.0, NOW + 4.2, NOW + 4.6):
-                calls = call_times(ContactState(number), 1, 6.0, leases_expired_at=expired_at)
-                last = [
-                    mode
-                    for at, mode in calls
-                    if expired_at - 0.25 <= at <= release_due_at(expired_at)
-                ]
-                self.assertGreaterEqual(len(last), 2)
-                self.assertEqual(set(last), {PollMode.QUICK})
+        """Guards against a release for which no call was sent that could settle it.
+
+        Calls before it are quick ones, so that the one after the end of the leases is not kept
+        back by those under way.
+        """
+        for suspects in (1, 62, 165, 300):
+            for number in range(suspects):
+                for expired_at in (NOW + 4.0, NOW + 4.2, NOW + 4.6):
+                    state = ContactState(number)
+                    calls = call_times(state, suspects, 8.0, leases_expired_at=expired_at)
+                    before, after = [], None
+                    for at, mode in calls:
+                        if at >= expired_at:
+                            after = at
+                            break
+                        before.append((at, mode))
+                    self.assertIsNotNone(after)
+                    self.assertEqual(mode, PollMode.PATIENT)
+                    self.assertLessEqual(after, expired_at + max(0.25, suspects / 250.0))
+                    last = [item[1] for item in before if item[0] >= expired_at - 0.8]
+                    self.assertNotIn(PollMode.PATIENT, last)
+                    state.record_call(expired_at, after)
+                    self.assertLessEqual(release_due_at(state, expired_at), after + 0.3)
 
     def test_idle_workers(self) -> None:
         """Guards against many calls to workers that have nothing to lose."""
         calls = list(call_times(ContactState(3), 1, 10.0, is_busy=False))
         self.assertIn(len(calls), (10, 11))
-        self.assertEqual({mode for _, mode in calls}, {PollMode.PATIENT})
+        # Patient calls to a whole fleet would hold a connection each for most of the time.
+        self.assertIn([mode for _, mode in calls].count(PollMode.PATIENT), (2, 3))
 
     def test_calls_to_half_of_a_fleet(self) -> None:
         """Guards against a leader that is busy with calls to workers that cannot respond."""
@@ -136,19 +155,32 @@
 
     def test_leases_that_may_last(self) -> None:
         """Guards against a release while the run may be at work."""
-        self.state.record_failure(NOW - 0.1)
+        self.state.record_failure(NOW - 0.1, is_local=False)
         self.assertFalse(may_release(self.state, NOW, NOW))
         self.assertFalse(may_release(self.state, None, NOW + 100.0))
 
     def test_call_sent_before_the_leases_expired(self) -> None:
         """Guards against a release that a call under way would have made needless."""
-        self.state.record_failure(NOW - 0.2)
-        self.assertFalse(may_release(self.state, NOW, NOW + 0.1))
-        self.assertTrue(may_release(self.state, NOW, release_due_at(NOW)))
+        self.state.record_call(NOW, NOW - 0.2)
+        self.state.record_failure(NOW - 0.2, is_local=False)
+        self.assertFalse(may_release(self.state, NOW, NOW + 1.0))
+
+    def test_response_that_is_waited_for(self) -> None:
+        """Guards against a wait for a call that takes until its timeout."""
+        self.state.record_call(NOW, NOW + 0.5)
+        self.assertFalse(may_release(self.state, NOW, NOW + 0.7))
+        self.assertTrue(may_release(self.state, NOW, NOW + 0.81))
+
+    def test_call_that_failed_for_local_reasons(self) -> None:
+        """Guards against a release because this instance could not send a call."""
+        self.state.record_call(NOW, NOW + 0.1)
+        self.state.record_failure(NOW + 0.1, is_local=True)
+        self.assertFalse(may_release(self.state, NOW, NOW + 1.0))
+        self.assertTrue(may_release(self.state, NOW, NOW + MAX_RELEASE_DELAY_SECONDS))
 
     def test_call_sent_after_the_leases_expired(self) -> None:
         """Guards against runs that are kept although a call has shown that they are lost."""
-        self.state.record_failure(NOW + 0.05)
+        self.state.record_failure(NOW + 0.05, is_local=False)
         self.assertTrue(may_release(self.state, NOW, NOW + 0.15))
 
 
