--- a/chivefall/telemetry/_events.py
+++ b/chivefall/telemetry/_events.py
@@ -103,7 +103,7 @@
     )
     REPORT_NOT_USED = (
         7306,
-        "A worker's report arrived after the end of its session or of the leadership.",
+        "A worker's report arrived after the end of its session or leadership, or a later one.",
     )
     HISTORY_LOST = (7304, "The store no longer holds the changes to a prefix; it is listed again.")
 
