--- a/chivefall/telemetry/_events.py
+++ b/chivefall/telemetry/_events.py
@@ -107,7 +107,7 @@
     )
     REPORT_NOT_USED = (
         7306,
-        "A worker's report arrived after the end of its session or of the leadership.",
+        "A worker's report arrived after the end of its session or leadership, or a later one.",
     )
     REPORT_INVALID = (
         7307,
