Use the successes in a report that arrives after its session

A task ran again although a worker had listed its success in a response: while the response was under way, another worker at the address refused a start, which ended the session and released the run. The report was logged as unused, and no later one shows the end.

The leader now applies the successes in such a report, as long as it leads; they are not acknowledged. Other ends are left out, since a start of a stopped run may still be under way. The new test fails before the change with two starts.

--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -478,6 +478,8 @@
             session.worker.accepts_starts = True
             if session.closed or not self._is_current(epoch):
                 self._log_unused_report(session, outcome, sent_at)
+                if self._is_current(epoch):
+                    self._record_late_successes(outcome)
                 return
             acknowledges = not isinstance(outcome, NotSent)
             if not acknowledges:
@@ -537,6 +539,16 @@
                 age=round(self.clock.now() - sent_at, 3),
             )
 
+    def _record_late_successes(self, outcome: RenewalOutcome) -> None:
+        """Apply the successes in a report that arrived after the end of its session.
+
+        The worker may be gone, so that no other report shows them. Nothing is acknowledged.
+        """
+        if isinstance(outcome, RunReport):
+            for end in outcome.ends:
+                if end.kind is EndKind.DONE:
+                    self._listener.run_ended(end.run, end.kind, end.checkpoint, lambda: None)
+
     def _record_report(self, session: Session, report: RunReport, sent_at: float) -> None:
         worker = session.worker
         if report.incarnation not in (worker.entry.incarnation, Incarnation(0)):
