--- a/chivefall/telemetry/_events.py
+++ b/chivefall/telemetry/_events.py
@@ -94,7 +94,7 @@
     )
     PENDING_END_APPLIED = (
         7214,
-        "A new leader applies an end that was reported to it before it led again.",
+        "A success that was reported outside a session of this leadership is applied.",
     )
     RETRY_DELAYED = (7211, "A long-running task that fails repeatedly starts again after a delay.")
     UNKNOWN_RUN_STOPPED = (7207, "A run without a record was stopped.")
