--- a/chivefall/controllers/batch/_contact.py
+++ b/chivefall/controllers/batch/_contact.py
@@ -47,7 +47,7 @@
         Time at which the latest poll that failed was sent, in seconds since the Unix epoch.
     settling_call_sent_at : float
         Time at which the first poll after the end of the leases was sent, in seconds since the
-        Unix epoch; in the past of that end if there was none.
+        Unix epoch; before that end if there was none.
     """
 
     number: int
@@ -93,13 +93,10 @@
         Time of the call, in seconds since the Unix epoch.
     mode : PollMode
         Connection and timeout of the call.
-    wait : float
-        Seconds for which the call requests the worker to wait for an end.
     """
 
     at: float
     mode: PollMode
-    wait: float = 0.0
 
 
 def next_attempt(
--- a/chivefall/controllers/batch/_fleet.py
+++ b/chivefall/controllers/batch/_fleet.py
@@ -530,7 +530,7 @@
             session.worker.accepts_starts = True
             self._log_invalid_report(session, outcome)
             if not self._is_managed(session, epoch):
-                self._log_unused_report(session, outcome, sent_at)
+                self._record_unused_report(session, outcome, sent_at)
                 return
             acknowledges = not isinstance(outcome, NotSent)
             if not acknowledges:
@@ -604,17 +604,17 @@
                 OrderPermission(epoch, self._lease_extensions_end()),
                 deadline,
                 None,
-                attempt.wait,
+                0.0,
                 attempt.mode,
             )
         finally:
             session.contact.calls_under_way -= 1
         self._log_invalid_report(session, outcome)
         if not self._is_managed(session, epoch):
-            self._log_unused_report(session, outcome, sent_at)
+            self._record_unused_report(session, outcome, sent_at)
             return
         if self._is_outdated(session, outcome, sent_at):
-            self._log_unused_report(session, outcome, sent_at)
+            self._record_unused_report(session, outcome, sent_at)
             if isinstance(outcome, NoResponse) and deadline is not None:
                 session.record_unanswered_call(outcome, sent_at)
             return
@@ -671,10 +671,12 @@
                 runs=len(session.worker.runs),
             )
 
-    def _log_unused_report(self, session: Session, outcome: RenewalOutcome, sent_at: float) -> None:
-        """Log a report that arrived after the end of its session or leadership, or too late.
+    def _record_unused_report(
+        self, session: Session, outcome: RenewalOutcome, sent_at: float
+    ) -> None:
+        """Record the successes in a report that is not used otherwise.
 
-        Its successes count all the same.
+        It arrived after the end of its session or leadership, or after a later report.
         """
         if isinstance(outcome, RunReport):
             for end in outcome.ends:
