Keep what a response resets in the state of the contact

The session set two fields of ContactState by itself. Two doc comments said what no longer holds: timers that a pause has delayed run after the poller now.

--- a/chivefall/controllers/batch/_contact.py
+++ b/chivefall/controllers/batch/_contact.py
@@ -67,6 +67,11 @@
         if leases_expired_at is not None and self.settling_call_sent_at < leases_expired_at <= now:
             self.settling_call_sent_at = now
 
+    def record_response(self) -> None:
+        """Record that the worker has responded."""
+        self.attempts = 0
+        self.settling_call_sent_at = float("-inf")
+
     def record_failure(self, sent_at: float, *, is_local: bool) -> None:
         """Record that a poll sent at ``sent_at`` has failed.
 
--- a/chivefall/controllers/batch/_session.py
+++ b/chivefall/controllers/batch/_session.py
@@ -186,7 +186,7 @@
     def carry_over(self, previous: Session, now: float) -> None:
         """Take over the runs that the previous incarnation may have left to this one.
 
-        So is an entry of a third incarnation, which may be a later one.
+        An entry of a third incarnation is held back further, as it may be a later one.
         """
         entry = previous.unconfirmed_entry
         if entry is not None and entry.incarnation != self.worker.entry.incarnation:
@@ -241,8 +241,7 @@
         """Record a response received at ``now``."""
         self.failures, self.last_outcome = 0, ""
         self.last_response_at = now
-        self.contact.attempts = 0
-        self.contact.settling_call_sent_at = float("-inf")
+        self.contact.record_response()
 
     def next_contact(self) -> Future[None]:
         """Return a future that is done once a response has been recorded in full."""
--- a/chivefall/net/_http_client.py
+++ b/chivefall/net/_http_client.py
@@ -254,8 +254,8 @@
     def _expire(self, conn: Connection, reason: str, seconds: float) -> None:
         """Fail an exchange by its timeout of ``seconds``, unless its response has arrived.
 
-        Timers run before the poller reads, so after a pause of the process, or while it is
-        busy, a timeout ends before a response is read that arrived in time.
+        After a pause of the process the poller reads before delayed timers run, but only a part
+        of a large response, and a timer that is hardly late runs before the poller.
         """
         if not conn.sent:
             # What was received is no response to an unsent request.
