--- a/review/common-2/platform_sim.py
+++ b/review/common-2/platform_sim.py
@@ -10,6 +10,7 @@
 import contextlib
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -31,6 +32,7 @@
 STOP_SECONDS = 0.2
 START_SECONDS = 0.1  # until a task is at work
 STORE_SECONDS = 0.004  # for one response of the store
+LATE_SECONDS = (1.0, 6.0)  # until a write whose answer is lost is done
 RESTART_SECONDS = 1.0  # from the end of a process to its next start
 MEMORY_CHECK_SECONDS = 0.25
 ZONES = ("zilina", "banska", "martin")
@@ -96,6 +98,8 @@
         self.items: dict[str, Item] = {}
         self.history: list[tuple[int, str, Item | None]] = []
         self.leases: dict[int, tuple[float, float]] = {}
+        self.lost_share = 0.0  # of the writes, which are done late and not answered
+        self._random = random.Random()
         self._changed = asyncio.Event()
         self._next_lease = 1
 
@@ -158,6 +162,10 @@
         if call == "kv-watch":
             return await self._watch(query)
         if call == "kv-txn":
+            if self._random.random() < self.lost_share:
+                delay = self._random.uniform(*LATE_SECONDS)
+                asyncio.get_running_loop().call_later(delay, self._transact, content)
+                await asyncio.Event().wait()  # this channel returns nothing further
             return self._transact(content)
         return self._lease(method, call, argument, content)
 
@@ -658,6 +666,8 @@
     """Run a case to its end and return its exit code: 1 broken, 0 held, 2 could not run."""
 
     async def main(directory: Path) -> int:
+        # Connections that still wait when the case ends are of no interest.
+        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
         case = Case(directory, folder)
         await serve(case.store.handle, case.store.port)
         case.tasks.append(asyncio.create_task(case.store.expire_leases()))
