--- a/review/common-2/platform_sim.py
+++ b/review/common-2/platform_sim.py
@@ -40,15 +40,27 @@
 MAX_PAGE = 500  # items of a page of the store, or ends in a list
 SUCCESS = range(200, 300)
 
+PORTS = (10_000, 32_000)
+_ports = random.SystemRandom()
+_used_ports: set[int] = set()
+
 Reply = tuple[int, Any]
 Handler = Callable[[str, str, dict[str, str], dict[str, str], bytes], Awaitable[Reply]]
 
 
 def free_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+    """Return a port that is free now, below those that the kernel gives to outgoing channels."""
+    while True:
+        port = _ports.randrange(*PORTS)
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+        if port not in _used_ports:
+            _used_ports.add(port)
+            return port
 
 
 async def serve(handle: Handler, port: int) -> asyncio.Server:
@@ -480,7 +492,7 @@
                 kind=kinds(number),
             )
             self.workers[worker.name] = worker
-            await serve(worker.handle, worker.port)
+            await serve(lambda *a, worker=worker: worker.handle(*a), worker.port)
             self.tasks.append(asyncio.create_task(worker.work()))
             self.tasks.append(asyncio.create_task(self._send_heartbeats(worker)))
 
