--- a/review/common-2/platform_sim.py
+++ b/review/common-2/platform_sim.py
@@ -23,7 +23,7 @@
 from pathlib import Path
 from typing import Any
 
-__all__ = ["Case", "Ending", "Instance", "Store", "Worker", "start_case"]
+__all__ = ["Case", "Ending", "Instance", "Store", "Worker", "encode", "start_case"]
 
 REPOSITORY = Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
@@ -63,6 +63,11 @@
             return port
 
 
+def encode(body: Any) -> bytes:
+    """Return a body as compact JSON."""
+    return json.dumps(body, separators=(",", ":")).encode()
+
+
 async def serve(handle: Handler, port: int) -> asyncio.Server:
     """Serve HTTP/1.1 with JSON bodies on a port."""
 
@@ -405,6 +410,7 @@
     """A machine of the system with its process."""
 
     name: str
+    zone: str
     settings: Path
     front: str
     output: Path
@@ -534,11 +540,19 @@
         number = len(self.instances)
         zone = ZONES[number % len(ZONES)]
         name = f"front-{zone}-{number // len(ZONES) + 1}"
+        settings = self.directory / f"{name}.json"
+        instance = Instance(name, zone, settings, "", self.directory / f"{name}.log")
+        self._configure(instance)
+        instance.start()
+        self.instances.append(instance)
+
+    def _configure(self, instance: Instance) -> None:
+        """Write the settings of a machine as the platform does, with free ports."""
         front, ready, peers, metrics = (free_port() for _ in range(4))
         fields = {
-            "node_name": name,
+            "node_name": instance.name,
             "region": "sk-central",
-            "zone": zone,
+            "zone": instance.zone,
             "ip": HOST,
             "listen": {"front": f"{HOST}:{front}", "ready": f"{HOST}:{ready}"},
             "internal_ports": [peers, metrics],
@@ -563,11 +577,8 @@
             },
         }
         template = (REPOSITORY / "deploy" / "settings.json5").read_text(encoding="utf-8")
-        settings = self.directory / f"{name}.json"
-        settings.write_text(render(template, fields), encoding="utf-8")
-        instance = Instance(name, settings, f"{HOST}:{front}", self.directory / f"{name}.log")
-        instance.start()
-        self.instances.append(instance)
+        instance.settings.write_text(render(template, fields), encoding="utf-8")
+        instance.front = f"{HOST}:{front}"
 
     async def supervise(self) -> None:
         """Restart processes that end, and end those that exceed their memory limit."""
@@ -589,7 +600,7 @@
         instance = self.instances[self._next % len(self.instances)]
         self._next += 1
         host, _, port = instance.front.partition(":")
-        data = b"" if body is None else json.dumps(body).encode()
+        data = b"" if body is None else encode(body)
         try:
             status, content = await asyncio.wait_for(
                 self._exchange(host, int(port), method, path, data, key, timeout), timeout
@@ -634,18 +645,31 @@
     async def wait_ready(self, path: str, key: str) -> None:
         """Wait until all instances answer requests.
 
+        One that does not is started anew on other ports, as others may have taken its own.
+
         Raises
         ------
         TimeoutError
-            If they do not within 20 s.
+            If they do not within 25 s.
         """
-        good, until = 0, time.monotonic() + 20.0
-        while good < 2 * len(self.instances):
-            status, _ = await self.request("GET", path, key=key)
-            good = good + 1 if status in SUCCESS else 0
+        until, renew_at = time.monotonic() + 25.0, time.monotonic() + 8.0
+        while True:
+            bad = []
+            for instance in self.instances:
+                status, _ = await self.request("GET", path, key=key)
+                if status not in SUCCESS:
+                    bad.append(instance)
+            if not bad:
+                return
             if time.monotonic() > until:
                 raise TimeoutError("the instances are not ready")
-            await asyncio.sleep(0.1)
+            if time.monotonic() > renew_at:
+                renew_at += 8.0
+                for instance in bad:
+                    instance.stop()
+                    self._configure(instance)
+                    instance.start()
+            await asyncio.sleep(0.3)
 
     def runs_of(self, job: str) -> list[tuple[str, str, int]]:
         """Return worker, task and number of the runs of a job."""
