--- a/review/common-2/platform_sim.py
+++ b/review/common-2/platform_sim.py
@@ -32,6 +32,7 @@
 STOP_SECONDS = 0.2
 START_SECONDS = 0.1  # until a task is at work
 STORE_SECONDS = 0.004  # for one response of the store
+LATE_ORDER_SECONDS = (2.0, 12.0)
 LATE_SECONDS = (1.0, 6.0)  # until a write whose answer is lost is done
 RESTART_SECONDS = 1.0  # from the end of a process to its next start
 MEMORY_CHECK_SECONDS = 0.25
@@ -273,6 +274,7 @@
     )
     kind: str = "a"
     hangs: bool = False
+    late_share: float = 0.0  # of the starts and stops, which are carried out late, unanswered
     born: int = field(default_factory=lambda: int(time.time() * 1000))
     origin: float = field(default_factory=time.monotonic)
     fence: int = 0
@@ -324,6 +326,13 @@
         self._ended.set()
         self._ended = asyncio.Event()
 
+    def restart(self) -> None:
+        """Start again under the same id; the new lifetime knows nothing of before."""
+        self.record("restart", worker=self.name, runs=len(self.runs))
+        self.runs, self.ends, self.highest = {}, [], {}
+        self.fence, self._count, self.lease_until = 0, 0, 0.0
+        self.born, self.origin = int(time.time() * 1000), time.monotonic()
+
     async def work(self) -> None:
         """End runs by themselves and when their lease ends."""
         while True:
@@ -349,12 +358,24 @@
         if headers.get("x-target-instance") != self.name:
             return 421, {}
         content = json.loads(body)
+        if path != "/chivefall/hold" and random.random() < self.late_share:
+            delay = random.uniform(*LATE_ORDER_SECONDS)
+            self.record("late", worker=self.name, task=content["task"], delay=round(delay, 2))
+            asyncio.get_running_loop().call_later(delay, self._obey, path, content)
+            await asyncio.Event().wait()  # this channel returns nothing further
+        if path == "/chivefall/hold":
+            if content.get("fence_token", 0) < self.fence:
+                return 409, {"clock_ms": self._clock(), "born": self.born, "reason": "fence"}
+            self.fence = content.get("fence_token", 0)
+            return await self._hold(content)
+        return self._obey(path, content)
+
+    def _obey(self, path: str, content: dict[str, Any]) -> Reply:
+        """Carry out a start or a stop."""
         clock = {"clock_ms": self._clock(), "born": self.born}
         if content.get("fence_token", 0) < self.fence:
             return 409, {**clock, "reason": "fence"}
         self.fence = content.get("fence_token", 0)
-        if path == "/chivefall/hold":
-            return await self._hold(content)
         key = content["task"], content["run_id"]
         if path == "/chivefall/run-start":
             return self._start(key, content, clock)
@@ -383,7 +404,11 @@
 
     async def _hold(self, body: dict[str, Any]) -> Reply:
         self._extend(body)
-        self.ends = [end for end in self.ends if end[0] > body.get("last_seen", 0)]
+        last_seen = body.get("last_seen", 0)
+        for number, task, run, how, _ in self.ends:
+            if number <= last_seen:
+                self.record("noted", worker=self.name, task=task, run=run, how=how)
+        self.ends = [end for end in self.ends if end[0] > last_seen]
         if not self.ends and body.get("wait_ms"):
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._ended.wait(), body["wait_ms"] / 1000)
@@ -504,9 +529,13 @@
 
     async def _send_heartbeats(self, worker: Worker) -> None:
         while True:
-            self.store.write([(f"servers/{worker.name}", worker.entry(), 0)], [])
+            self.write_entry(worker)
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
+    def write_entry(self, worker: Worker) -> None:
+        """Write a worker's entry, as it does itself."""
+        self.store.write([(f"servers/{worker.name}", worker.entry(), 0)], [])
+
     def write_config(self, routes: list[dict[str, Any]], tenants: list[dict[str, Any]]) -> None:
         """Write the desired state as the operator does."""
         services = sorted({route["service"] for route in routes})
